--- /dev/null
+++ b/include/baobabloft/ledger/shard_state.hpp
@@ -0,0 +1,91 @@
+// The state of one shard, as its log defines it: the same log gives the same
+// state to every reader.
+#pragma once
+
+#include "baobabloft/ledger/batch.hpp"
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+namespace baobabloft::ledger
+{
+
+/// Where a key stands.
+enum class key_standing : std::uint8_t
+{
+    free,
+    claimed,
+    done,
+    /// Created before the horizon; what became of it is no longer known.
+    beyond_horizon
+};
+
+/// What is known of a key.
+struct key_state
+{
+    key_standing standing = key_standing::free;
+    /// The attempt that holds the claim.
+    std::uint64_t attempt = 0;
+    stored_answer answer{};
+};
+
+/// Number of an entry in a shard's log.
+using entry_number = std::uint64_t;
+
+/// Replays a shard's log.
+class shard_state
+{
+public:
+    /// Applies entry `number`, which must follow the last one applied; the
+    /// first may have any number, since older entries may be gone.
+    void apply(entry_number number, const batch& content);
+
+    /// Returns what the log says of `key`.
+    [[nodiscard]] key_state find(const booking_key& key) const;
+
+    /// Returns the number of the last entry applied.
+    [[nodiscard]] std::optional<entry_number> last_entry() const;
+
+    [[nodiscard]] std::uint64_t horizon_ms() const;
+
+    /// Returns the creation time of the youngest key in the log.
+    [[nodiscard]] std::uint64_t youngest_ms() const;
+
+    /// Returns the number of keys remembered.
+    [[nodiscard]] std::size_t size() const;
+
+    /// Returns the first entry that must be kept: every key of the earlier
+    /// ones lies beyond the horizon. Never passes the last entry.
+    [[nodiscard]] entry_number first_needed() const;
+
+    /// Returns the oldest entry not yet known to be deleted.
+    [[nodiscard]] entry_number first_kept() const;
+
+    /// Notes that entries before `number` were deleted.
+    void deleted_before(entry_number number);
+
+private:
+    struct key_hash
+    {
+        std::size_t operator()(const booking_key& key) const;
+    };
+
+    struct entry_age
+    {
+        entry_number number = 0;
+        /// Creation time of the youngest key in the entry.
+        std::uint64_t youngest_ms = 0;
+    };
+
+    void apply(const record& item);
+    void raise_horizon(std::uint64_t horizon_ms);
+
+    std::unordered_map<booking_key, key_state, key_hash> keys_;
+    std::deque<entry_age> ages_;
+    std::optional<entry_number> last_;
+    std::uint64_t horizon_ms_ = 0;
+    std::uint64_t youngest_ms_ = 0;
+};
+
+} // namespace baobabloft::ledger
--- /dev/null
+++ b/include/baobabloft/net/event_loop.hpp
@@ -0,0 +1,106 @@
+// One GLib main context with its loop. A task owns one event loop, its sockets
+// and its state; other threads reach it only by post().
+#pragma once
+
+#include "baobabloft/support/time.hpp"
+
+#include <functional>
+#include <gio/gio.h>
+#include <memory>
+
+namespace baobabloft::net
+{
+
+/// Deleter that drops one reference of a GObject.
+struct object_unref
+{
+    void operator()(gpointer object) const
+    {
+        g_object_unref(object);
+    }
+};
+
+/// Owning pointer to a GObject.
+template <typename Object>
+using object_ptr = std::unique_ptr<Object, object_unref>;
+
+/// Deleter for GBytes.
+struct bytes_unref
+{
+    void operator()(GBytes* bytes) const
+    {
+        g_bytes_unref(bytes);
+    }
+};
+
+using bytes_ptr = std::unique_ptr<GBytes, bytes_unref>;
+
+/// Deleter for GError.
+struct error_free
+{
+    void operator()(GError* error) const
+    {
+        g_error_free(error);
+    }
+};
+
+using error_ptr = std::unique_ptr<GError, error_free>;
+
+/// A main context and the loop that runs it.
+class event_loop
+{
+public:
+    using task = std::function<void()>;
+
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Runs until stop(); must be called on the thread that owns the loop.
+    void run();
+
+    /// Ends run(); may be called from any thread.
+    void stop();
+
+    /// Queues `work` to run on the loop's thread; may be called from any
+    /// thread. Calls from one thread run in order.
+    void post(task work);
+
+    /// Runs `work` once after `delay`; only on the loop's own thread.
+    /// Returns the source's number, for cancel().
+    guint after(duration delay, task work);
+
+    /// Runs `work` every `period` until the loop ends; own thread only.
+    void every(duration period, task work);
+
+    /// Cancels a timer that has not fired yet.
+    void cancel(guint source);
+
+    /// Returns the context, to attach sources to.
+    [[nodiscard]] GMainContext* context() const;
+
+    /// Makes this loop's context the thread's default while it lives.
+    class scope
+    {
+    public:
+        explicit scope(const event_loop& loop);
+        ~scope();
+        scope(const scope&) = delete;
+        scope& operator=(const scope&) = delete;
+
+    private:
+        GMainContext* context_;
+    };
+
+private:
+    guint attach(GSource* source, task work);
+
+    GMainContext* context_;
+    GMainLoop* loop_;
+};
+
+/// Returns the present by the monotonic clock.
+time_point monotonic_now();
+
+} // namespace baobabloft::net
--- /dev/null
+++ b/include/baobabloft/router/burn.hpp
@@ -0,0 +1,98 @@
+// Service-level burn: how fast each service and customer uses up the error
+// budget that its objectives leave, over several windows.
+#pragma once
+
+#include "baobabloft/support/enum_names.hpp"
+#include "baobabloft/support/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace baobabloft::router
+{
+
+/// What an objective is about.
+enum class objective : std::uint8_t
+{
+    first_token,
+    between_tokens,
+    answered
+};
+
+inline constexpr std::array objective_names{
+    enum_name<objective>{objective::first_token, "first_token"},
+    enum_name<objective>{objective::between_tokens, "between_tokens"},
+    enum_name<objective>{objective::answered, "answered"},
+};
+
+/// Windows over which burn is reported, shortest first.
+inline constexpr std::array<duration, 4> burn_windows{
+    duration{300s}, duration{1800s}, duration{3600s}, duration{21600s}};
+
+/// Names of the windows, in the same order.
+inline constexpr std::array<std::string_view, burn_windows.size()>
+    burn_window_names{"5m", "30m", "1h", "6h"};
+
+/// What a series counts.
+struct burn_key
+{
+    std::string service;
+    std::string customer;
+    objective goal{};
+
+    friend auto operator<=>(const burn_key&, const burn_key&) = default;
+};
+
+/// Events within one window.
+struct burn_counts
+{
+    std::uint64_t total = 0;
+    std::uint64_t missed = 0;
+};
+
+/// A series over all windows.
+struct burn_row
+{
+    burn_key key;
+    /// Share of events that must meet the objective.
+    double target = 0;
+    std::array<burn_counts, burn_windows.size()> windows{};
+};
+
+/// Counts objectives met and missed in buckets of half the shortest window.
+class burn_meter
+{
+public:
+    /// Counts one event.
+    void count(time_point now, const burn_key& key, double target, bool missed);
+
+    /// Returns every series.
+    [[nodiscard]] std::vector<burn_row> rows(time_point now) const;
+
+private:
+    static constexpr duration bucket_length = 150s;
+    static constexpr std::size_t buckets =
+        static_cast<std::size_t>(burn_windows.back() / bucket_length);
+
+    struct bucket
+    {
+        std::int64_t index = -1;
+        std::uint32_t total = 0;
+        std::uint32_t missed = 0;
+    };
+
+    struct series
+    {
+        double target = 0;
+        /// Only buckets with events, oldest first, so that idle series cost
+        /// little memory.
+        std::vector<bucket> filled;
+    };
+
+    std::map<burn_key, series> series_;
+};
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/include/baobabloft/router/control_task.hpp
@@ -0,0 +1,241 @@
+// The control task: one thread that owns the node, the control socket and the
+// connections to the platform. Workers reach it by messages only.
+#pragma once
+
+#include "baobabloft/fleet/node.hpp"
+#include "baobabloft/net/codec.hpp"
+#include "baobabloft/net/datagram_socket.hpp"
+#include "baobabloft/net/kv_client.hpp"
+#include "baobabloft/router/burn.hpp"
+#include "baobabloft/router/metrics.hpp"
+#include "baobabloft/router/settings.hpp"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace baobabloft::router
+{
+
+/// Names a route or a claim between a worker and the control task.
+using request_number = std::uint64_t;
+
+/// What a worker asks for a request.
+struct route_query
+{
+    fleet::route_want want;
+    fingerprint body_hash{};
+    /// A further attempt, which the customer's retry budget must allow.
+    bool is_retry = false;
+};
+
+/// Why a route ended without an upstream.
+enum class route_status : std::uint8_t
+{
+    granted,
+    no_upstream,
+    overloaded,
+    expired,
+    quarantined,
+    retries_spent
+};
+
+/// Answer to a route_query.
+struct route_answer
+{
+    route_status status = route_status::no_upstream;
+    upstream_id upstream{};
+    std::string upstream_name{};
+    std::string address{};
+    /// Place among the chat's choices, 0 for the first.
+    std::uint32_t choice = 0;
+};
+
+/// What workers need to know of the fleet; sent to them on each change.
+struct published_state
+{
+    config::preset_snapshot preset;
+    fleet::readiness readiness = fleet::readiness::joining;
+};
+
+/// How a routed request ended.
+struct route_end
+{
+    routing::outcome how = routing::outcome::completed;
+    std::uint16_t first_token_ms = 0;
+    /// The upstream broke off before its first byte.
+    bool crashed = false;
+};
+
+using route_callback = std::function<void(const route_answer&)>;
+using claim_callback = std::function<void(const ledger::claim_decision&)>;
+
+/// A worker's callbacks for answers of the control task. They stay with the
+/// worker, since what they hold may only be released on its thread.
+class reply_table
+{
+public:
+    explicit reply_table(net::event_loop& loop);
+
+    /// The calls below are for the worker's thread.
+    void expect_route(request_number number, route_callback done);
+    void expect_claim(request_number number, claim_callback done);
+    void forget_route(request_number number);
+
+    /// Called by the control task: run the callback on the worker's thread.
+    void deliver(request_number number, const route_answer& answer);
+    void deliver(request_number number, const ledger::claim_decision& decision);
+
+private:
+    net::event_loop& loop_;
+    std::unordered_map<request_number, route_callback> routes_;
+    std::unordered_map<request_number, claim_callback> claims_;
+};
+
+/// Runs the fleet's decisions for this router.
+class control_task
+{
+public:
+    using state_callback = std::function<void(const published_state&)>;
+
+    control_task(const settings& settings, std::shared_ptr<metrics> metrics);
+    ~control_task();
+    control_task(const control_task&) = delete;
+    control_task& operator=(const control_task&) = delete;
+
+    /// Binds the control socket. Returns false with the reason if it cannot.
+    bool open(failure& reason);
+
+    /// Runs until stop(); the calling thread becomes the task's.
+    void run();
+    void stop();
+
+    /// Delivers the state to `loop` now and on each change.
+    void subscribe(net::event_loop& loop, state_callback callback);
+
+    /// The calls below come from the thread of the worker that owns `replies`;
+    /// callbacks run on the same.
+
+    /// Looks for an upstream. Each route that was granted needs end_route().
+    request_number route(reply_table& replies, route_query query,
+                         route_callback done);
+    /// Ends a granted route, or withdraws one that waits; its callback does
+    /// not run any more.
+    void end_route(reply_table& replies, request_number route,
+                   const route_end& end);
+    /// Notes the first token of a route.
+    void first_token(request_number route);
+
+    /// Claims `key` until `latest`.
+    request_number claim(reply_table& replies, const ledger::booking_key& key,
+                         time_point latest, claim_callback done);
+    /// Ends a claim: the call surely was not sent.
+    void release_claim(request_number claim);
+    /// Ends a claim with the upstream's answer.
+    void finish_claim(request_number claim, ledger::stored_answer answer);
+    /// Ends a claim whose call may have run.
+    void abandon_claim(request_number claim);
+
+    /// Counts an objective met or missed.
+    void count_objective(const burn_key& key, double target, bool missed);
+
+    /// Makes a page from the task's state and delivers it to `loop`.
+    enum class page
+    {
+        status,
+        burn,
+        preset_envelope
+    };
+    void render(net::event_loop& loop, page which,
+                std::function<void(const std::string&)> done);
+
+    /// Leaves the fleet; routes in progress go on.
+    void leave();
+
+    /// Returns the MAC that peers put on requests for the preset.
+    [[nodiscard]] bool verify_peer(std::string_view bytes,
+                                   std::string_view hex_mac) const;
+    [[nodiscard]] std::string peer_mac(std::string_view bytes) const;
+
+private:
+    struct route_entry
+    {
+        reply_table* replies = nullptr;
+        routing::permit_ticket ticket = 0;
+        fingerprint body_hash{};
+        upstream_id upstream{};
+    };
+
+    struct claim_entry
+    {
+        reply_table* replies = nullptr;
+        ledger::claim_ticket ticket = 0;
+    };
+
+    struct subscriber
+    {
+        net::event_loop* loop = nullptr;
+        state_callback callback;
+    };
+
+    void tick();
+    void receive(router_id from, std::string_view bytes);
+    void start_route(request_number number, route_query query,
+                     reply_table& replies);
+    void finish_route(request_number number, const route_end& end);
+    void answer_route(request_number number, const route_answer& answer);
+
+    void apply_effects();
+    void apply(const fleet::send_message& effect);
+    void apply(const fleet::read_preset& effect);
+    void apply(const fleet::watch_preset& effect);
+    void apply(const fleet::pull_preset& effect);
+    void apply(const fleet::read_load& effect);
+    void apply(const fleet::read_host_list& effect);
+    void apply(const ledger::read_entries& effect);
+    void apply(const ledger::create_entry& effect);
+    void apply(const ledger::delete_entries& effect);
+    void apply(const fleet::route_decided& effect);
+    void apply(const fleet::claim_decided& effect);
+    void apply(const fleet::preset_adopted& effect);
+
+    void publish_state();
+    void update_gauges();
+    [[nodiscard]] std::string status_page() const;
+    [[nodiscard]] std::string burn_page() const;
+    [[nodiscard]] std::string envelope_page() const;
+
+    const settings settings_;
+    std::shared_ptr<metrics> metrics_;
+    net::event_loop loop_;
+    net::datagram_keys keys_;
+    router_id self_{};
+    fleet::node node_;
+    std::unique_ptr<net::datagram_socket> socket_;
+    std::unique_ptr<net::kv_client> kv_;
+    std::unique_ptr<net::http_client> http_;
+    burn_meter burn_;
+    std::atomic<request_number> last_number_{0};
+    std::map<request_number, route_entry> routes_;
+    std::unordered_map<routing::permit_ticket, request_number> by_ticket_;
+    std::map<request_number, claim_entry> claims_;
+    std::unordered_map<ledger::claim_ticket, request_number> by_claim_;
+    std::vector<subscriber> subscribers_;
+    published_state state_;
+    std::int64_t preset_revision_ = 0;
+};
+
+/// Returns the key under which the preset in force is stored.
+std::string active_preset_key();
+
+/// Returns the key under which accepted preset `number` is kept.
+std::string history_key(config::generation number);
+
+/// Returns the key prefix of accepted presets.
+std::string history_prefix();
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/include/baobabloft/router/metrics.hpp
@@ -0,0 +1,71 @@
+// The daemon's metrics, by prometheus-cpp. The names stand in one table, from
+// which the documentation is checked.
+#pragma once
+
+#include "baobabloft/router/refusal.hpp"
+#include "baobabloft/support/time.hpp"
+
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace baobabloft::router
+{
+
+/// Name and help text of one metric.
+struct metric_row
+{
+    std::string_view name;
+    std::string_view help;
+};
+
+/// Returns the names of every metric that the daemon exposes.
+std::span<const metric_row> metric_table();
+
+/// Families and series of the daemon. Safe to use from any thread.
+class metrics
+{
+public:
+    metrics();
+
+    /// Counts an answered request.
+    void answered(const std::string& service, duration took);
+    /// Counts a refusal.
+    void refused(refusal_kind kind);
+    /// Counts the time to a stream's first token.
+    void first_token(const std::string& service, duration took);
+    /// Counts a gap between tokens.
+    void between_tokens(const std::string& service, duration gap);
+    /// Counts a further attempt of a request.
+    void retried(std::string_view why);
+    /// Counts a datagram, headers included.
+    void datagram_sent(std::string_view kind, std::size_t bytes);
+    void datagram_received(std::string_view kind, std::size_t bytes);
+    void datagram_refused(std::string_view why);
+    /// Counts a call to the platform or to an upstream's report.
+    void platform_call(std::string_view kind, bool answered);
+    /// Counts requests in progress up or down.
+    void requests_in_progress(int change);
+    /// Sets a gauge of the decisions.
+    void set(std::string_view name, double value);
+
+    /// Returns the text form for scrapers.
+    [[nodiscard]] std::string text() const;
+
+private:
+    prometheus::Counter& counter(std::string_view name,
+                                 const prometheus::Labels& labels);
+    prometheus::Histogram& histogram(std::string_view name,
+                                     const std::string& service);
+    prometheus::Gauge& gauge(std::string_view name);
+
+    std::shared_ptr<prometheus::Registry> registry_;
+};
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/include/baobabloft/router/refusal.hpp
@@ -0,0 +1,76 @@
+// Refusals: every reason why a caller gets no answer, in one table with the
+// status, the remedy and whether waiting helps.
+#pragma once
+
+#include "baobabloft/support/enum_names.hpp"
+#include "baobabloft/support/time.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace baobabloft::router
+{
+
+/// Why a request is refused.
+enum class refusal_kind
+{
+    bad_request,
+    unknown_path,
+    unknown_model,
+    unknown_service,
+    body_too_large,
+    key_required,
+    key_invalid,
+    key_from_future,
+    not_ready,
+    isolated,
+    leaving,
+    no_upstream,
+    overloaded,
+    deadline_passed,
+    quarantined,
+    retries_spent,
+    upstream_failed,
+    upstream_silent,
+    key_in_progress,
+    key_too_old,
+    ledger_unavailable,
+    not_allowed
+};
+
+inline constexpr std::size_t refusal_kinds =
+    static_cast<std::size_t>(refusal_kind::not_allowed) + 1;
+
+/// Whether the call with this request's key ran at an upstream.
+enum class executed
+{
+    /// It surely did not run, neither by this request nor by an earlier one.
+    no,
+    unknown
+};
+
+inline constexpr std::array executed_names{
+    enum_name<executed>{executed::no, "no"},
+    enum_name<executed>{executed::unknown, "unknown"},
+};
+
+/// What the table says of a kind.
+struct refusal_row
+{
+    refusal_kind kind;
+    std::string_view name;
+    unsigned status;
+    std::string_view title;
+    std::string_view remedy;
+    /// Seconds after which a repetition may help; 0 if none will.
+    unsigned retry_after_s;
+};
+
+/// Returns the table's row of `kind`.
+const refusal_row& row_of(refusal_kind kind);
+
+/// Returns the RFC 9457 problem body for a refusal.
+std::string problem_json(refusal_kind kind, executed ran,
+                         std::string_view request_id);
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/include/baobabloft/routing/messages.hpp
@@ -0,0 +1,165 @@
+// Messages between a router that has a request and the owner of an upstream.
+#pragma once
+
+#include "baobabloft/support/enum_names.hpp"
+#include "baobabloft/support/ids.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace baobabloft::routing
+{
+
+/// How urgent a request is. Lower values go first.
+enum class urgency : std::uint8_t
+{
+    interactive,
+    /// May wait, but not past its latest time.
+    deferrable
+};
+
+inline constexpr std::array urgency_names{
+    enum_name<urgency>{urgency::interactive, "interactive"},
+    enum_name<urgency>{urgency::deferrable, "deferrable"},
+};
+
+/// The owner's answer to an ask.
+enum class verdict : std::uint8_t
+{
+    granted,
+    /// The request waits; another answer follows.
+    queued,
+    /// The upstream carries its limit.
+    at_limit,
+    /// The chat was served by its next choice before; its cache is there.
+    cached_elsewhere,
+    /// Down, leaving, draining, or in a data centre out of service.
+    unavailable,
+    /// The queue is full, or the customer's share of it is.
+    queue_full,
+    /// The request waited as long as it could.
+    expired
+};
+
+inline constexpr std::array verdict_names{
+    enum_name<verdict>{verdict::granted, "granted"},
+    enum_name<verdict>{verdict::queued, "queued"},
+    enum_name<verdict>{verdict::at_limit, "at_limit"},
+    enum_name<verdict>{verdict::cached_elsewhere, "cached_elsewhere"},
+    enum_name<verdict>{verdict::unavailable, "unavailable"},
+    enum_name<verdict>{verdict::queue_full, "queue_full"},
+    enum_name<verdict>{verdict::expired, "expired"},
+};
+
+/// How a request that held a permit ended.
+enum class outcome : std::uint8_t
+{
+    completed,
+    /// The caller left or the deadline passed.
+    cancelled,
+    /// No connection could be made; nothing was sent.
+    connect_failed,
+    /// The connection broke after the request was sent.
+    broken,
+    /// The upstream went silent past the progress deadline.
+    silent
+};
+
+inline constexpr std::array outcome_names{
+    enum_name<outcome>{outcome::completed, "completed"},
+    enum_name<outcome>{outcome::cancelled, "cancelled"},
+    enum_name<outcome>{outcome::connect_failed, "connect_failed"},
+    enum_name<outcome>{outcome::broken, "broken"},
+    enum_name<outcome>{outcome::silent, "silent"},
+};
+
+/// Stands in a sampled field for "no sample".
+inline constexpr std::uint16_t no_sample = 0xffff;
+
+/// Unit of sampled loads.
+inline constexpr double load_units_per_request = 16.0;
+
+/// Asks the owner of `upstream` for a permit. Sent again with the same
+/// sequence until answered; the owner recognises repetitions.
+struct permit_ask
+{
+    /// Unique among the asking router's requests.
+    std::uint32_t sequence = 0;
+    upstream_id upstream{};
+    chat_id chat{};
+    customer_id customer{};
+    /// How long the request can wait in a queue, milliseconds.
+    std::uint32_t patience_ms = 0;
+    /// Mean load of upstreams that the asker met lately, 1/16 requests.
+    std::uint16_t sampled_load = no_sample;
+    /// Mean time to first token that the asker met lately, milliseconds.
+    std::uint16_t sampled_first_token_ms = no_sample;
+    urgency priority = urgency::interactive;
+    /// The request may wait in the owner's queue.
+    bool may_queue = false;
+    /// The request was on an upstream that crashed.
+    bool suspect = false;
+    /// The chat's first choice; later choices do not redirect.
+    bool first_choice = false;
+};
+
+/// Answers a permit_ask.
+struct permit_answer
+{
+    std::uint32_t sequence = 0;
+    verdict decision = verdict::unavailable;
+    /// Load of the upstream without this request, requests in progress.
+    std::uint16_t load = 0;
+    /// The upstream's recent time to first token, milliseconds.
+    std::uint16_t first_token_ms = 0;
+};
+
+/// End of one request that held a permit.
+struct released_permit
+{
+    std::uint32_t sequence = 0;
+    outcome how = outcome::completed;
+    /// Time to first token, milliseconds; 0 if none came.
+    std::uint16_t first_token_ms = 0;
+};
+
+/// Returns permits to an owner.
+struct permit_release
+{
+    std::vector<released_permit> permits;
+};
+
+/// A permit in use, as its holder reports it.
+struct held_permit
+{
+    std::uint32_t sequence = 0;
+    upstream_id upstream{};
+};
+
+/// Renews permits, or registers them with a new owner.
+struct permit_hold
+{
+    std::vector<held_permit> permits;
+};
+
+/// Says that a suspect request got its first token, so that the next suspect
+/// may run on the upstream.
+struct suspect_cleared
+{
+    std::uint32_t sequence = 0;
+};
+
+/// Says that a request has waited unusually long for its first token.
+struct slow_first_token
+{
+    std::uint32_t sequence = 0;
+    std::uint16_t waited_ms = 0;
+};
+
+/// Withdraws an ask that waits in the owner's queue.
+struct permit_cancel
+{
+    std::uint32_t sequence = 0;
+};
+
+} // namespace baobabloft::routing
--- /dev/null
+++ b/include/baobabloft/routing/permit_owner.hpp
@@ -0,0 +1,138 @@
+// The owner's side of permits: one router decides for each upstream how many
+// requests it carries, whose go first, and which wait. Soft state only: a new
+// owner rebuilds it from the holders and from the upstream's own report.
+#pragma once
+
+#include "baobabloft/config/preset.hpp"
+#include "baobabloft/routing/fair_queue.hpp"
+#include "baobabloft/routing/messages.hpp"
+#include "baobabloft/routing/upstream_gate.hpp"
+
+#include <list>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace baobabloft::routing
+{
+
+/// An answer to send to the router that asked.
+struct addressed_answer
+{
+    router_id to{};
+    permit_answer answer;
+};
+
+/// One upstream as its owner sees it, for status pages.
+struct upstream_status
+{
+    upstream_id upstream{};
+    std::uint32_t load = 0;
+    std::uint32_t limit = 0;
+    std::size_t waiting = 0;
+    double mean_load = 0;
+    double first_token_ms = 0;
+    warmth state = warmth::unknown;
+    bool available = false;
+    bool admitted = false;
+    std::uint64_t setbacks = 0;
+};
+
+/// Counts of decisions, by verdict.
+using verdict_counts = std::array<std::uint64_t, verdict_names.size()>;
+
+/// Decides for the upstreams that this router owns.
+class permit_owner
+{
+public:
+    /// Takes in the upstreams that this router owns under `preset`, and which
+    /// of them may receive new work.
+    struct owned_upstream
+    {
+        const config::upstream* upstream = nullptr;
+        const config::service* service = nullptr;
+        bool admitted = false;
+    };
+    void set_owned(time_point now, const config::preset_snapshot& preset,
+                   const std::vector<owned_upstream>& owned);
+
+    /// Handles messages from the router `from`.
+    void handle(time_point now, router_id from, const permit_ask& ask);
+    void handle(time_point now, router_id from, const permit_release& release);
+    void handle(time_point now, router_id from, const permit_hold& hold);
+    void handle(time_point now, router_id from, const permit_cancel& cancel);
+    void handle(time_point now, router_id from, const suspect_cleared& note);
+    void handle(time_point now, router_id from, const slow_first_token& note);
+
+    /// Takes in a load report, or the failure to read one.
+    void report(time_point now, upstream_id upstream,
+                const load_report& report);
+    void report_failed(time_point now, upstream_id upstream);
+
+    /// Ends leases and waits that ran out, and grants what has room.
+    void tick(time_point now);
+
+    /// Returns and clears the answers to send.
+    std::vector<addressed_answer> take_answers();
+
+    /// Returns the owned upstreams.
+    [[nodiscard]] std::vector<upstream_status> status(time_point now) const;
+    [[nodiscard]] std::vector<upstream_id> owned() const;
+    [[nodiscard]] const verdict_counts& counts() const;
+
+private:
+    /// Chats whose last turn went to a later choice, oldest first.
+    class displaced_chats
+    {
+    public:
+        void remember(time_point now, chat_id chat);
+        void forget(chat_id chat);
+        [[nodiscard]] bool contains(time_point now, chat_id chat) const;
+
+    private:
+        struct item
+        {
+            chat_id chat{};
+            time_point at;
+        };
+        std::list<item> by_age_;
+        std::unordered_map<chat_id, std::list<item>::iterator> by_chat_;
+    };
+
+    struct station
+    {
+        upstream_gate gate;
+        fair_queue queue;
+        displaced_chats displaced;
+        std::uint32_t queue_limit = 0;
+        std::uint32_t suspects = 0;
+        bool admitted = false;
+    };
+
+    struct grant
+    {
+        upstream_id upstream{};
+        time_point expires;
+        bool suspect = false;
+    };
+
+    [[nodiscard]] verdict decide(time_point now, const ask_key& key,
+                                 const permit_ask& ask, station& at);
+    verdict enqueue(time_point now, const ask_key& key, const permit_ask& ask,
+                    station& at);
+    void grant_permit(time_point now, const ask_key& key, station& at,
+                      upstream_id upstream, bool suspect);
+    void end_grant(time_point now, const ask_key& key,
+                   const released_permit& released);
+    void pump(time_point now, upstream_id upstream, station& at);
+    void answer(time_point now, const ask_key& key, verdict decision,
+                const station* at);
+
+    config::preset_snapshot preset_;
+    std::unordered_map<upstream_id, station> stations_;
+    std::map<ask_key, grant> grants_;
+    std::vector<addressed_answer> answers_;
+    verdict_counts counts_{};
+};
+
+} // namespace baobabloft::routing
--- /dev/null
+++ b/include/baobabloft/routing/upstream_gate.hpp
@@ -0,0 +1,158 @@
+// How much one upstream may carry now, as its owner sees it: the multiple of
+// the mean, the cold-start ramp, health, and load that others caused.
+#pragma once
+
+#include "baobabloft/config/preset.hpp"
+#include "baobabloft/routing/messages.hpp"
+#include "baobabloft/routing/windowed_mean.hpp"
+
+#include <array>
+#include <cstdint>
+
+namespace baobabloft::routing
+{
+
+/// How ready an upstream is for its full share.
+enum class warmth : std::uint8_t
+{
+    /// No report yet.
+    unknown,
+    cold,
+    ramping,
+    warm
+};
+
+inline constexpr std::array warmth_names{
+    enum_name<warmth>{warmth::unknown, "unknown"},
+    enum_name<warmth>{warmth::cold, "cold"},
+    enum_name<warmth>{warmth::ramping, "ramping"},
+    enum_name<warmth>{warmth::warm, "warm"},
+};
+
+/// What an upstream says of itself. Reports may lag by seconds.
+struct load_report
+{
+    /// Requests in progress.
+    std::uint32_t running = 0;
+    /// Changes when the upstream restarts.
+    std::uint64_t incarnation = 0;
+    bool cold = false;
+    bool leaving = false;
+};
+
+/// The limit of one service's upstreams, from the preset.
+struct gate_options
+{
+    double load_multiple = 1.25;
+    std::uint32_t load_floor = 4;
+    std::uint32_t capacity = 64;
+    std::uint32_t cold_bearable = 2;
+    duration ramp = 30s;
+    /// False for services that publish no load report.
+    bool reports_load = true;
+};
+
+/// Returns the gate options of `service`.
+gate_options make_gate_options(const config::service& service);
+
+/// Admission state of one upstream.
+class upstream_gate
+{
+public:
+    upstream_gate(const gate_options& options, time_point now);
+
+    /// Applies a changed preset.
+    void set_options(const gate_options& options);
+
+    /// Takes in a report of the upstream itself.
+    void report(time_point now, const load_report& report);
+
+    /// Counts a report that could not be read.
+    void report_failed(time_point now);
+
+    /// Takes in the mean load that an asker met; see permit_ask.
+    void sample_load(time_point now, double load);
+
+    /// Takes in the mean time to first token that an asker met.
+    void sample_first_token(time_point now, double ms);
+
+    /// Counts a granted permit.
+    void granted(time_point now);
+
+    /// Counts a permit that a former owner had granted.
+    void registered(time_point now);
+
+    /// Counts the end of a permit.
+    void released(time_point now, outcome how, double first_token_ms);
+
+    /// Counts a permit whose lease ran out.
+    void lapsed(time_point now);
+
+    /// Takes in that a request has waited `waited_ms` for its first token.
+    void slow_first_token(time_point now, double waited_ms);
+
+    /// Returns requests in progress, as far as known.
+    [[nodiscard]] std::uint32_t load() const;
+
+    /// Returns the most requests in progress that are allowed at `now`.
+    [[nodiscard]] std::uint32_t limit(time_point now) const;
+
+    /// Returns false while the upstream is down.
+    [[nodiscard]] bool is_available(time_point now) const;
+
+    /// Returns true if the upstream itself reports that it is leaving.
+    [[nodiscard]] bool is_leaving() const;
+
+    [[nodiscard]] warmth state(time_point now) const;
+
+    /// Returns the mean load of the service's upstreams as sampled.
+    [[nodiscard]] double mean_load(time_point now) const;
+
+    /// Returns the recent time to first token, milliseconds, or 0.
+    [[nodiscard]] double first_token_ms(time_point now) const;
+
+    /// Returns the number of times that the upstream went down or cold.
+    [[nodiscard]] std::uint64_t setbacks() const;
+
+private:
+    void note_permits(time_point now);
+    [[nodiscard]] std::uint32_t recent_permits(time_point now) const;
+    [[nodiscard]] std::uint32_t full_limit(time_point now) const;
+    void become_cold(time_point now);
+    void become_down(time_point now);
+    [[nodiscard]] bool is_slow(time_point now, double first_token_ms) const;
+    void note_first_token(time_point now, double ms);
+
+    static constexpr std::size_t history_slots = 8;
+
+    struct permit_peak
+    {
+        std::int64_t index = -1;
+        std::uint32_t permits = 0;
+    };
+
+    gate_options options_;
+    time_point owned_since_;
+    warmth warmth_ = warmth::unknown;
+    time_point ramp_started_;
+    std::uint64_t incarnation_ = 0;
+    std::uint32_t permits_ = 0;
+    /// Load in the report that no known permit explains.
+    std::uint32_t unexplained_ = 0;
+    std::array<permit_peak, history_slots> history_{};
+    windowed_mean sampled_load_;
+    windowed_mean sampled_first_token_;
+    windowed_mean own_first_token_;
+    std::uint32_t slow_in_a_row_ = 0;
+    std::uint32_t breaks_ = 0;
+    time_point last_break_;
+    std::uint32_t failed_reports_ = 0;
+    time_point down_until_;
+    time_point last_down_;
+    duration hold_down_{};
+    bool needs_report_ = false;
+    bool leaving_ = false;
+    std::uint64_t setbacks_ = 0;
+};
+
+} // namespace baobabloft::routing
--- /dev/null
+++ b/lib/config/preset.cpp
@@ -0,0 +1,68 @@
+#include "baobabloft/config/preset.hpp"
+
+#include <algorithm>
+
+namespace baobabloft::config
+{
+
+namespace
+{
+
+template <typename Items>
+auto find_by_name(const Items& items, std::string_view name) -> const
+    typename Items::value_type*
+{
+    const auto found =
+        std::find_if(items.begin(), items.end(),
+                     [name](const auto& item) { return item.name == name; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const service* preset::find_service(std::string_view wanted) const
+{
+    return find_by_name(services, wanted);
+}
+
+const service* preset::find_model(std::string_view model) const
+{
+    for (const auto& item : services)
+        if (std::find(item.models.begin(), item.models.end(), model) !=
+            item.models.end())
+            return &item;
+    return nullptr;
+}
+
+const data_centre* preset::find_data_centre(std::string_view wanted) const
+{
+    return find_by_name(data_centres, wanted);
+}
+
+std::uint32_t preset::weight_of(customer_id id) const
+{
+    for (const auto& item : customers)
+        if (item.id == id)
+            return item.weight;
+    return 1;
+}
+
+bool may_receive_work(const preset& preset, const upstream& upstream)
+{
+    if (upstream.intent != upstream_intent::serving)
+        return false;
+    const auto* home = preset.find_data_centre(upstream.data_centre);
+    return home != nullptr && home->in_service;
+}
+
+bool is_non_repeatable(const service& service, std::string_view method,
+                       std::string_view path)
+{
+    return std::any_of(service.non_repeatable.begin(),
+                       service.non_repeatable.end(),
+                       [&](const auto& route) {
+                           return route.method == method && route.path == path;
+                       });
+}
+
+} // namespace baobabloft::config
--- /dev/null
+++ b/lib/config/preset_follower.cpp
@@ -0,0 +1,100 @@
+#include "baobabloft/config/preset_follower.hpp"
+
+#include "baobabloft/config/preset_parser.hpp"
+
+namespace baobabloft::config
+{
+
+namespace
+{
+
+constexpr duration slow_read_period = 80s;
+constexpr duration slow_read_jitter = 40s;
+constexpr duration eager_read_period = 1s;
+
+} // namespace
+
+preset_follower::preset_follower(std::uint64_t seed) : random_(seed) {}
+
+void preset_follower::peer_has(router_id peer, generation number)
+{
+    if (number <= this->number())
+        return;
+    if (!newest_peer_ || number >= newest_peer_->second)
+        newest_peer_ = {peer, number};
+}
+
+bool preset_follower::kv_answered(time_point now,
+                                  const std::optional<std::string>& envelope)
+{
+    reading_kv_ = false;
+    last_kv_answer_ = now;
+    return envelope && adopt(*envelope);
+}
+
+void preset_follower::kv_failed(time_point now)
+{
+    reading_kv_ = false;
+    next_kv_read_ = now + eager_read_period;
+}
+
+bool preset_follower::peer_answered(const std::optional<std::string>& envelope)
+{
+    reading_peer_ = false;
+    // A peer that did not deliver is asked again only if heard of again.
+    newest_peer_.reset();
+    return envelope && adopt(*envelope);
+}
+
+preset_reads preset_follower::take_reads(time_point now, bool eager)
+{
+    preset_reads reads;
+    if (newest_peer_ && !reading_peer_ && newest_peer_->second > number())
+    {
+        reads.from_peer = newest_peer_->first;
+        reading_peer_ = true;
+    }
+    const auto due = eager ? std::min(next_kv_read_, now + eager_read_period)
+                           : next_kv_read_;
+    if (reading_kv_ || now < due)
+        return reads;
+    std::uniform_int_distribution<duration::rep> jitter(
+        0, duration{slow_read_jitter}.count());
+    next_kv_read_ =
+        now + (eager ? duration{eager_read_period}
+                     : slow_read_period + duration{jitter(random_)});
+    reading_kv_ = true;
+    reads.from_kv = true;
+    return reads;
+}
+
+const preset_snapshot& preset_follower::current() const
+{
+    return current_;
+}
+
+generation preset_follower::number() const
+{
+    return current_ ? current_->number : 0;
+}
+
+std::optional<time_point> preset_follower::last_kv_answer() const
+{
+    return last_kv_answer_;
+}
+
+const failure& preset_follower::last_failure() const
+{
+    return last_failure_;
+}
+
+bool preset_follower::adopt(std::string_view envelope)
+{
+    auto accepted = parse_envelope(envelope, last_failure_);
+    if (!accepted || accepted->number <= number())
+        return false;
+    current_ = std::make_shared<const accepted_preset>(std::move(*accepted));
+    return true;
+}
+
+} // namespace baobabloft::config
--- /dev/null
+++ b/lib/net/event_loop.cpp
@@ -0,0 +1,115 @@
+#include "baobabloft/net/event_loop.hpp"
+
+#include <algorithm>
+
+namespace baobabloft::net
+{
+
+namespace
+{
+
+gboolean run_once(gpointer data)
+{
+    (*static_cast<event_loop::task*>(data))();
+    return G_SOURCE_REMOVE;
+}
+
+gboolean run_again(gpointer data)
+{
+    (*static_cast<event_loop::task*>(data))();
+    return G_SOURCE_CONTINUE;
+}
+
+void drop_task(gpointer data)
+{
+    delete static_cast<event_loop::task*>(data);
+}
+
+guint to_ms(duration delay)
+{
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
+    return static_cast<guint>(std::max<std::int64_t>(ms, 0));
+}
+
+} // namespace
+
+event_loop::event_loop()
+    : context_(g_main_context_new()), loop_(g_main_loop_new(context_, FALSE))
+{
+}
+
+event_loop::~event_loop()
+{
+    g_main_loop_unref(loop_);
+    g_main_context_unref(context_);
+}
+
+void event_loop::run()
+{
+    const scope own{*this};
+    g_main_loop_run(loop_);
+}
+
+void event_loop::stop()
+{
+    post([this] { g_main_loop_quit(loop_); });
+}
+
+guint event_loop::attach(GSource* source, task work)
+{
+    g_source_set_callback(source, run_once, new task(std::move(work)),
+                          drop_task);
+    const guint number = g_source_attach(source, context_);
+    g_source_unref(source);
+    return number;
+}
+
+void event_loop::post(task work)
+{
+    auto* source = g_idle_source_new();
+    g_source_set_priority(source, G_PRIORITY_DEFAULT);
+    attach(source, std::move(work));
+}
+
+guint event_loop::after(duration delay, task work)
+{
+    return attach(g_timeout_source_new(to_ms(delay)), std::move(work));
+}
+
+void event_loop::every(duration period, task work)
+{
+    auto* source = g_timeout_source_new(to_ms(period));
+    g_source_set_callback(source, run_again, new task(std::move(work)),
+                          drop_task);
+    g_source_attach(source, context_);
+    g_source_unref(source);
+}
+
+void event_loop::cancel(guint source)
+{
+    if (auto* found = g_main_context_find_source_by_id(context_, source))
+        g_source_destroy(found);
+}
+
+GMainContext* event_loop::context() const
+{
+    return context_;
+}
+
+event_loop::scope::scope(const event_loop& loop) : context_(loop.context_)
+{
+    g_main_context_push_thread_default(context_);
+}
+
+event_loop::scope::~scope()
+{
+    g_main_context_pop_thread_default(context_);
+}
+
+time_point monotonic_now()
+{
+    return time_point{duration{g_get_monotonic_time()}};
+}
+
+} // namespace baobabloft::net
--- /dev/null
+++ b/lib/router/control_task.cpp
@@ -0,0 +1,815 @@
+#include "baobabloft/router/control_task.hpp"
+
+#include "baobabloft/config/preset_parser.hpp"
+#include "baobabloft/router/log.hpp"
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <algorithm>
+
+namespace baobabloft::router
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr duration tick_period = 25ms;
+constexpr duration gauge_period = 1s;
+constexpr duration load_timeout = 1s;
+constexpr duration pull_timeout = 1s;
+constexpr unsigned status_ok = 200;
+constexpr std::string_view preset_request = "GET /control/preset";
+
+std::uint64_t wall_ms()
+{
+    return static_cast<std::uint64_t>(g_get_real_time() / 1000);
+}
+
+std::uint64_t random_seed()
+{
+    std::uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof seed);
+    return seed;
+}
+
+router_id self_id(const settings& settings)
+{
+    const auto host = parse_ipv4(settings.control_listen.host);
+    return make_router_id(host.value_or(0), settings.control_listen.port);
+}
+
+fleet::node_options make_node_options(const settings& settings)
+{
+    [[maybe_unused]] const int ready = sodium_init();
+    fleet::node_options options;
+    options.self.id = self_id(settings);
+    options.self.incarnation = wall_ms();
+    options.self.http_port = settings.listen.port;
+    options.data_centre = settings.data_centre;
+    options.seeds = settings.peers;
+    options.seed = random_seed();
+    options.ledger_shards = settings.ledger_shards;
+    options.ledger_writes_per_second = settings.ledger_writes_per_second;
+    options.ledger_retention =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            settings.ledger_retention);
+    return options;
+}
+
+/// Returns `number` with leading zeros, so that keys sort by number.
+std::string zero_padded(std::uint64_t number, std::size_t digits)
+{
+    const auto text = std::to_string(number);
+    return std::string(digits - std::min(digits, text.size()), '0') + text;
+}
+
+std::string shard_prefix(std::uint32_t shard)
+{
+    return "baobab/ledger/" + std::to_string(shard) + "/entry/";
+}
+
+/// Written together with a shard's first entry and never deleted.
+std::string shard_marker(std::uint32_t shard)
+{
+    return "baobab/ledger/" + std::to_string(shard) + "/started";
+}
+
+std::string entry_key(std::uint32_t shard, ledger::entry_number number)
+{
+    constexpr std::size_t digits = 20;
+    return shard_prefix(shard) + zero_padded(number, digits);
+}
+
+std::optional<routing::load_report> parse_load(const std::string& body)
+{
+    const auto root = json::parse(body, nullptr, false);
+    if (!root.is_object() || !root.contains("running"))
+        return std::nullopt;
+    routing::load_report report;
+    report.running = root.value("running", 0U);
+    report.incarnation = root.value("incarnation", std::uint64_t{0});
+    report.cold = root.value("cold", false);
+    report.leaving = root.value("leaving", false);
+    return report;
+}
+
+route_status to_status(routing::permit_result result)
+{
+    switch (result)
+    {
+    case routing::permit_result::granted:
+        return route_status::granted;
+    case routing::permit_result::no_upstream:
+        return route_status::no_upstream;
+    case routing::permit_result::overloaded:
+        return route_status::overloaded;
+    case routing::permit_result::expired:
+        return route_status::expired;
+    }
+    return route_status::no_upstream;
+}
+
+} // namespace
+
+std::string active_preset_key()
+{
+    return "baobab/preset/active";
+}
+
+std::string history_prefix()
+{
+    return "baobab/preset/history/";
+}
+
+std::string history_key(config::generation number)
+{
+    constexpr std::size_t digits = 12;
+    return history_prefix() + zero_padded(number, digits);
+}
+
+reply_table::reply_table(net::event_loop& loop) : loop_(loop) {}
+
+void reply_table::expect_route(request_number number, route_callback done)
+{
+    routes_[number] = std::move(done);
+}
+
+void reply_table::expect_claim(request_number number, claim_callback done)
+{
+    claims_[number] = std::move(done);
+}
+
+void reply_table::forget_route(request_number number)
+{
+    routes_.erase(number);
+}
+
+void reply_table::deliver(request_number number, const route_answer& answer)
+{
+    loop_.post(
+        [this, number, answer]
+        {
+            if (const auto found = routes_.extract(number))
+                found.mapped()(answer);
+        });
+}
+
+void reply_table::deliver(request_number number,
+                          const ledger::claim_decision& decision)
+{
+    loop_.post(
+        [this, number, decision]
+        {
+            if (const auto found = claims_.extract(number))
+                found.mapped()(decision);
+        });
+}
+
+control_task::control_task(const settings& settings,
+                           std::shared_ptr<metrics> metrics)
+    : settings_(settings), metrics_(std::move(metrics)),
+      keys_(settings.fleet_secrets), self_(self_id(settings)),
+      node_(make_node_options(settings))
+{
+}
+
+control_task::~control_task() = default;
+
+bool control_task::open(failure& reason)
+{
+    const net::event_loop::scope own{loop_};
+    socket_ = net::datagram_socket::open(
+        loop_, self_,
+        [this](router_id from, std::string_view bytes)
+        { receive(from, bytes); },
+        reason);
+    if (!socket_)
+        return false;
+    kv_ = net::make_etcd_client({.base_url = settings_.kv_url});
+    http_ = std::make_unique<net::http_client>();
+    loop_.every(tick_period, [this] { tick(); });
+    loop_.every(gauge_period, [this] { update_gauges(); });
+    return true;
+}
+
+void control_task::run()
+{
+    loop_.run();
+}
+
+void control_task::stop()
+{
+    loop_.stop();
+}
+
+void control_task::subscribe(net::event_loop& loop, state_callback callback)
+{
+    loop_.post(
+        [this, &loop, callback = std::move(callback)]
+        {
+            subscribers_.push_back({&loop, callback});
+            loop.post([callback, state = state_] { callback(state); });
+        });
+}
+
+request_number control_task::route(reply_table& replies, route_query query,
+                                   route_callback done)
+{
+    const auto number = ++last_number_;
+    replies.expect_route(number, std::move(done));
+    loop_.post([this, number, &replies, query = std::move(query)]
+               { start_route(number, query, replies); });
+    return number;
+}
+
+void control_task::end_route(reply_table& replies, request_number route,
+                             const route_end& end)
+{
+    replies.forget_route(route);
+    loop_.post([this, route, end] { finish_route(route, end); });
+}
+
+void control_task::first_token(request_number route)
+{
+    loop_.post(
+        [this, route]
+        {
+            const auto found = routes_.find(route);
+            if (found == routes_.end())
+                return;
+            node_.first_token(found->second.ticket, found->second.body_hash);
+        });
+}
+
+request_number control_task::claim(reply_table& replies,
+                                   const ledger::booking_key& key,
+                                   time_point latest, claim_callback done)
+{
+    const auto number = ++last_number_;
+    replies.expect_claim(number, std::move(done));
+    loop_.post(
+        [this, number, &replies, key, latest]
+        {
+            const auto ticket =
+                node_.begin_claim(net::monotonic_now(), key, latest);
+            claims_[number] = {&replies, ticket};
+            by_claim_[ticket] = number;
+            apply_effects();
+        });
+    return number;
+}
+
+void control_task::release_claim(request_number claim)
+{
+    loop_.post(
+        [this, claim]
+        {
+            const auto found = claims_.find(claim);
+            if (found == claims_.end())
+                return;
+            node_.release_claim(net::monotonic_now(), found->second.ticket);
+            claims_.erase(found);
+            apply_effects();
+        });
+}
+
+void control_task::finish_claim(request_number claim,
+                                ledger::stored_answer answer)
+{
+    loop_.post(
+        [this, claim, answer = std::move(answer)]
+        {
+            const auto found = claims_.find(claim);
+            if (found == claims_.end())
+                return;
+            node_.finish_claim(net::monotonic_now(), found->second.ticket,
+                               answer);
+            claims_.erase(found);
+            apply_effects();
+        });
+}
+
+void control_task::abandon_claim(request_number claim)
+{
+    loop_.post(
+        [this, claim]
+        {
+            const auto found = claims_.find(claim);
+            if (found == claims_.end())
+                return;
+            node_.abandon_claim(found->second.ticket);
+            claims_.erase(found);
+        });
+}
+
+void control_task::count_objective(const burn_key& key, double target,
+                                   bool missed)
+{
+    loop_.post([this, key, target, missed]
+               { burn_.count(net::monotonic_now(), key, target, missed); });
+}
+
+void control_task::render(net::event_loop& loop, page which,
+                          std::function<void(const std::string&)> done)
+{
+    loop_.post(
+        [this, &loop, which, done = std::move(done)]
+        {
+            using maker = std::string (control_task::*)() const;
+            constexpr std::array<maker, 3> makers{&control_task::status_page,
+                                                  &control_task::burn_page,
+                                                  &control_task::envelope_page};
+            const auto make = makers.at(static_cast<std::size_t>(which));
+            loop.post([done, text = (this->*make)()] { done(text); });
+        });
+}
+
+void control_task::leave()
+{
+    loop_.post(
+        [this]
+        {
+            node_.leave(net::monotonic_now());
+            log_event(log_level::info, "leaving");
+            apply_effects();
+            publish_state();
+        });
+}
+
+bool control_task::verify_peer(std::string_view bytes,
+                               std::string_view hex_mac) const
+{
+    net::datagram_keys::mac code{};
+    std::size_t size = 0;
+    const int failed = sodium_hex2bin(code.data(), code.size(), hex_mac.data(),
+                                      hex_mac.size(), nullptr, &size, nullptr);
+    return failed == 0 && size == code.size() && keys_.verify(bytes, code);
+}
+
+std::string control_task::peer_mac(std::string_view bytes) const
+{
+    const auto code = keys_.sign(bytes);
+    std::array<char, net::datagram_keys::mac_bytes * 2 + 1> text{};
+    sodium_bin2hex(text.data(), text.size(), code.data(), code.size());
+    return text.data();
+}
+
+void control_task::tick()
+{
+    node_.tick(net::monotonic_now(), wall_ms());
+    apply_effects();
+    publish_state();
+}
+
+void control_task::receive(router_id from, std::string_view bytes)
+{
+    failure reason;
+    auto message = net::decode_datagram(keys_, bytes, reason);
+    if (!message)
+    {
+        metrics_->datagram_refused(name_in(failure_kind_names, reason.kind));
+        return;
+    }
+    // The sender's address stands inside the MAC; the packet's own does not.
+    if (message->sender != from)
+    {
+        metrics_->datagram_refused("wrong_sender");
+        return;
+    }
+    metrics_->datagram_received(
+        fleet::message_names.at(message->content.index()),
+        bytes.size() + net::datagram_header_bytes);
+    node_.receive(net::monotonic_now(), from, message->content);
+    apply_effects();
+}
+
+void control_task::start_route(request_number number, route_query query,
+                               reply_table& replies)
+{
+    const auto now = net::monotonic_now();
+    const auto standing = node_.crash_standing(now, query.body_hash);
+    routes_[number] = {.replies = &replies, .body_hash = query.body_hash};
+    if (standing == routing::crash_standing::quarantined)
+    {
+        answer_route(number, {.status = route_status::quarantined});
+        routes_.erase(number);
+        return;
+    }
+    if (query.is_retry && !node_.spend_retry(now, query.want.customer))
+    {
+        answer_route(number, {.status = route_status::retries_spent});
+        routes_.erase(number);
+        return;
+    }
+    if (!query.is_retry)
+        node_.earn_retry(now, query.want.customer);
+    query.want.suspect = standing == routing::crash_standing::suspect;
+    const auto ticket = node_.begin_route(now, query.want);
+    routes_[number].ticket = ticket;
+    by_ticket_[ticket] = number;
+    apply_effects();
+}
+
+void control_task::finish_route(request_number number, const route_end& end)
+{
+    const auto found = routes_.find(number);
+    if (found == routes_.end())
+        return;
+    const auto entry = found->second;
+    routes_.erase(found);
+    by_ticket_.erase(entry.ticket);
+    const auto now = net::monotonic_now();
+    if (end.crashed)
+        node_.report_crash(now, entry.body_hash, entry.upstream);
+    node_.end_route(now, entry.ticket, end.how, end.first_token_ms);
+    apply_effects();
+}
+
+void control_task::answer_route(request_number number,
+                                const route_answer& answer)
+{
+    if (const auto found = routes_.find(number); found != routes_.end())
+        found->second.replies->deliver(number, answer);
+}
+
+void control_task::apply_effects()
+{
+    for (const auto& effect : node_.take_effects())
+        std::visit([this](const auto& part) { apply(part); }, effect);
+}
+
+void control_task::apply(const fleet::send_message& effect)
+{
+    const auto bytes = net::encode_datagram(keys_, {self_, effect.content});
+    metrics_->datagram_sent(fleet::message_names.at(effect.content.index()),
+                            bytes.size() + net::datagram_header_bytes);
+    socket_->send(effect.to, bytes);
+}
+
+void control_task::apply(const fleet::read_preset& /*effect*/)
+{
+    kv_->read({active_preset_key(), {}},
+              [this](const std::optional<net::kv_range_result>& result,
+                     const failure&)
+              {
+                  metrics_->platform_call("preset_read", result.has_value());
+                  fleet::node::preset_answer answer{result.has_value(), {}};
+                  if (result && !result->entries.empty())
+                  {
+                      answer.envelope = result->entries.front().value;
+                      preset_revision_ = result->entries.front().mod_revision;
+                  }
+                  node_.preset_read(net::monotonic_now(), answer);
+                  apply_effects();
+              });
+}
+
+void control_task::apply(const fleet::watch_preset& /*effect*/)
+{
+    kv_->wait_for_change(
+        active_preset_key(), preset_revision_,
+        [this](const std::optional<net::kv_entry>& entry, const failure&)
+        {
+            metrics_->platform_call("preset_watch", entry.has_value());
+            fleet::node::preset_answer answer{entry.has_value(), {}};
+            if (entry)
+            {
+                answer.envelope = entry->value;
+                preset_revision_ = entry->mod_revision;
+            }
+            node_.watch_ended(net::monotonic_now(), answer);
+            apply_effects();
+        });
+}
+
+void control_task::apply(const fleet::pull_preset& effect)
+{
+    net::http_request request;
+    auto host = to_string(effect.peer);
+    host.erase(host.rfind(':'));
+    const bool tls = !settings_.tls_certificate.empty();
+    request.url = std::string{tls ? "https://" : "http://"} + host + ":" +
+                  std::to_string(effect.http_port) + "/control/preset";
+    request.headers.push_back({"X-Fleet-Mac", peer_mac(preset_request)});
+    request.timeout = pull_timeout;
+    http_->send(
+        request,
+        [this](const std::optional<net::http_reply>& reply, const failure&)
+        {
+            metrics_->platform_call("preset_pull", reply.has_value());
+            std::optional<std::string> envelope;
+            const auto root = reply && reply->status == status_ok
+                                  ? json::parse(reply->body, nullptr, false)
+                                  : json{};
+            if (root.is_object())
+            {
+                const auto text = root.value("envelope", "");
+                if (verify_peer(text, root.value("mac", "")))
+                    envelope = text;
+            }
+            node_.preset_pulled(net::monotonic_now(), envelope);
+            apply_effects();
+        });
+}
+
+void control_task::apply(const fleet::read_load& effect)
+{
+    net::http_request request;
+    request.url = "http://" + effect.address + "/load";
+    request.timeout = load_timeout;
+    http_->send(request,
+                [this, upstream = effect.upstream](
+                    const std::optional<net::http_reply>& reply, const failure&)
+                {
+                    metrics_->platform_call("load", reply.has_value());
+                    const auto report = reply && reply->status == status_ok
+                                            ? parse_load(reply->body)
+                                            : std::nullopt;
+                    node_.load_read(net::monotonic_now(), upstream, report);
+                    apply_effects();
+                });
+}
+
+void control_task::apply(const fleet::read_host_list& /*effect*/)
+{
+    if (settings_.host_list_url.empty())
+        return;
+    net::http_request request;
+    request.url = settings_.host_list_url;
+    http_->send(
+        request,
+        [this](const std::optional<net::http_reply>& reply, const failure&)
+        {
+            metrics_->platform_call("host_list", reply.has_value());
+            if (!reply || reply->status != status_ok)
+                return;
+            const auto root = json::parse(reply->body, nullptr, false);
+            std::vector<membership::upstream_record> hosts;
+            std::vector<router_id> routers;
+            for (const auto& item : root.value("hosts", json::array()))
+            {
+                const auto address =
+                    parse_endpoint(item.value("control_address", ""));
+                if (address)
+                    routers.push_back(make_router_id(*parse_ipv4(address->host),
+                                                     address->port));
+                else
+                    hosts.push_back({make_upstream_id(item.value("name", "")),
+                                     item.value("version", 0U),
+                                     item.value("state", "live") == "leaving"});
+            }
+            node_.host_list_read(hosts, routers);
+        });
+}
+
+void control_task::apply(const ledger::read_entries& effect)
+{
+    const auto prefix = shard_prefix(effect.shard);
+    net::kv_range range{effect.first ? entry_key(effect.shard, *effect.first)
+                                     : prefix,
+                        net::prefix_end(prefix)};
+    range.limit = effect.limit;
+    kv_->read(range,
+              [this, shard = effect.shard,
+               prefix](const std::optional<net::kv_range_result>& result,
+                       const failure&)
+              {
+                  metrics_->platform_call("ledger_read", result.has_value());
+                  std::optional<std::vector<ledger::log_entry>> entries;
+                  if (result)
+                  {
+                      entries.emplace();
+                      for (const auto& item : result->entries)
+                          entries->push_back(
+                              {std::stoull(item.key.substr(prefix.size())),
+                               item.value});
+                  }
+                  node_.entries_read(net::monotonic_now(), shard, entries);
+                  apply_effects();
+              });
+}
+
+void control_task::apply(const ledger::create_entry& effect)
+{
+    using target = net::kv_compare_target;
+    using relation = net::kv_compare_relation;
+    const auto key = entry_key(effect.shard, effect.number);
+    net::kv_transaction transaction;
+    transaction.conditions.push_back(
+        {key, target::version, relation::equal, 0});
+    transaction.puts.push_back({key, effect.bytes});
+    if (effect.number == 1)
+    {
+        transaction.conditions.push_back(
+            {shard_marker(effect.shard), target::version, relation::equal, 0});
+        transaction.puts.push_back({shard_marker(effect.shard), "1"});
+    }
+    else
+        transaction.conditions.push_back(
+            {entry_key(effect.shard, effect.number - 1), target::version,
+             relation::greater, 0});
+    kv_->commit(transaction,
+                [this, shard = effect.shard](
+                    const std::optional<net::kv_transaction_result>& result,
+                    const failure&)
+                {
+                    metrics_->platform_call("ledger_write", result.has_value());
+                    std::optional<bool> created;
+                    if (result)
+                        created = result->succeeded;
+                    node_.entry_created(net::monotonic_now(), shard, created);
+                    apply_effects();
+                });
+}
+
+void control_task::apply(const ledger::delete_entries& effect)
+{
+    net::kv_transaction transaction;
+    transaction.deletes.push_back({entry_key(effect.shard, effect.first),
+                                   entry_key(effect.shard, effect.end)});
+    kv_->commit(
+        transaction,
+        [this, effect](const std::optional<net::kv_transaction_result>& result,
+                       const failure&)
+        {
+            metrics_->platform_call("ledger_compaction", result.has_value());
+            if (result && result->succeeded)
+                node_.entries_deleted(effect.shard, effect.end);
+        });
+}
+
+void control_task::apply(const fleet::route_decided& effect)
+{
+    const auto found = by_ticket_.find(effect.decision.ticket);
+    if (found == by_ticket_.end())
+        return;
+    const auto number = found->second;
+    auto& entry = routes_.at(number);
+    entry.upstream = effect.decision.upstream;
+    const auto status = to_status(effect.decision.result);
+    answer_route(number, {.status = status,
+                          .upstream = effect.decision.upstream,
+                          .upstream_name = effect.upstream_name,
+                          .address = effect.address,
+                          .choice = effect.decision.choice});
+    if (status == route_status::granted)
+        return;
+    routes_.erase(number);
+    by_ticket_.erase(found);
+}
+
+void control_task::apply(const fleet::claim_decided& effect)
+{
+    const auto found = by_claim_.find(effect.decision.ticket);
+    if (found == by_claim_.end())
+        return;
+    const auto number = found->second;
+    by_claim_.erase(found);
+    const auto& entry = claims_.at(number);
+    entry.replies->deliver(number, effect.decision);
+    if (effect.decision.result != ledger::claim_result::accepted)
+        claims_.erase(number);
+}
+
+void control_task::apply(const fleet::preset_adopted& effect)
+{
+    log_event(log_level::info, "preset_adopted",
+              {{"generation", std::to_string(effect.preset->number)},
+               {"name", effect.preset->value.name},
+               {"author", effect.preset->author}});
+    publish_state();
+}
+
+void control_task::publish_state()
+{
+    const published_state next{node_.preset(),
+                               node_.state(net::monotonic_now())};
+    if (next.preset == state_.preset && next.readiness == state_.readiness)
+        return;
+    if (next.readiness != state_.readiness)
+        log_event(
+            log_level::info, "readiness",
+            {{"from",
+              std::string{name_in(fleet::readiness_names, state_.readiness)}},
+             {"to",
+              std::string{name_in(fleet::readiness_names, next.readiness)}}});
+    state_ = next;
+    for (const auto& item : subscribers_)
+        item.loop->post([callback = item.callback, state = state_]
+                        { callback(state); });
+}
+
+void control_task::update_gauges()
+{
+    const auto now = net::monotonic_now();
+    const auto ledger = node_.ledger_totals();
+    const auto& client = node_.client();
+    const auto to_double = [](auto value)
+    {
+        return static_cast<double>(value);
+    };
+    metrics_->set("baobab_members",
+                  to_double(node_.members().live_members().size()));
+    metrics_->set("baobab_preset_generation",
+                  to_double(state_.preset ? state_.preset->number : 0));
+    metrics_->set("baobab_owned_upstreams",
+                  to_double(node_.owner().owned().size()));
+    metrics_->set("baobab_permits_held", to_double(client.held()));
+    metrics_->set("baobab_permit_asks", to_double(client.counts().asks));
+    metrics_->set("baobab_permit_first_choices",
+                  to_double(client.counts().first_choices));
+    metrics_->set("baobab_permit_other_choices",
+                  to_double(client.counts().other_choices));
+    metrics_->set("baobab_quarantined_requests",
+                  to_double(node_.crashes().quarantined(now)));
+    metrics_->set("baobab_ledger_writes", to_double(ledger.total.writes));
+    metrics_->set("baobab_ledger_records", to_double(ledger.total.records));
+    metrics_->set("baobab_ledger_lost_races",
+                  to_double(ledger.total.lost_races));
+    metrics_->set("baobab_ledger_unknown_writes",
+                  to_double(ledger.total.unknown_writes));
+    metrics_->set("baobab_ledger_damaged_entries",
+                  to_double(ledger.total.damaged_entries));
+    metrics_->set("baobab_ledger_keys", to_double(ledger.keys));
+    metrics_->set("baobab_ready",
+                  state_.readiness == fleet::readiness::ready ? 1 : 0);
+}
+
+std::string control_task::status_page() const
+{
+    const auto now = net::monotonic_now();
+    json members = json::array();
+    for (const auto& member : node_.members().all_members())
+        members.push_back(
+            {{"id", to_string(member.id)},
+             {"state", name_in(membership::member_state_names, member.state)},
+             {"http_port", member.http_port},
+             {"incarnation", member.incarnation}});
+    json upstreams = json::array();
+    for (const auto& item : node_.owner().status(now))
+    {
+        std::string name;
+        if (state_.preset)
+            for (const auto& service : state_.preset->value.services)
+                for (const auto& upstream : service.upstreams)
+                    if (upstream.id == item.upstream)
+                        name = upstream.name;
+        upstreams.push_back(
+            {{"name", name},
+             {"owner", to_string(self_)},
+             {"state", name_in(routing::warmth_names, item.state)},
+             {"available", item.available},
+             {"admitted", item.admitted},
+             {"load", item.load},
+             {"limit", item.limit},
+             {"waiting", item.waiting},
+             {"mean_load", item.mean_load},
+             {"first_token_ms", item.first_token_ms},
+             {"setbacks", item.setbacks}});
+    }
+    json verdicts = json::object();
+    for (const auto& row : routing::verdict_names)
+        verdicts[std::string{row.name}] =
+            node_.owner().counts().at(static_cast<std::size_t>(row.value));
+    return json{
+        {"id", to_string(self_)},
+        {"data_centre", settings_.data_centre},
+        {"readiness", name_in(fleet::readiness_names, state_.readiness)},
+        {"generation", state_.preset ? state_.preset->number : 0},
+        {"preset", state_.preset ? state_.preset->value.name : std::string{}},
+        {"members", members},
+        {"owned_upstreams", upstreams},
+        {"verdicts", verdicts}}
+        .dump();
+}
+
+std::string control_task::burn_page() const
+{
+    json rows = json::array();
+    for (const auto& row : burn_.rows(net::monotonic_now()))
+    {
+        json windows = json::object();
+        for (std::size_t index = 0; index < burn_windows.size(); ++index)
+            windows[std::string{burn_window_names.at(index)}] = {
+                {"total", row.windows.at(index).total},
+                {"missed", row.windows.at(index).missed}};
+        rows.push_back({{"service", row.key.service},
+                        {"customer", row.key.customer},
+                        {"objective", name_in(objective_names, row.key.goal)},
+                        {"target", row.target},
+                        {"windows", windows}});
+    }
+    return json{{"rows", rows}}.dump();
+}
+
+std::string control_task::envelope_page() const
+{
+    const auto envelope =
+        state_.preset ? config::to_envelope(*state_.preset) : std::string{};
+    return json{{"envelope", envelope}, {"mac", peer_mac(envelope)}}.dump();
+}
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/lib/router/metrics.cpp
@@ -0,0 +1,185 @@
+#include "baobabloft/router/metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace baobabloft::router
+{
+
+namespace
+{
+
+constexpr std::array table{
+    metric_row{"baobab_answers_total", "Requests answered, by service"},
+    metric_row{"baobab_answer_seconds", "Time to the whole answer"},
+    metric_row{"baobab_refusals_total", "Requests refused, by kind"},
+    metric_row{"baobab_first_token_seconds", "Time to the first token"},
+    metric_row{"baobab_between_tokens_seconds", "Time between tokens"},
+    metric_row{"baobab_retries_total", "Further attempts, by cause"},
+    metric_row{"baobab_requests_in_progress", "Requests in progress"},
+    metric_row{"baobab_control_sent_bytes_total",
+               "Control datagrams sent, headers included, by kind"},
+    metric_row{"baobab_control_sent_total", "Control datagrams sent, by kind"},
+    metric_row{"baobab_control_received_bytes_total",
+               "Control datagrams received, headers included, by kind"},
+    metric_row{"baobab_control_received_total",
+               "Control datagrams received, by kind"},
+    metric_row{"baobab_control_refused_total",
+               "Datagrams that were not accepted, by cause"},
+    metric_row{"baobab_platform_calls_total",
+               "Calls to the platform and for load reports, by kind"},
+    metric_row{"baobab_members", "Live routers in this router's view"},
+    metric_row{"baobab_preset_generation", "Number of the preset in force"},
+    metric_row{"baobab_owned_upstreams", "Upstreams that this router owns"},
+    metric_row{"baobab_permits_held", "Permits held by requests here"},
+    metric_row{"baobab_permit_asks", "Asks for permits since the start"},
+    metric_row{"baobab_permit_first_choices",
+               "Requests that got their first choice since the start"},
+    metric_row{"baobab_permit_other_choices",
+               "Requests that got a later choice since the start"},
+    metric_row{"baobab_quarantined_requests", "Request bodies in quarantine"},
+    metric_row{"baobab_ledger_writes", "Ledger entries written since start"},
+    metric_row{"baobab_ledger_records", "Ledger records written since start"},
+    metric_row{"baobab_ledger_lost_races",
+               "Ledger entries that another router created first"},
+    metric_row{"baobab_ledger_unknown_writes",
+               "Ledger writes without an answer"},
+    metric_row{"baobab_ledger_damaged_entries",
+               "Ledger entries that cannot be read"},
+    metric_row{"baobab_ledger_keys", "Keys in memory of this appender"},
+    metric_row{"baobab_ready", "1 if the router takes new requests"},
+};
+
+const prometheus::Histogram::BucketBoundaries token_buckets{
+    0.005, 0.01, 0.02, 0.03, 0.04, 0.053, 0.075, 0.1, 0.15,
+    0.25,  0.5,  0.74, 1.0,  1.5,  2.5,   5.0,   10.0};
+
+const prometheus::Histogram::BucketBoundaries answer_buckets{
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+    0.5,   1,      2.5,   5,    10,    30,   60,  300};
+
+std::string help_of(std::string_view name)
+{
+    const auto found =
+        std::find_if(table.begin(), table.end(),
+                     [name](const auto& row) { return row.name == name; });
+    assert(found != table.end() && "every metric stands in the table");
+    return std::string{found->help};
+}
+
+} // namespace
+
+std::span<const metric_row> metric_table()
+{
+    return table;
+}
+
+metrics::metrics() : registry_(std::make_shared<prometheus::Registry>()) {}
+
+void metrics::answered(const std::string& service, duration took)
+{
+    counter("baobab_answers_total", {{"service", service}}).Increment();
+    histogram("baobab_answer_seconds", service).Observe(to_seconds(took));
+}
+
+void metrics::refused(refusal_kind kind)
+{
+    counter("baobab_refusals_total", {{"kind", std::string{row_of(kind).name}}})
+        .Increment();
+}
+
+void metrics::first_token(const std::string& service, duration took)
+{
+    histogram("baobab_first_token_seconds", service).Observe(to_seconds(took));
+}
+
+void metrics::between_tokens(const std::string& service, duration gap)
+{
+    histogram("baobab_between_tokens_seconds", service)
+        .Observe(to_seconds(gap));
+}
+
+void metrics::retried(std::string_view why)
+{
+    counter("baobab_retries_total", {{"cause", std::string{why}}}).Increment();
+}
+
+void metrics::datagram_sent(std::string_view kind, std::size_t bytes)
+{
+    const prometheus::Labels labels{{"kind", std::string{kind}}};
+    counter("baobab_control_sent_bytes_total", labels)
+        .Increment(static_cast<double>(bytes));
+    counter("baobab_control_sent_total", labels).Increment();
+}
+
+void metrics::datagram_received(std::string_view kind, std::size_t bytes)
+{
+    const prometheus::Labels labels{{"kind", std::string{kind}}};
+    counter("baobab_control_received_bytes_total", labels)
+        .Increment(static_cast<double>(bytes));
+    counter("baobab_control_received_total", labels).Increment();
+}
+
+void metrics::datagram_refused(std::string_view why)
+{
+    counter("baobab_control_refused_total", {{"cause", std::string{why}}})
+        .Increment();
+}
+
+void metrics::platform_call(std::string_view kind, bool answered)
+{
+    counter(
+        "baobab_platform_calls_total",
+        {{"kind", std::string{kind}}, {"answered", answered ? "yes" : "no"}})
+        .Increment();
+}
+
+void metrics::requests_in_progress(int change)
+{
+    gauge("baobab_requests_in_progress").Increment(change);
+}
+
+void metrics::set(std::string_view name, double value)
+{
+    gauge(name).Set(value);
+}
+
+std::string metrics::text() const
+{
+    return prometheus::TextSerializer{}.Serialize(registry_->Collect());
+}
+
+prometheus::Counter& metrics::counter(std::string_view name,
+                                      const prometheus::Labels& labels)
+{
+    return prometheus::BuildCounter()
+        .Name(std::string{name})
+        .Help(help_of(name))
+        .Register(*registry_)
+        .Add(labels);
+}
+
+prometheus::Histogram& metrics::histogram(std::string_view name,
+                                          const std::string& service)
+{
+    const bool by_token = name != "baobab_answer_seconds";
+    return prometheus::BuildHistogram()
+        .Name(std::string{name})
+        .Help(help_of(name))
+        .Register(*registry_)
+        .Add({{"service", service}}, by_token ? token_buckets : answer_buckets);
+}
+
+prometheus::Gauge& metrics::gauge(std::string_view name)
+{
+    return prometheus::BuildGauge()
+        .Name(std::string{name})
+        .Help(help_of(name))
+        .Register(*registry_)
+        .Add({});
+}
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/lib/router/settings.cpp
@@ -0,0 +1,352 @@
+#include "baobabloft/router/settings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace baobabloft::router
+{
+
+namespace
+{
+
+using mistake = std::optional<std::string>;
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::size_t start = 0;
+    while (start < text.size())
+    {
+        const auto comma = std::min(text.find(',', start), text.size());
+        if (comma != start)
+            parts.push_back(text.substr(start, comma - start));
+        start = comma + 1;
+    }
+    return parts;
+}
+
+template <typename Number>
+std::optional<Number> parse_number(std::string_view text)
+{
+    Number value{};
+    const auto* end = text.data() + text.size();
+    const auto [last, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc{} || last != end)
+        return std::nullopt;
+    return value;
+}
+
+mistake apply_endpoint(endpoint& target, const std::string& text)
+{
+    if (const auto parsed = parse_endpoint(text))
+    {
+        target = *parsed;
+        return std::nullopt;
+    }
+    return "expected an IPv4 address and port such as 127.0.0.1:8080";
+}
+
+template <typename Number>
+mistake apply_number(Number& target, const std::string& text, Number low,
+                     Number high)
+{
+    const auto parsed = parse_number<Number>(text);
+    if (!parsed || *parsed < low || *parsed > high)
+        return "expected a number from " + std::to_string(low) + " to " +
+               std::to_string(high);
+    target = *parsed;
+    return std::nullopt;
+}
+
+/// Longest duration that any setting takes.
+constexpr double max_seconds = 86400;
+
+mistake apply_seconds(duration& target, const std::string& text)
+{
+    double seconds = 0;
+    if (const auto wrong =
+            apply_number<double>(seconds, text, 0.001, max_seconds))
+        return wrong;
+    target = from_seconds(seconds);
+    return std::nullopt;
+}
+
+mistake apply_url(std::string& target, const std::string& text)
+{
+    if (!text.empty() && !text.starts_with("http://") &&
+        !text.starts_with("https://"))
+        return "expected a URL such as http://127.0.0.1:2379";
+    target = text;
+    return std::nullopt;
+}
+
+mistake apply_peers(settings& all, const std::string& text)
+{
+    for (const auto& part : split(text))
+    {
+        const auto parsed = parse_endpoint(part);
+        if (!parsed)
+            return "expected addresses such as 10.0.0.1:7080,10.0.0.2:7080";
+        all.peers.push_back(
+            make_router_id(*parse_ipv4(parsed->host), parsed->port));
+    }
+    return std::nullopt;
+}
+
+constexpr std::size_t min_secret_length = 16;
+
+mistake apply_secrets(settings& all, const std::string& text)
+{
+    all.fleet_secrets = split(text);
+    const bool long_enough = std::all_of(
+        all.fleet_secrets.begin(), all.fleet_secrets.end(),
+        [](const auto& secret) { return secret.size() >= min_secret_length; });
+    if (all.fleet_secrets.empty() || !long_enough)
+        return "expected one or more secrets of at least 16 characters";
+    return std::nullopt;
+}
+
+mistake apply_log_level(settings& all, const std::string& text)
+{
+    constexpr std::array<std::string_view, 4> levels{"debug", "info", "warning",
+                                                     "error"};
+    if (std::find(levels.begin(), levels.end(), text) == levels.end())
+        return "expected debug, info, warning or error";
+    all.log_level = text;
+    return std::nullopt;
+}
+
+constexpr std::size_t max_bytes = std::size_t{1} << 30U;
+
+constexpr std::array table{
+    setting_row{"listen", "IP:PORT", "127.0.0.1:8080", false,
+                "address for callers and operators",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_endpoint(all.listen, text);
+                }},
+    setting_row{"control-listen", "IP:PORT", "127.0.0.1:7080", false,
+                "address for datagrams of other routers; it is this router's "
+                "identity and must be reachable by the whole fleet",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_endpoint(all.control_listen, text);
+                }},
+    setting_row{"data-centre", "NAME", "", true,
+                "data centre of this host, as the presets name it",
+                [](settings& all, const std::string& text) -> mistake
+                {
+                    all.data_centre = text;
+                    return std::nullopt;
+                }},
+    setting_row{"kv-url", "URL", "", true, "the platform's key-value service",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_url(all.kv_url, text);
+                }},
+    setting_row{"host-list-url", "URL", "", false,
+                "the platform's list of live and leaving hosts",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_url(all.host_list_url, text);
+                }},
+    setting_row{"peers", "IP:PORT,...", "", false,
+                "control addresses of other routers to join by", apply_peers},
+    setting_row{"fleet-secrets", "SECRET,...", "", true,
+                "shared secrets of the fleet; the first signs, all are "
+                "accepted",
+                apply_secrets},
+    setting_row{"operator-token", "TOKEN", "", false,
+                "bearer token for /status, /metrics and /burn; empty leaves "
+                "them open",
+                [](settings& all, const std::string& text) -> mistake
+                {
+                    all.operator_token = text;
+                    return std::nullopt;
+                }},
+    setting_row{"tls-certificate", "FILE", "", false,
+                "PEM certificate chain for callers; read again on SIGHUP",
+                [](settings& all, const std::string& text) -> mistake
+                {
+                    all.tls_certificate = text;
+                    return std::nullopt;
+                }},
+    setting_row{"tls-key", "FILE", "", false,
+                "PEM private key of the certificate",
+                [](settings& all, const std::string& text) -> mistake
+                {
+                    all.tls_key = text;
+                    return std::nullopt;
+                }},
+    setting_row{"workers", "COUNT", "2", false, "worker threads, 1 to 64",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<unsigned>(all.workers, text, 1, 64);
+                }},
+    setting_row{"max-body-bytes", "BYTES", "4194304", false,
+                "largest request body",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<std::size_t>(all.max_body_bytes, text,
+                                                     1024, max_bytes);
+                }},
+    setting_row{"max-answer-bytes", "BYTES", "16777216", false,
+                "largest answer that is not streamed",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<std::size_t>(all.max_answer_bytes, text,
+                                                     1024, max_bytes);
+                }},
+    setting_row{"first-byte-timeout", "SECONDS", "20", false,
+                "longest wait for an upstream's first byte",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.first_byte_timeout, text);
+                }},
+    setting_row{"progress-timeout", "SECONDS", "5", false,
+                "longest silence of an upstream within an answer",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.progress_timeout, text);
+                }},
+    setting_row{"max-timeout", "SECONDS", "600", false,
+                "longest deadline that a caller may ask for",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.max_timeout, text);
+                }},
+    setting_row{"shutdown-timeout", "SECONDS", "600", false,
+                "longest wait for requests in progress at shutdown",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.shutdown_timeout, text);
+                }},
+    setting_row{"ledger-shards", "COUNT", "8", false,
+                "shards of the at-most-once ledger; equal on every router "
+                "and never changed while keys are remembered",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<std::uint32_t>(all.ledger_shards, text,
+                                                       1, 256);
+                }},
+    setting_row{"ledger-writes", "PER SECOND", "200", false,
+                "key-value writes per second that the fleet's ledger may use",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<double>(all.ledger_writes_per_second,
+                                                text, 1, 10000);
+                }},
+    setting_row{"ledger-retention", "SECONDS", "600", false,
+                "age up to which keys of non-repeatable calls are remembered",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.ledger_retention, text);
+                }},
+    setting_row{"log-level", "LEVEL", "info", false,
+                "debug, info, warning or error", apply_log_level},
+};
+
+bool is_any_address(const endpoint& address)
+{
+    return address.host == "0.0.0.0";
+}
+
+void check_together(const settings& all, std::vector<failure>& mistakes)
+{
+    if (all.tls_certificate.empty() != all.tls_key.empty())
+        mistakes.push_back({failure_kind::invalid_setting,
+                            "tls-certificate and tls-key go together",
+                            "give both or neither"});
+    if (is_any_address(all.control_listen))
+        mistakes.push_back(
+            {failure_kind::invalid_setting,
+             "control-listen must be this host's own address",
+             "write the address by which other routers reach this host"});
+}
+
+} // namespace
+
+std::span<const setting_row> setting_table()
+{
+    return table;
+}
+
+std::string variable_of(const setting_row& row)
+{
+    std::string name = "BAOBAB_";
+    for (const char letter : row.flag)
+        name += letter == '-' ? '_'
+                              : static_cast<char>(std::toupper(
+                                    static_cast<unsigned char>(letter)));
+    return name;
+}
+
+std::optional<settings> make_settings(const std::vector<given_setting>& given,
+                                      std::vector<failure>& mistakes)
+{
+    const auto known = mistakes.size();
+    settings result;
+    for (const auto& row : table)
+    {
+        const auto found = std::find_if(given.begin(), given.end(),
+                                        [&row](const auto& item)
+                                        { return item.flag == row.flag; });
+        const bool is_given = found != given.end() && !found->text.empty();
+        if (!is_given && row.required)
+        {
+            mistakes.push_back({failure_kind::invalid_setting,
+                                std::string{row.flag} + " is not set",
+                                "give --" + std::string{row.flag} + " or " +
+                                    variable_of(row)});
+            continue;
+        }
+        const std::string text =
+            is_given ? found->text : std::string{row.initial};
+        if (text.empty())
+            continue;
+        if (const auto wrong = row.apply(result, text))
+            mistakes.push_back({failure_kind::invalid_setting,
+                                std::string{row.flag} + "=" + text, *wrong});
+    }
+    check_together(result, mistakes);
+    if (mistakes.size() != known)
+        return std::nullopt;
+    return result;
+}
+
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const auto host = text.substr(0, colon);
+    const auto port = parse_number<std::uint16_t>(text.substr(colon + 1));
+    if (!port || !parse_ipv4(host))
+        return std::nullopt;
+    return endpoint{std::string{host}, *port};
+}
+
+std::optional<std::uint32_t> parse_ipv4(std::string_view host)
+{
+    constexpr unsigned max_part = 255;
+    std::uint32_t address = 0;
+    std::size_t start = 0;
+    for (int part = 0; part < 4; ++part)
+    {
+        const bool last = part == 3;
+        const auto end = last ? host.size() : host.find('.', start);
+        if (end == std::string_view::npos)
+            return std::nullopt;
+        const auto value =
+            parse_number<unsigned>(host.substr(start, end - start));
+        if (!value || *value > max_part)
+            return std::nullopt;
+        address = (address << 8U) | *value;
+        start = end + 1;
+    }
+    return address;
+}
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/lib/router/sse.cpp
@@ -0,0 +1,60 @@
+#include "baobabloft/router/sse.hpp"
+
+#include <charconv>
+
+namespace baobabloft::router
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> find_id(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    std::size_t start = 0;
+    while (start < event.size())
+    {
+        auto line = event.substr(start, event.find('\n', start) - start);
+        start += line.size() + 1;
+        if (!line.starts_with(field))
+            continue;
+        line.remove_prefix(field.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [end, error] =
+            std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc{})
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void sse_splitter::add(std::string_view bytes)
+{
+    buffer_ += bytes;
+}
+
+std::optional<sse_event> sse_splitter::next()
+{
+    constexpr std::string_view separator = "\n\n";
+    const auto end = buffer_.find(separator);
+    if (end == std::string::npos)
+        return std::nullopt;
+    sse_event event;
+    event.bytes = buffer_.substr(0, end + separator.size());
+    buffer_.erase(0, event.bytes.size());
+    event.id = find_id(event.bytes);
+    event.is_end = event.bytes.find("data: [DONE]") != std::string::npos &&
+                   event.bytes.find('{') == std::string::npos;
+    return event;
+}
+
+std::size_t sse_splitter::buffered() const
+{
+    return buffer_.size();
+}
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/lib/routing/permit_owner.cpp
@@ -0,0 +1,342 @@
+#include "baobabloft/routing/permit_owner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace baobabloft::routing
+{
+
+namespace
+{
+
+/// A permit that its holder neither returns nor renews ends after this.
+constexpr duration permit_lease = 40s;
+constexpr duration displaced_lifetime = 600s;
+constexpr std::size_t max_displaced_chats = 4096;
+/// Deferrable requests use an upstream only below this share of its limit.
+constexpr double deferrable_share = 0.7;
+/// Deferrable requests become interactive this long before their latest time.
+constexpr duration deferrable_margin = 60s;
+
+std::uint16_t to_u16(double value)
+{
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, 65535.0));
+}
+
+} // namespace
+
+void permit_owner::displaced_chats::remember(time_point now, chat_id chat)
+{
+    forget(chat);
+    by_age_.push_back({chat, now});
+    by_chat_[chat] = std::prev(by_age_.end());
+    if (by_age_.size() > max_displaced_chats)
+        forget(by_age_.front().chat);
+}
+
+void permit_owner::displaced_chats::forget(chat_id chat)
+{
+    const auto found = by_chat_.find(chat);
+    if (found == by_chat_.end())
+        return;
+    by_age_.erase(found->second);
+    by_chat_.erase(found);
+}
+
+bool permit_owner::displaced_chats::contains(time_point now, chat_id chat) const
+{
+    const auto found = by_chat_.find(chat);
+    return found != by_chat_.end() &&
+           now - found->second->at < displaced_lifetime;
+}
+
+void permit_owner::set_owned(time_point now,
+                             const config::preset_snapshot& preset,
+                             const std::vector<owned_upstream>& owned)
+{
+    preset_ = preset;
+    std::unordered_map<upstream_id, station> kept;
+    for (const auto& item : owned)
+    {
+        const auto id = item.upstream->id;
+        const auto options = make_gate_options(*item.service);
+        if (const auto known = stations_.find(id); known != stations_.end())
+        {
+            known->second.gate.set_options(options);
+            kept.insert(stations_.extract(known));
+        }
+        else
+            kept.emplace(id, station{.gate = upstream_gate{options, now},
+                                     .queue = {},
+                                     .displaced = {}});
+        auto& at = kept.at(id);
+        at.queue_limit = item.service->queue_limit;
+        at.admitted = item.admitted;
+        if (!item.admitted)
+            for (const auto& waiting : at.queue.drain())
+                answer(now, waiting.key, verdict::unavailable, &at);
+    }
+    for (auto& [id, lost] : stations_)
+        for (const auto& waiting : lost.queue.drain())
+            answer(now, waiting.key, verdict::unavailable, nullptr);
+    stations_ = std::move(kept);
+    std::erase_if(grants_, [this](const auto& entry)
+                  { return !stations_.contains(entry.second.upstream); });
+}
+
+void permit_owner::handle(time_point now, router_id from, const permit_ask& ask)
+{
+    const ask_key key{from, ask.sequence};
+    const auto found = stations_.find(ask.upstream);
+    if (found == stations_.end())
+    {
+        answer(now, key, verdict::unavailable, nullptr);
+        return;
+    }
+    auto& at = found->second;
+    if (ask.sampled_load != no_sample)
+        at.gate.sample_load(now, ask.sampled_load / load_units_per_request);
+    if (ask.sampled_first_token_ms != no_sample)
+        at.gate.sample_first_token(now, ask.sampled_first_token_ms);
+    answer(now, key, decide(now, key, ask, at), &at);
+}
+
+void permit_owner::handle(time_point now, router_id from,
+                          const permit_release& release)
+{
+    for (const auto& item : release.permits)
+        end_grant(now, {from, item.sequence}, item);
+}
+
+void permit_owner::handle(time_point now, router_id from,
+                          const permit_hold& hold)
+{
+    for (const auto& item : hold.permits)
+    {
+        const auto found = stations_.find(item.upstream);
+        if (found == stations_.end())
+            continue;
+        const auto [entry, added] = grants_.try_emplace({from, item.sequence});
+        entry->second.upstream = item.upstream;
+        entry->second.expires = now + permit_lease;
+        if (added)
+            found->second.gate.registered(now);
+    }
+}
+
+void permit_owner::handle(time_point now, router_id from,
+                          const permit_cancel& cancel)
+{
+    const ask_key key{from, cancel.sequence};
+    for (auto& [id, at] : stations_)
+        if (at.queue.remove(key))
+            return;
+    end_grant(now, key,
+              {.sequence = cancel.sequence, .how = outcome::cancelled});
+}
+
+void permit_owner::handle(time_point now, router_id from,
+                          const suspect_cleared& note)
+{
+    const auto found = grants_.find({from, note.sequence});
+    if (found == grants_.end() || !found->second.suspect)
+        return;
+    found->second.suspect = false;
+    auto& at = stations_.at(found->second.upstream);
+    --at.suspects;
+    pump(now, found->second.upstream, at);
+}
+
+void permit_owner::handle(time_point now, router_id from,
+                          const slow_first_token& note)
+{
+    const auto found = grants_.find({from, note.sequence});
+    if (found != grants_.end())
+        stations_.at(found->second.upstream)
+            .gate.slow_first_token(now, note.waited_ms);
+}
+
+void permit_owner::report(time_point now, upstream_id upstream,
+                          const load_report& report)
+{
+    const auto found = stations_.find(upstream);
+    if (found == stations_.end())
+        return;
+    found->second.gate.report(now, report);
+    pump(now, upstream, found->second);
+}
+
+void permit_owner::report_failed(time_point now, upstream_id upstream)
+{
+    if (const auto found = stations_.find(upstream); found != stations_.end())
+        found->second.gate.report_failed(now);
+}
+
+void permit_owner::tick(time_point now)
+{
+    std::vector<ask_key> lapsed;
+    for (const auto& [key, item] : grants_)
+        if (item.expires <= now)
+            lapsed.push_back(key);
+    for (const auto& key : lapsed)
+        end_grant(now, key,
+                  {.sequence = key.sequence, .how = outcome::cancelled});
+    for (auto& [id, at] : stations_)
+    {
+        for (const auto& ask : at.queue.remove_expired(now))
+            answer(now, ask.key, verdict::expired, &at);
+        at.queue.promote_due(now, deferrable_margin);
+        const bool useless =
+            !at.admitted || !at.gate.is_available(now) || at.gate.is_leaving();
+        if (useless)
+            for (const auto& ask : at.queue.drain())
+                answer(now, ask.key, verdict::unavailable, &at);
+        else
+            pump(now, id, at);
+    }
+}
+
+std::vector<addressed_answer> permit_owner::take_answers()
+{
+    return std::exchange(answers_, {});
+}
+
+std::vector<upstream_status> permit_owner::status(time_point now) const
+{
+    std::vector<upstream_status> result;
+    result.reserve(stations_.size());
+    for (const auto& [id, at] : stations_)
+        result.push_back({.upstream = id,
+                          .load = at.gate.load(),
+                          .limit = at.gate.limit(now),
+                          .waiting = at.queue.size(),
+                          .mean_load = at.gate.mean_load(now),
+                          .first_token_ms = at.gate.first_token_ms(now),
+                          .state = at.gate.state(now),
+                          .available = at.gate.is_available(now),
+                          .admitted = at.admitted,
+                          .setbacks = at.gate.setbacks()});
+    return result;
+}
+
+std::vector<upstream_id> permit_owner::owned() const
+{
+    std::vector<upstream_id> result;
+    result.reserve(stations_.size());
+    for (const auto& [id, at] : stations_)
+        result.push_back(id);
+    return result;
+}
+
+const verdict_counts& permit_owner::counts() const
+{
+    return counts_;
+}
+
+verdict permit_owner::decide(time_point now, const ask_key& key,
+                             const permit_ask& ask, station& at)
+{
+    if (grants_.contains(key))
+        return verdict::granted;
+    if (at.queue.contains(key))
+        return verdict::queued;
+    if (!at.admitted || !at.gate.is_available(now) || at.gate.is_leaving())
+        return verdict::unavailable;
+    if (ask.first_choice && at.displaced.contains(now, ask.chat))
+    {
+        at.displaced.remember(now, ask.chat);
+        return verdict::cached_elsewhere;
+    }
+    const auto limit = at.gate.limit(now);
+    const bool deferrable = ask.priority == urgency::deferrable;
+    const double room = deferrable ? deferrable_share * limit : limit;
+    const bool suspect_blocked = ask.suspect && at.suspects > 0;
+    const bool others_wait = at.queue.size_of(urgency::interactive) > 0;
+    if (at.gate.load() < room && !others_wait && !suspect_blocked)
+    {
+        grant_permit(now, key, at, ask.upstream, ask.suspect);
+        at.displaced.forget(ask.chat);
+        return verdict::granted;
+    }
+    if (ask.may_queue)
+        return enqueue(now, key, ask, at);
+    at.displaced.remember(now, ask.chat);
+    return verdict::at_limit;
+}
+
+verdict permit_owner::enqueue(time_point now, const ask_key& key,
+                              const permit_ask& ask, station& at)
+{
+    const waiting_ask waiting{
+        .key = key,
+        .customer = ask.customer,
+        .weight = preset_ ? preset_->value.weight_of(ask.customer) : 1,
+        .priority = ask.priority,
+        .suspect = ask.suspect,
+        .latest = now + std::chrono::milliseconds{ask.patience_ms}};
+    const auto shed = at.queue.push(waiting, at.queue_limit);
+    if (!shed)
+        return verdict::queued;
+    if (shed->key == key)
+        return verdict::queue_full;
+    answer(now, shed->key, verdict::queue_full, &at);
+    return verdict::queued;
+}
+
+void permit_owner::grant_permit(time_point now, const ask_key& key, station& at,
+                                upstream_id upstream, bool suspect)
+{
+    grants_[key] = {upstream, now + permit_lease, suspect};
+    at.gate.granted(now);
+    if (suspect)
+        ++at.suspects;
+}
+
+void permit_owner::end_grant(time_point now, const ask_key& key,
+                             const released_permit& released)
+{
+    const auto found = grants_.find(key);
+    if (found == grants_.end())
+        return;
+    const auto ended = found->second;
+    grants_.erase(found);
+    auto& at = stations_.at(ended.upstream);
+    if (ended.suspect)
+        --at.suspects;
+    at.gate.released(now, released.how, released.first_token_ms);
+    pump(now, ended.upstream, at);
+}
+
+void permit_owner::pump(time_point now, upstream_id upstream, station& at)
+{
+    if (!at.admitted)
+        return;
+    const auto limit = at.gate.limit(now);
+    while (at.gate.load() < limit && at.queue.size() > 0)
+    {
+        const bool with_deferrable = at.gate.load() < deferrable_share * limit;
+        const auto next = at.queue.pop(with_deferrable, at.suspects == 0);
+        if (!next)
+            return;
+        grant_permit(now, next->key, at, upstream, next->suspect);
+        answer(now, next->key, verdict::granted, &at);
+    }
+}
+
+void permit_owner::answer(time_point now, const ask_key& key, verdict decision,
+                          const station* at)
+{
+    ++counts_[static_cast<std::size_t>(decision)];
+    permit_answer answer{.sequence = key.sequence, .decision = decision};
+    if (at != nullptr)
+    {
+        const auto load = at->gate.load();
+        const bool counts_itself = decision == verdict::granted && load > 0;
+        answer.load = to_u16(counts_itself ? load - 1 : load);
+        answer.first_token_ms = to_u16(at->gate.first_token_ms(now));
+    }
+    answers_.push_back({key.asker, answer});
+}
+
+} // namespace baobabloft::routing
--- /dev/null
+++ b/lib/routing/retry_budget.cpp
@@ -0,0 +1,56 @@
+#include "baobabloft/routing/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace baobabloft::routing
+{
+
+namespace
+{
+
+/// A quiet customer may still retry this often per second.
+constexpr double idle_retries_per_second = 0.5;
+constexpr double max_balance = 20.0;
+constexpr double first_balance = 3.0;
+constexpr std::size_t max_customers = 10000;
+
+} // namespace
+
+retry_budget::retry_budget(double share) : share_(share) {}
+
+void retry_budget::set_share(double share)
+{
+    share_ = share;
+}
+
+void retry_budget::earn(time_point now, customer_id customer)
+{
+    auto& item = refreshed(now, customer);
+    item.retries = std::min(item.retries + share_, max_balance);
+}
+
+bool retry_budget::spend(time_point now, customer_id customer)
+{
+    auto& item = refreshed(now, customer);
+    if (item.retries < 1)
+        return false;
+    item.retries -= 1;
+    return true;
+}
+
+retry_budget::balance& retry_budget::refreshed(time_point now,
+                                               customer_id customer)
+{
+    if (balances_.size() >= max_customers && !balances_.contains(customer))
+        balances_.clear();
+    const auto [entry, added] =
+        balances_.try_emplace(customer, balance{first_balance, now});
+    auto& item = entry->second;
+    const double earned =
+        to_seconds(now - item.updated) * idle_retries_per_second;
+    item.retries = std::min(item.retries + earned, max_balance);
+    item.updated = now;
+    return item;
+}
+
+} // namespace baobabloft::routing
--- /dev/null
+++ b/lib/routing/upstream_gate.cpp
@@ -0,0 +1,293 @@
+#include "baobabloft/routing/upstream_gate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabloft::routing
+{
+
+namespace
+{
+
+/// Window of the sampled means: long enough for a steady estimate, short
+/// enough to follow a surge.
+constexpr duration sample_window = 2s;
+constexpr duration first_token_window = 10s;
+/// Reports older than this do not occur; load within it explains a report.
+constexpr duration report_lag_slot = 750ms;
+/// Share of the multiple that is kept back for the estimate's error.
+constexpr double headroom = 0.06;
+/// A former owner may still grant for this long after a view changed.
+constexpr duration handover = 3s;
+constexpr double slow_factor = 3.0;
+constexpr double slow_floor_ms = 250.0;
+constexpr std::uint32_t slow_limit = 3;
+constexpr std::uint32_t break_limit = 2;
+constexpr duration break_window = 1s;
+constexpr std::uint32_t failed_report_limit = 3;
+constexpr duration first_hold_down = 1s;
+constexpr duration longest_hold_down = 60s;
+/// An upstream that stayed up this long starts with a short hold-down again.
+constexpr duration calm_after = 120s;
+
+} // namespace
+
+gate_options make_gate_options(const config::service& service)
+{
+    return {.load_multiple = service.load_multiple,
+            .load_floor = service.load_floor,
+            .capacity = service.capacity,
+            .cold_bearable = service.cold.bearable,
+            .ramp = service.cold.ramp,
+            .reports_load = service.kind == config::service_kind::model};
+}
+
+upstream_gate::upstream_gate(const gate_options& options, time_point now)
+    : options_(options), owned_since_(now), sampled_load_(sample_window),
+      sampled_first_token_(first_token_window),
+      own_first_token_(first_token_window)
+{
+    if (!options_.reports_load)
+        warmth_ = warmth::warm;
+}
+
+void upstream_gate::set_options(const gate_options& options)
+{
+    options_ = options;
+}
+
+void upstream_gate::report(time_point now, const load_report& report)
+{
+    failed_reports_ = 0;
+    if (now >= down_until_)
+        needs_report_ = false;
+    leaving_ = report.leaving;
+    const bool first = warmth_ == warmth::unknown;
+    const bool restarted = !first && report.incarnation != incarnation_;
+    incarnation_ = report.incarnation;
+    const auto known = recent_permits(now);
+    unexplained_ = report.running > known ? report.running - known : 0;
+    if (report.cold || restarted)
+    {
+        if (warmth_ != warmth::cold)
+            become_cold(now);
+        if (report.cold)
+            return;
+    }
+    if (first)
+        warmth_ = warmth::warm;
+    else if (warmth_ == warmth::cold && slow_in_a_row_ == 0)
+    {
+        warmth_ = warmth::ramping;
+        ramp_started_ = now;
+    }
+}
+
+void upstream_gate::report_failed(time_point now)
+{
+    if (!options_.reports_load)
+        return;
+    if (++failed_reports_ >= failed_report_limit && is_available(now))
+        become_down(now);
+}
+
+void upstream_gate::sample_load(time_point now, double load)
+{
+    sampled_load_.add(now, load);
+}
+
+void upstream_gate::sample_first_token(time_point now, double ms)
+{
+    sampled_first_token_.add(now, ms);
+}
+
+void upstream_gate::granted(time_point now)
+{
+    ++permits_;
+    note_permits(now);
+}
+
+void upstream_gate::registered(time_point now)
+{
+    if (unexplained_ > 0)
+        --unexplained_;
+    granted(now);
+}
+
+void upstream_gate::released(time_point now, outcome how, double first_token_ms)
+{
+    lapsed(now);
+    if (first_token_ms > 0)
+        note_first_token(now, first_token_ms);
+    if (how == outcome::connect_failed)
+    {
+        become_down(now);
+        return;
+    }
+    // A silent connection says nothing of the upstream: something between the
+    // ends may have lost track of it while new connections work.
+    if (how != outcome::broken)
+        return;
+    if (now - last_break_ > break_window)
+        breaks_ = 0;
+    last_break_ = now;
+    if (++breaks_ < break_limit)
+        return;
+    breaks_ = 0;
+    become_down(now);
+}
+
+void upstream_gate::lapsed(time_point now)
+{
+    note_permits(now);
+    if (permits_ > 0)
+        --permits_;
+}
+
+void upstream_gate::slow_first_token(time_point now, double waited_ms)
+{
+    note_first_token(now, waited_ms);
+}
+
+std::uint32_t upstream_gate::load() const
+{
+    return permits_ + unexplained_;
+}
+
+std::uint32_t upstream_gate::limit(time_point now) const
+{
+    if (!is_available(now) || leaving_)
+        return 0;
+    const auto full = full_limit(now);
+    const auto bearable = std::min(options_.cold_bearable, full);
+    const bool new_owner = now - owned_since_ < handover;
+    switch (state(now))
+    {
+    case warmth::unknown:
+        return 0;
+    case warmth::cold:
+        // A former owner may still grant up to the bearable load itself.
+        return new_owner ? 0 : bearable;
+    case warmth::ramping:
+        break;
+    case warmth::warm:
+        return full;
+    }
+    const double progress =
+        to_seconds(now - ramp_started_) / to_seconds(options_.ramp);
+    return bearable + static_cast<std::uint32_t>(
+                          std::clamp(progress, 0.0, 1.0) * (full - bearable));
+}
+
+bool upstream_gate::is_available(time_point now) const
+{
+    return now >= down_until_ && !needs_report_;
+}
+
+bool upstream_gate::is_leaving() const
+{
+    return leaving_;
+}
+
+warmth upstream_gate::state(time_point now) const
+{
+    if (warmth_ == warmth::ramping && now - ramp_started_ >= options_.ramp)
+        return warmth::warm;
+    return warmth_;
+}
+
+double upstream_gate::mean_load(time_point now) const
+{
+    return sampled_load_.value(now).value_or(load());
+}
+
+double upstream_gate::first_token_ms(time_point now) const
+{
+    return own_first_token_.value(now).value_or(0);
+}
+
+std::uint64_t upstream_gate::setbacks() const
+{
+    return setbacks_;
+}
+
+void upstream_gate::note_permits(time_point now)
+{
+    const auto index = now.time_since_epoch() / report_lag_slot;
+    auto& slot = history_[static_cast<std::size_t>(index) % history_slots];
+    if (slot.index != index)
+        slot = {index, 0};
+    slot.permits = std::max(slot.permits, permits_);
+}
+
+std::uint32_t upstream_gate::recent_permits(time_point now) const
+{
+    const auto index = now.time_since_epoch() / report_lag_slot;
+    auto most = permits_;
+    for (const auto& slot : history_)
+        if (slot.index + static_cast<std::int64_t>(history_slots) > index)
+            most = std::max(most, slot.permits);
+    return most;
+}
+
+std::uint32_t upstream_gate::full_limit(time_point now) const
+{
+    const double allowed =
+        options_.load_multiple * (1 - headroom) * mean_load(now);
+    const auto by_mean =
+        std::max(options_.load_floor, static_cast<std::uint32_t>(allowed));
+    return std::min(options_.capacity, by_mean);
+}
+
+void upstream_gate::become_cold(time_point now)
+{
+    if (warmth_ != warmth::unknown)
+        ++setbacks_;
+    warmth_ = warmth::cold;
+    ramp_started_ = now;
+}
+
+void upstream_gate::become_down(time_point now)
+{
+    if (now < down_until_)
+        return;
+    const bool calm = now - last_down_ > calm_after;
+    hold_down_ =
+        calm ? first_hold_down : std::min(hold_down_ * 2, longest_hold_down);
+    last_down_ = now;
+    down_until_ = now + hold_down_;
+    failed_reports_ = 0;
+    ++setbacks_;
+    needs_report_ = options_.reports_load;
+    // What comes back after a failure starts small, whatever it reports.
+    warmth_ = options_.reports_load ? warmth::cold : warmth::ramping;
+    ramp_started_ = down_until_;
+}
+
+bool upstream_gate::is_slow(time_point now, double first_token_ms) const
+{
+    const auto usual = sampled_first_token_.value(now);
+    return usual && first_token_ms > slow_floor_ms &&
+           first_token_ms > slow_factor * *usual;
+}
+
+void upstream_gate::note_first_token(time_point now, double ms)
+{
+    own_first_token_.add(now, ms);
+    if (!is_slow(now, ms))
+    {
+        slow_in_a_row_ = 0;
+        if (warmth_ == warmth::cold && !options_.reports_load)
+        {
+            warmth_ = warmth::ramping;
+            ramp_started_ = now;
+        }
+        return;
+    }
+    if (++slow_in_a_row_ < slow_limit)
+        return;
+    if (warmth_ == warmth::warm || warmth_ == warmth::ramping)
+        become_cold(now);
+}
+
+} // namespace baobabloft::routing
--- /dev/null
+++ b/tools/baobabctl/main.cpp
@@ -0,0 +1,155 @@
+// baobabctl, the operators' command: parses options and runs one command.
+#include "commands.hpp"
+
+#include <cxxopts.hpp>
+#include <glib.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+
+using namespace baobabloft::ctl;
+
+std::string from_environment(const char* name, const std::string& fallback)
+{
+    const char* value = std::getenv(name);
+    return value != nullptr ? value : fallback;
+}
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream{text};
+    for (std::string part; std::getline(stream, part, ',');)
+        if (!part.empty())
+            parts.push_back(part);
+    return parts;
+}
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options{"baobabctl",
+                             "Operates a baobabloft fleet by its presets."};
+    auto add = options.add_options();
+    add("kv-url", "the platform's key-value service [BAOBAB_KV_URL]",
+        cxxopts::value<std::string>(), "URL");
+    add("router", "base URLs of some routers [BAOBAB_ROUTERS]",
+        cxxopts::value<std::string>(), "URL,...");
+    add("token", "operator token [BAOBAB_OPERATOR_TOKEN]",
+        cxxopts::value<std::string>(), "TOKEN");
+    add("author", "who makes the change [BAOBAB_AUTHOR, default $USER]",
+        cxxopts::value<std::string>(), "NAME");
+    add("output", "text, json or html (html for reports)",
+        cxxopts::value<std::string>()->default_value("text"), "FORM");
+    add("out", "write the report to a file", cxxopts::value<std::string>(),
+        "FILE");
+    add("wait", "wait until a change is in force at every live router");
+    add("wait-seconds", "longest wait, seconds",
+        cxxopts::value<unsigned>()->default_value("10"), "SECONDS");
+    add("version", "print the version and exit");
+    add("help", "print this help and exit");
+    add("words", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"words"});
+    return options;
+}
+
+void print_help(const cxxopts::Options& options)
+{
+    std::cout << options.help({""}) << "\nCommands:\n";
+    for (const auto& row : command_table())
+    {
+        std::string usage{row.words};
+        if (!row.arguments.empty())
+            usage += " " + std::string{row.arguments};
+        usage.resize(std::max<std::size_t>(usage.size(), 30), ' ');
+        std::cout << "  " << usage << ' ' << row.help << '\n';
+    }
+    std::cout << "\nExit codes: 0 done, 1 the answer is no, 2 wrong usage, "
+                 "3 a service is\nunavailable, 4 another operator was "
+                 "faster.\n";
+}
+
+std::string text_of(const cxxopts::ParseResult& parsed, const char* flag,
+                    const std::string& fallback)
+{
+    return parsed.count(flag) != 0 ? parsed[flag].as<std::string>() : fallback;
+}
+
+command_context make_context(const cxxopts::ParseResult& parsed)
+{
+    command_context context;
+    context.kv_url =
+        text_of(parsed, "kv-url",
+                from_environment("BAOBAB_KV_URL", "http://127.0.0.1:2379"));
+    context.routers = split(
+        text_of(parsed, "router",
+                from_environment("BAOBAB_ROUTERS", "http://127.0.0.1:8080")));
+    context.token =
+        text_of(parsed, "token", from_environment("BAOBAB_OPERATOR_TOKEN", ""));
+    context.author = text_of(
+        parsed, "author",
+        from_environment("BAOBAB_AUTHOR", from_environment("USER", "unknown")));
+    context.out_file = text_of(parsed, "out", "");
+    context.json = parsed["output"].as<std::string>() == "json";
+    context.html = parsed["output"].as<std::string>() == "html";
+    context.wait = parsed.count("wait") != 0;
+    context.wait_s = parsed["wait-seconds"].as<unsigned>();
+    return context;
+}
+
+/// Finds the command whose words begin `words`; its arguments are the rest.
+int run_command(const std::vector<std::string>& words, command_context context)
+{
+    for (const auto& row : command_table())
+    {
+        std::istringstream stream{std::string{row.words}};
+        std::size_t matched = 0;
+        bool matches = true;
+        for (std::string word; matches && stream >> word; ++matched)
+            matches = matched < words.size() && words[matched] == word;
+        if (!matches)
+            continue;
+        context.arguments.assign(
+            words.begin() + static_cast<std::ptrdiff_t>(matched), words.end());
+        const auto given = context.arguments.size();
+        if (given >= row.min_arguments && given <= row.max_arguments)
+            return row.run(context);
+        std::cerr << "usage: baobabctl " << row.words << ' ' << row.arguments
+                  << '\n';
+        return exit_usage;
+    }
+    std::cerr << "baobabctl: no such command (see baobabctl --help)\n";
+    return exit_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    // The parser reports mistakes by exceptions.
+    try
+    {
+        auto options = make_options();
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("version") != 0)
+        {
+            std::cout << "baobabctl " << BAOBAB_VERSION << '\n';
+            return exit_ok;
+        }
+        if (parsed.count("help") != 0 || parsed.count("words") == 0)
+        {
+            print_help(options);
+            return parsed.count("help") != 0 ? exit_ok : exit_usage;
+        }
+        return run_command(parsed["words"].as<std::vector<std::string>>(),
+                           make_context(parsed));
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "baobabctl: " << error.what()
+                  << " (see baobabctl --help)\n";
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/tools/standins/http_server.cpp
@@ -0,0 +1,114 @@
+// What the stand-ins share: a small HTTP server on the default main context.
+#include "standins.hpp"
+
+#include <iostream>
+
+namespace baobabloft::standins
+{
+
+namespace
+{
+
+struct delayed_answer
+{
+    SoupServerMessage* message;
+    unsigned status;
+    nlohmann::json body;
+};
+
+gboolean on_delay(gpointer data)
+{
+    const std::unique_ptr<delayed_answer> self{
+        static_cast<delayed_answer*>(data)};
+    respond(self->message, self->status, self->body);
+    soup_server_message_unpause(self->message);
+    g_object_unref(self->message);
+    return G_SOURCE_REMOVE;
+}
+
+void on_message(SoupServer* /*server*/, SoupServerMessage* message,
+                const char* path, GHashTable* /*query*/, gpointer data)
+{
+    auto* body = soup_server_message_get_request_body(message);
+    GBytes* bytes = soup_message_body_flatten(body);
+    gsize size = 0;
+    const auto* start =
+        static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    request item{.message = message,
+                 .method = soup_server_message_get_method(message),
+                 .path = path,
+                 .body = size != 0 ? std::string{start, size} : std::string{}};
+    g_bytes_unref(bytes);
+    (*static_cast<handler*>(data))(item);
+}
+
+} // namespace
+
+nlohmann::json request::json() const
+{
+    auto root = nlohmann::json::parse(body, nullptr, false);
+    return root.is_object() ? root : nlohmann::json::object();
+}
+
+std::string request::header(const char* name) const
+{
+    const auto* value = soup_message_headers_get_one(
+        soup_server_message_get_request_headers(message), name);
+    return value != nullptr ? value : "";
+}
+
+int serve(std::uint16_t port, handler handle)
+{
+    SoupServer* server = soup_server_new("server-header", "standin", nullptr);
+    soup_server_add_handler(server, nullptr, on_message, &handle, nullptr);
+    GError* error = nullptr;
+    if (soup_server_listen_local(server, port, SOUP_SERVER_LISTEN_IPV4_ONLY,
+                                 &error) == FALSE)
+    {
+        std::cerr << "cannot listen on port " << port << ": " << error->message
+                  << '\n';
+        g_error_free(error);
+        return 1;
+    }
+    GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+    g_main_loop_run(loop);
+    return 0;
+}
+
+void respond(SoupServerMessage* message, unsigned status,
+             const nlohmann::json& body)
+{
+    const auto text = body.dump();
+    soup_server_message_set_status(message, status, nullptr);
+    soup_server_message_set_response(message, "application/json",
+                                     SOUP_MEMORY_COPY, text.data(),
+                                     text.size());
+}
+
+void respond_later(SoupServerMessage* message, unsigned delay_ms,
+                   unsigned status, const nlohmann::json& body)
+{
+    if (delay_ms == 0)
+    {
+        respond(message, status, body);
+        return;
+    }
+    soup_server_message_pause(message);
+    g_object_ref(message);
+    g_timeout_add(delay_ms, on_delay,
+                  new delayed_answer{message, status, body});
+}
+
+void drop(SoupServerMessage* message)
+{
+    soup_server_message_set_status(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                                   nullptr);
+    g_socket_close(soup_server_message_get_socket(message), nullptr);
+}
+
+std::int64_t now_ms()
+{
+    return g_get_monotonic_time() / 1000;
+}
+
+} // namespace baobabloft::standins
