--- /dev/null
+++ b/benchmarks/churn.cpp
@@ -0,0 +1,206 @@
+// Cache reuse through churn, and service while a data centre leaves and
+// returns.
+#include "measure.hpp"
+
+#include "baobabloft/routing/affinity.hpp"
+#include "baobabloft/support/hash.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace baobabloft::measure
+{
+
+namespace
+{
+
+using namespace driver;
+
+constexpr double mean_load = 24;
+constexpr double service_s = 12;
+constexpr double active_seconds = 180;
+
+world_options make_shape(const measure_options& options)
+{
+    world_options shape{.seed = options.seed};
+    shape.routers = options.routers != 0 ? options.routers : shape.routers;
+    shape.engines = options.engines != 0 ? options.engines : shape.engines;
+    return shape;
+}
+
+double rate_of(const world_options& shape)
+{
+    return static_cast<double>(shape.engines) * mean_load / service_s;
+}
+
+double share(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0
+                      : static_cast<double>(part) /
+                            static_cast<double>(whole);
+}
+
+/// What an omniscient placement would have reused: a chat is warm wherever it
+/// ran last, as long as that engine has not stopped since and has room.
+class omniscient
+{
+public:
+    /// Notes a turn; returns true if it could have met its cache.
+    bool turn(chat_id chat, const std::vector<fake_engine>& engines)
+    {
+        auto& home = homes_[chat];
+        const bool known = home.engine < engines.size() && home.known;
+        const bool warm =
+            known && engines[home.engine].up &&
+            engines[home.engine].incarnation == home.incarnation;
+        if (warm)
+            return true;
+        std::size_t best = 0;
+        for (std::size_t index = 0; index < engines.size(); ++index)
+            if (engines[index].up &&
+                (!engines[best].up ||
+                 engines[index].running < engines[best].running))
+                best = index;
+        home = {best, engines[best].incarnation, true};
+        return false;
+    }
+
+private:
+    struct home
+    {
+        std::size_t engine = 0;
+        std::uint64_t incarnation = 0;
+        bool known = false;
+    };
+
+    std::unordered_map<chat_id, home> homes_;
+};
+
+} // namespace
+
+figures measure_churn(const measure_options& options)
+{
+    auto shape = make_shape(options);
+    shape.cached_chats = 4000;
+    world world{shape};
+    world.start();
+    const double rate = rate_of(shape);
+    workload load{world, rate,
+                  static_cast<std::size_t>(rate * active_seconds)};
+    load.use_ready_routers_only();
+    std::uint64_t hits = 0;
+    std::uint64_t turns = 0;
+    std::uint64_t ideal = 0;
+    std::uint64_t failed = 0;
+    bool counting = false;
+    omniscient best;
+    load.start(
+        [&](const world_request& request, const world_answer& answer)
+        {
+            const bool could = best.turn(request.chat, world.engines());
+            if (!counting)
+                return;
+            ++turns;
+            hits += answer.cache_hit ? 1 : 0;
+            ideal += could ? 1 : 0;
+            failed += answer.result != routing::permit_result::granted ? 1 : 0;
+        });
+    world.run_for(240s);
+    counting = true;
+    // Eight engines leave and return within an hour, each for five minutes.
+    constexpr int leaves = 8;
+    constexpr duration between = 450s;
+    constexpr duration away = 300s;
+    for (int count = 0; count < leaves; ++count)
+    {
+        const auto engine = static_cast<std::size_t>(count) % shape.engines;
+        world.stop_engine(engine);
+        world.run_for(away);
+        world.start_engine(engine, 20s);
+        world.run_for(between - away);
+    }
+    load.stop();
+    const double reuse = share(hits, turns);
+    const double possible = share(ideal, turns);
+    return {{"churn.reuse", reuse, "share"},
+            {"churn.reuse_omniscient", possible, "share"},
+            {"churn.reuse_of_omniscient", reuse / possible, "share",
+             bound_kind::at_least, 0.9},
+            {"churn.refused", share(failed, turns), "share",
+             bound_kind::at_most, 0.05}};
+}
+
+figures measure_departure(const measure_options& options)
+{
+    const auto shape = make_shape(options);
+    world world{shape};
+    world.start();
+    const double rate = rate_of(shape);
+    workload load{world, rate,
+                  static_cast<std::size_t>(rate * active_seconds)};
+    load.use_ready_routers_only();
+    std::uint64_t total = 0;
+    std::uint64_t in_time = 0;
+    std::uint64_t cut = 0;
+    bool counting = false;
+    load.start(
+        [&](const world_request&, const world_answer& answer)
+        {
+            if (!counting)
+                return;
+            const bool granted =
+                answer.result == routing::permit_result::granted;
+            ++total;
+            in_time += granted && answer.waited <= 740ms ? 1 : 0;
+            cut += granted && !answer.completed ? 1 : 0;
+        });
+    world.run_for(90s);
+    counting = true;
+    constexpr std::size_t leaving = 0;
+    const auto stays = [&](std::size_t engine)
+    { return engine % shape.data_centres != leaving; };
+    const auto left_at = world.now();
+    world.set_data_centre(leaving, false);
+    world.run_for(120s);
+    duration last_new_work{};
+    for (std::size_t index = 0; index < shape.engines; ++index)
+        if (!stays(index))
+            last_new_work = std::max(
+                last_new_work, world.engines()[index].last_start - left_at);
+    const auto in_time_out = share(in_time, total);
+    in_time = 0;
+    total = 0;
+    const auto back_at = world.now();
+    world.set_data_centre(leaving, true);
+    double even_after_s = -1;
+    for (int step = 0; step < 360; ++step)
+    {
+        world.run_for(500ms);
+        double returned = 0;
+        double others = 0;
+        std::size_t count = 0;
+        for (std::size_t index = 0; index < shape.engines; ++index)
+        {
+            (stays(index) ? others : returned) +=
+                world.engines()[index].running;
+            count += stays(index) ? 0 : 1;
+        }
+        returned /= static_cast<double>(count);
+        others /= static_cast<double>(shape.engines - count);
+        if (even_after_s < 0 && returned >= 0.8 * others)
+            even_after_s = to_seconds(world.now() - back_at);
+    }
+    load.stop();
+    return {{"departure.last_new_work_after", to_seconds(last_new_work), "s",
+             bound_kind::at_most, 3},
+            {"departure.first_token_in_time.while_out", in_time_out, "share",
+             bound_kind::at_least, 0.95},
+            {"departure.first_token_in_time.after_return",
+             share(in_time, total), "share", bound_kind::at_least, 0.95},
+            {"departure.cut_in_progress", static_cast<double>(cut),
+             "requests", bound_kind::at_most, 0},
+            {"departure.even_after_return", even_after_s, "s",
+             bound_kind::at_least, 0}};
+}
+
+} // namespace baobabloft::measure
--- /dev/null
+++ b/benchmarks/decisions.cpp
@@ -0,0 +1,171 @@
+// Cost of single decisions: nanoseconds and allocations, and how they grow
+// with upstreams and routers.
+#include "measure.hpp"
+
+#include "baobabloft/routing/affinity.hpp"
+#include "baobabloft/routing/permit_owner.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <new>
+
+namespace
+{
+
+std::atomic<std::uint64_t> allocations{0};
+
+} // namespace
+
+void* operator new(std::size_t size)
+{
+    allocations.fetch_add(1, std::memory_order_relaxed);
+    if (void* memory = std::malloc(size))
+        return memory;
+    throw std::bad_alloc{};
+}
+
+void operator delete(void* memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void* memory, std::size_t /*size*/) noexcept
+{
+    std::free(memory);
+}
+
+namespace baobabloft::measure
+{
+
+namespace
+{
+
+constexpr int rounds = 20000;
+
+/// Adds time and allocations of one call of `work`.
+template <typename Work>
+void time_it(figures& all, const std::string& name, Work work)
+{
+    work(0);
+    const auto before = allocations.load();
+    const auto start = std::chrono::steady_clock::now();
+    for (int round = 1; round <= rounds; ++round)
+        work(static_cast<std::uint64_t>(round));
+    const auto took = std::chrono::steady_clock::now() - start;
+    const double ns =
+        static_cast<double>(
+            std::chrono::duration_cast<std::chrono::nanoseconds>(took)
+                .count()) /
+        rounds;
+    all.push_back({"decisions." + name, ns, "ns"});
+    all.push_back({"decisions." + name + ".allocations",
+                   static_cast<double>(allocations.load() - before) / rounds,
+                   "allocations"});
+}
+
+config::preset make_preset(std::size_t upstreams)
+{
+    config::preset preset;
+    preset.data_centres.push_back({"dc", "region"});
+    config::service service;
+    service.name = "model";
+    service.capacity = 1'000'000;
+    service.load_floor = 1'000'000;
+    for (std::size_t index = 0; index < upstreams; ++index)
+    {
+        const auto name = "engine-" + std::to_string(index);
+        service.upstreams.push_back(
+            {name, make_upstream_id(name), "dc", "10.0.0.1:1"});
+    }
+    preset.services.push_back(service);
+    return preset;
+}
+
+void time_ranking(figures& all, std::size_t upstreams)
+{
+    const auto preset = make_preset(upstreams);
+    const auto& service = preset.services.front();
+    time_it(all, "rank." + std::to_string(upstreams) + "_upstreams",
+            [&](std::uint64_t round)
+            {
+                const auto ranked = routing::rank_upstreams(
+                    preset, service, round, "region", 4,
+                    [](const config::upstream&) { return true; });
+                if (ranked.empty())
+                    std::abort();
+            });
+}
+
+void time_owner(figures& all, std::size_t routers)
+{
+    std::vector<router_id> ids;
+    for (std::size_t index = 0; index < routers; ++index)
+        ids.push_back(make_router_id(static_cast<std::uint32_t>(index), 1));
+    time_it(all, "owner_of." + std::to_string(routers) + "_routers",
+            [&](std::uint64_t round)
+            {
+                if (!routing::owner_of(
+                        upstream_id{static_cast<std::uint32_t>(round)}, ids))
+                    std::abort();
+            });
+}
+
+void time_permit(figures& all)
+{
+    auto accepted = std::make_shared<config::accepted_preset>();
+    accepted->value = make_preset(1);
+    const auto& service = accepted->value.services.front();
+    const auto& upstream = service.upstreams.front();
+    routing::permit_owner owner{make_router_id(2, 1)};
+    const time_point now{duration{1'000'000}};
+    owner.set_owned(now, accepted, {{.admitted = true}}, {});
+    owner.report(now, upstream.id, {.running = 0, .incarnation = 1});
+    const auto asker = make_router_id(1, 1);
+    time_it(all, "permit.ask_and_release",
+            [&](std::uint64_t round)
+            {
+                const auto sequence = static_cast<std::uint32_t>(round);
+                owner.handle(now, asker,
+                             routing::permit_ask{.sequence = sequence,
+                                                 .upstream = upstream.id,
+                                                 .chat = chat_id{round},
+                                                 .patience_ms = 100,
+                                                 .first_choice = true});
+                owner.handle(now, asker,
+                             routing::permit_release{
+                                 {{.sequence = sequence}}});
+                if (owner.take_answers().empty())
+                    std::abort();
+            });
+}
+
+void time_codec(figures& all)
+{
+    const net::datagram_keys keys{{"a secret for benchmarks"}};
+    const net::datagram message{make_router_id(1, 1), routing::permit_ask{}};
+    time_it(all, "datagram.encode_and_decode",
+            [&](std::uint64_t)
+            {
+                failure reason;
+                const auto bytes = net::encode_datagram(keys, message);
+                if (!net::decode_datagram(keys, bytes, reason))
+                    std::abort();
+            });
+}
+
+} // namespace
+
+figures measure_decisions(const measure_options& /*options*/)
+{
+    figures all;
+    for (const std::size_t upstreams : {9UL, 25UL, 100UL, 600UL})
+        time_ranking(all, upstreams);
+    for (const std::size_t routers : {9UL, 50UL, 200UL, 390UL})
+        time_owner(all, routers);
+    time_permit(all);
+    time_codec(all);
+    return all;
+}
+
+} // namespace baobabloft::measure
--- /dev/null
+++ b/benchmarks/fairness.cpp
@@ -0,0 +1,86 @@
+// One customer at ten times its load: what the others notice.
+#include "measure.hpp"
+
+#include <algorithm>
+
+namespace baobabloft::measure
+{
+
+namespace
+{
+
+using namespace driver;
+
+constexpr std::uint32_t surging_customer = 5;
+
+struct tally
+{
+    std::uint64_t total = 0;
+    std::uint64_t in_time = 0;
+    std::uint64_t answered = 0;
+
+    [[nodiscard]] double share_in_time() const
+    {
+        return total == 0 ? 0
+                          : static_cast<double>(in_time) /
+                                static_cast<double>(total);
+    }
+};
+
+/// Runs with a factor on one customer's load; returns what the others got.
+tally run(const measure_options& options, double factor, tally& surging)
+{
+    world_options shape{.seed = options.seed};
+    shape.routers = options.routers != 0 ? options.routers : shape.routers;
+    shape.engines = options.engines != 0 ? options.engines : shape.engines;
+    shape.capacity = 32;
+    world world{shape};
+    world.start();
+    constexpr double busy = 0.8;
+    const double rate = busy * shape.capacity *
+                        static_cast<double>(shape.engines) / 12.0;
+    workload load{world, rate, static_cast<std::size_t>(rate * 180)};
+    load.use_ready_routers_only();
+    tally others;
+    bool counting = false;
+    load.start(
+        [&](const world_request& request, const world_answer& answer)
+        {
+            if (!counting)
+                return;
+            auto& own =
+                request.customer == surging_customer ? surging : others;
+            const bool granted =
+                answer.result == routing::permit_result::granted;
+            ++own.total;
+            own.answered += granted ? 1 : 0;
+            own.in_time += granted && answer.waited <= 5s ? 1 : 0;
+        });
+    world.run_for(90s);
+    load.surge(surging_customer, factor);
+    world.run_for(20s);
+    counting = true;
+    world.run_for(180s);
+    load.stop();
+    return others;
+}
+
+} // namespace
+
+figures measure_fairness(const measure_options& options)
+{
+    constexpr double surge = 10;
+    tally calm_surging;
+    tally surging;
+    const auto calm = run(options, 1, calm_surging);
+    const auto others = run(options, surge, surging);
+    return {{"fairness.others.in_time.calm", calm.share_in_time(), "share"},
+            {"fairness.others.in_time.surge", others.share_in_time(),
+             "share"},
+            {"fairness.others.fall",
+             std::max(calm.share_in_time() - others.share_in_time(), 0.0),
+             "share", bound_kind::at_most, 0.01},
+            {"fairness.surging.in_time", surging.share_in_time(), "share"}};
+}
+
+} // namespace baobabloft::measure
--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -253,6 +253,7 @@
     void adopted(time_point now);
     void refresh_view(time_point now);
     void refresh_owners();
+    [[nodiscard]] load_poll keep_poll(const config::upstream& item) const;
     void follow_preset(time_point now);
     void follow_host_list(time_point now);
     void poll_loads(time_point now);
--- a/include/baobabloft/membership/swim.hpp
+++ b/include/baobabloft/membership/swim.hpp
@@ -38,7 +38,7 @@
     /// Time a suspect has to refute, at least.
     duration suspicion = 3s;
     /// Time a dead or departed member is remembered.
-    duration remember_dead = 60s;
+    duration remember_dead = 600s;
     std::size_t indirect_probes = 2;
     /// Records of each kind that ride on one message.
     std::size_t records_per_message = 6;
@@ -87,6 +87,10 @@
     /// Returns true if the host list says that `upstream` is leaving.
     [[nodiscard]] bool is_leaving(upstream_id upstream) const;
 
+    /// Returns the share of the fleet that this router sees alive: members that
+    /// were lost without leaving may be alive behind a partition.
+    [[nodiscard]] double live_share() const;
+
     /// Grows whenever the set of live members or leaving upstreams changes.
     [[nodiscard]] std::uint64_t view_version() const;
 
--- a/include/baobabloft/routing/fair_queue.hpp
+++ b/include/baobabloft/routing/fair_queue.hpp
@@ -7,6 +7,7 @@
 #include "baobabloft/support/time.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -51,6 +52,9 @@
     /// Removes the request `key`; returns false if it does not wait here.
     bool remove(const ask_key& key);
 
+    /// Removes the requests of every router for which `is_gone` holds.
+    void remove_askers(const std::function<bool(router_id)>& is_gone);
+
     /// Removes and returns requests whose latest time has passed.
     std::vector<waiting_ask> remove_expired(time_point now);
 
--- a/include/baobabloft/routing/messages.hpp
+++ b/include/baobabloft/routing/messages.hpp
@@ -3,6 +3,7 @@
 
 #include "baobabloft/support/enum_names.hpp"
 #include "baobabloft/support/ids.hpp"
+#include "baobabloft/support/time.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -73,12 +74,6 @@
     enum_name<outcome>{outcome::silent, "silent"},
 };
 
-/// Stands in a sampled field for "no sample".
-inline constexpr std::uint16_t no_sample = 0xffff;
-
-/// Unit of sampled loads.
-inline constexpr double load_units_per_request = 16.0;
-
 /// Asks the owner of `upstream` for a permit. Sent again with the same
 /// sequence until answered; the owner recognises repetitions.
 struct permit_ask
@@ -90,10 +85,6 @@
     customer_id customer{};
     /// How long the request can wait in a queue, milliseconds.
     std::uint32_t patience_ms = 0;
-    /// Mean load of upstreams that the asker met lately, 1/16 requests.
-    std::uint16_t sampled_load = no_sample;
-    /// Mean time to first token that the asker met lately, milliseconds.
-    std::uint16_t sampled_first_token_ms = no_sample;
     urgency priority = urgency::interactive;
     /// The request may wait in the owner's queue.
     bool may_queue = false;
@@ -108,10 +99,8 @@
 {
     std::uint32_t sequence = 0;
     verdict decision = verdict::unavailable;
-    /// Load of the upstream without this request, requests in progress.
-    std::uint16_t load = 0;
-    /// The upstream's recent time to first token, milliseconds.
-    std::uint16_t first_token_ms = 0;
+    /// The service's usual time to first token, milliseconds; 0 if not known.
+    std::uint16_t usual_first_token_ms = 0;
 };
 
 /// End of one request that held a permit.
@@ -162,4 +151,31 @@
     std::uint32_t sequence = 0;
 };
 
+/// Units of load_entry.
+inline constexpr duration load_entry_age_step = 50ms;
+inline constexpr double load_entry_first_token_step_ms = 20;
+
+/// The load of one upstream as its owner knew it.
+struct load_entry
+{
+    /// Place of the upstream in its service's list.
+    std::uint16_t index = 0;
+    /// Requests in progress.
+    std::uint16_t load = 0;
+    /// Steps of load_entry_age_step.
+    std::uint8_t age = 0;
+    /// Steps of load_entry_first_token_step_ms; 0 if not known.
+    std::uint8_t first_token = 0;
+};
+
+/// Loads of a service, sent from one owner to another.
+struct load_digest
+{
+    /// Place of the service in the preset.
+    std::uint16_t service = 0;
+    /// Number of the preset that the places refer to.
+    std::uint64_t generation = 0;
+    std::vector<load_entry> entries;
+};
+
 } // namespace baobabloft::routing
--- a/include/baobabloft/routing/permit_client.hpp
+++ b/include/baobabloft/routing/permit_client.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "baobabloft/routing/messages.hpp"
-#include "baobabloft/routing/windowed_mean.hpp"
 #include "baobabloft/support/time.hpp"
 
 #include <functional>
@@ -99,7 +98,7 @@
     permit_ticket acquire(time_point now, permit_want want);
 
     /// Ends a want or a permit. Must be called once for each granted permit.
-    void release(time_point now, permit_ticket ticket, outcome how,
+    void release(permit_ticket ticket, outcome how,
                  std::uint16_t first_token_ms);
 
     /// Notes the first token of the request `ticket`.
@@ -149,6 +148,7 @@
         router_id owner{};
         time_point granted_at;
         time_point next_renewal;
+        std::uint16_t usual_first_token_ms = 0;
         bool suspect = false;
         bool has_first_token = false;
         bool alerted = false;
@@ -158,13 +158,13 @@
     void ask(time_point now, permit_ticket ticket, pending& item);
     void ask_next(time_point now, permit_ticket ticket, pending& item);
     void finish(permit_ticket ticket, permit_result result);
-    void grant(time_point now, permit_ticket ticket, bool local);
+    void grant(time_point now, permit_ticket ticket,
+               std::uint16_t usual_first_token_ms);
     bool grant_locally(time_point now, permit_ticket ticket, pending& item);
     void repeat_asks(time_point now);
     void renew_holds(time_point now);
     void alert_slow(time_point now, permit_ticket ticket, held_state& item);
     void flush_releases();
-    void sample(time_point now, const permit_answer& answer);
     void send(router_id to, permit_message content);
 
     owner_lookup owner_of_;
@@ -175,8 +175,6 @@
     std::unordered_map<upstream_id, std::uint32_t> local_running_;
     std::vector<addressed_permit_message> messages_;
     std::vector<permit_decision> decisions_;
-    windowed_mean sampled_load_;
-    windowed_mean sampled_first_token_;
     /// Recent share of asks that had to be repeated, 0 to 1.
     double loss_ = 0;
     permit_ticket last_ticket_ = 0;
--- a/include/baobabloft/routing/permit_owner.hpp
+++ b/include/baobabloft/routing/permit_owner.hpp
@@ -23,6 +23,13 @@
     permit_answer answer;
 };
 
+/// A digest to send to another owner.
+struct addressed_digest
+{
+    router_id to{};
+    load_digest digest;
+};
+
 /// One upstream as its owner sees it, for status pages.
 struct upstream_status
 {
@@ -45,16 +52,39 @@
 class permit_owner
 {
 public:
-    /// Takes in the upstreams that this router owns under `preset`, and which
-    /// of them may receive new work.
+    /// An upstream that this router owns.
     struct owned_upstream
     {
-        const config::upstream* upstream = nullptr;
-        const config::service* service = nullptr;
+        /// Places of the service in the preset and of the upstream in it.
+        std::uint16_t service = 0;
+        std::uint16_t index = 0;
+        /// True if it may receive new work.
         bool admitted = false;
     };
+
+    /// The routers that own upstreams of a service, in one order everywhere.
+    struct service_owners
+    {
+        std::uint16_t service = 0;
+        std::vector<router_id> owners;
+        /// Places of upstreams that may not receive new work.
+        std::vector<std::uint16_t> closed;
+    };
+
+    /// `self` is this router.
+    explicit permit_owner(router_id self);
+
+    /// Takes in what this router owns under `preset`, and who owns the rest of
+    /// the services that it owns a part of.
     void set_owned(time_point now, const config::preset_snapshot& preset,
-                   const std::vector<owned_upstream>& owned);
+                   const std::vector<owned_upstream>& owned,
+                   const std::vector<service_owners>& owners);
+
+    /// Ends the permits and waits of routers outside `live`, which is sorted.
+    /// What a router that only seems dead still runs shows in the upstreams'
+    /// own reports. `live_share` is the share of the fleet that `live` is.
+    void set_members(time_point now, const std::vector<router_id>& live,
+                     double live_share);
 
     /// Handles messages from the router `from`.
     void handle(time_point now, router_id from, const permit_ask& ask);
@@ -63,6 +93,7 @@
     void handle(time_point now, router_id from, const permit_cancel& cancel);
     void handle(time_point now, router_id from, const suspect_cleared& note);
     void handle(time_point now, router_id from, const slow_first_token& note);
+    void handle(time_point now, router_id from, const load_digest& digest);
 
     /// Takes in a load report, or the failure to read one.
     void report(time_point now, upstream_id upstream,
@@ -75,6 +106,9 @@
     /// Returns and clears the answers to send.
     std::vector<addressed_answer> take_answers();
 
+    /// Returns and clears the load digests to send.
+    std::vector<addressed_digest> take_digests();
+
     /// Returns the owned upstreams.
     [[nodiscard]] std::vector<upstream_status> status(time_point now) const;
     [[nodiscard]] std::vector<upstream_id> owned() const;
@@ -104,11 +138,22 @@
         upstream_gate gate;
         fair_queue queue;
         displaced_chats displaced;
+        std::uint16_t service = 0;
+        std::uint16_t index = 0;
         std::uint32_t queue_limit = 0;
         std::uint32_t suspects = 0;
         bool admitted = false;
     };
 
+    /// A service that this router owns a part of.
+    struct service_state
+    {
+        load_table loads;
+        std::vector<router_id> owners;
+        time_point next_digest;
+        unsigned round = 0;
+    };
+
     struct grant
     {
         upstream_id upstream{};
@@ -128,10 +173,17 @@
     void answer(time_point now, const ask_key& key, verdict decision,
                 const station* at);
 
+    void update_loads(time_point now);
+    void send_digests(time_point now);
+
+    router_id self_;
+    double live_share_ = 1;
     config::preset_snapshot preset_;
+    std::map<std::uint16_t, service_state> services_;
     std::unordered_map<upstream_id, station> stations_;
     std::map<ask_key, grant> grants_;
     std::vector<addressed_answer> answers_;
+    std::vector<addressed_digest> digests_;
     verdict_counts counts_{};
 };
 
--- a/include/baobabloft/routing/upstream_gate.hpp
+++ b/include/baobabloft/routing/upstream_gate.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobabloft/config/preset.hpp"
+#include "baobabloft/routing/load_table.hpp"
 #include "baobabloft/routing/messages.hpp"
 #include "baobabloft/routing/windowed_mean.hpp"
 
@@ -70,11 +71,13 @@
     /// Counts a report that could not be read.
     void report_failed(time_point now);
 
-    /// Takes in the mean load that an asker met; see permit_ask.
-    void sample_load(time_point now, double load);
+    /// Takes in the load of the service's upstreams.
+    void set_fleet_load(const fleet_load& load);
 
-    /// Takes in the mean time to first token that an asker met.
-    void sample_first_token(time_point now, double ms);
+    /// Sets the share of the fleet that the owner sees alive. Another owner
+    /// may grant on behalf of the rest, so that a small share limits what this
+    /// one grants.
+    void set_live_share(double share);
 
     /// Counts a granted permit.
     void granted(time_point now);
@@ -105,22 +108,27 @@
 
     [[nodiscard]] warmth state(time_point now) const;
 
-    /// Returns the mean load of the service's upstreams as sampled.
-    [[nodiscard]] double mean_load(time_point now) const;
+    /// Returns the mean load of the service's upstreams as last heard.
+    [[nodiscard]] double mean_load() const;
 
     /// Returns the recent time to first token, milliseconds, or 0.
     [[nodiscard]] double first_token_ms(time_point now) const;
 
+    /// Returns the service's usual time to first token, milliseconds, or 0.
+    [[nodiscard]] double usual_first_token_ms() const;
+
     /// Returns the number of times that the upstream went down or cold.
     [[nodiscard]] std::uint64_t setbacks() const;
 
 private:
     void note_permits(time_point now);
     [[nodiscard]] std::uint32_t recent_permits(time_point now) const;
-    [[nodiscard]] std::uint32_t full_limit(time_point now) const;
+    [[nodiscard]] std::uint32_t full_limit() const;
+    /// Returns `limit`, or less if another owner may use a part of it.
+    [[nodiscard]] std::uint32_t shared_limit(std::uint32_t limit) const;
     void become_cold(time_point now);
     void become_down(time_point now);
-    [[nodiscard]] bool is_slow(time_point now, double first_token_ms) const;
+    [[nodiscard]] bool is_slow(double first_token_ms) const;
     void note_first_token(time_point now, double ms);
 
     static constexpr std::size_t history_slots = 8;
@@ -140,8 +148,8 @@
     /// Load in the report that no known permit explains.
     std::uint32_t unexplained_ = 0;
     std::array<permit_peak, history_slots> history_{};
-    windowed_mean sampled_load_;
-    windowed_mean sampled_first_token_;
+    fleet_load fleet_;
+    double live_share_ = 1;
     windowed_mean own_first_token_;
     std::uint32_t slow_in_a_row_ = 0;
     std::uint32_t breaks_ = 0;
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -48,7 +48,7 @@
 
 node::node(const node_options& options)
     : options_(options), swim_(make_swim_options(options)),
-      follower_(options.seed),
+      follower_(options.seed), owner_(options.self.id),
       client_([this](upstream_id upstream) { return owner_of(upstream); },
               static_cast<std::uint32_t>(hash_combine(options.seed, 1))),
       retries_(config::retry_limits{}.budget_share),
@@ -241,7 +241,7 @@
 void node::end_route(time_point now, routing::permit_ticket ticket,
                      routing::outcome how, std::uint16_t first_token_ms)
 {
-    client_.release(now, ticket, how, first_token_ms);
+    client_.release(ticket, how, first_token_ms);
     collect(now);
 }
 
@@ -406,27 +406,58 @@
     refresh_owners();
     const auto& value = preset()->value;
     std::vector<routing::permit_owner::owned_upstream> owned;
+    std::vector<routing::permit_owner::service_owners> owners;
     std::unordered_map<upstream_id, load_poll> polls;
-    for (const auto& service : value.services)
-        for (const auto& item : service.upstreams)
+    for (std::size_t place = 0; place < value.services.size(); ++place)
+    {
+        const auto& service = value.services[place];
+        routing::permit_owner::service_owners peers{
+            .service = static_cast<std::uint16_t>(place)};
+        bool is_owner = false;
+        for (std::size_t index = 0; index < service.upstreams.size(); ++index)
         {
-            if (owners_.at(item.id) != swim_.self().id || leaving_)
-                continue;
+            const auto& item = service.upstreams[index];
             const bool admitted = config::may_receive_work(value, item) &&
                                   !swim_.is_leaving(item.id);
-            owned.push_back({&item, &service, admitted});
-            if (service.kind == config::service_kind::plain)
+            const auto short_index = static_cast<std::uint16_t>(index);
+            if (!admitted)
+                peers.closed.push_back(short_index);
+            const auto owner = owners_.at(item.id);
+            peers.owners.push_back(owner);
+            if (owner != swim_.self().id || leaving_)
                 continue;
-            auto& poll = polls[item.id];
-            if (const auto known = polls_.find(item.id); known != polls_.end())
-                poll = known->second;
-            poll.address = item.address;
+            is_owner = true;
+            owned.push_back({peers.service, short_index, admitted});
+            if (service.kind == config::service_kind::model)
+                polls[item.id] = keep_poll(item);
         }
+        if (!is_owner)
+            continue;
+        auto& routers = peers.owners;
+        std::sort(routers.begin(), routers.end());
+        routers.erase(std::unique(routers.begin(), routers.end()),
+                      routers.end());
+        owners.push_back(std::move(peers));
+    }
     polls_ = std::move(polls);
-    owner_.set_owned(now, preset(), owned);
+    owner_.set_owned(now, preset(), owned, owners);
+    std::vector<router_id> live;
+    for (const auto& member : swim_.live_members())
+        live.push_back(member.id);
+    std::sort(live.begin(), live.end());
+    owner_.set_members(now, live, swim_.live_share());
     client_.view_changed(now);
 }
 
+node::load_poll node::keep_poll(const config::upstream& item) const
+{
+    load_poll poll;
+    if (const auto known = polls_.find(item.id); known != polls_.end())
+        poll = known->second;
+    poll.address = item.address;
+    return poll;
+}
+
 void node::refresh_owners()
 {
     const auto& value = preset()->value;
@@ -596,6 +627,8 @@
                        item.content);
         for (auto& item : owner_.take_answers())
             send(item.to, item.answer);
+        for (auto& item : owner_.take_digests())
+            send(item.to, std::move(item.digest));
         for (auto& item : claims_.take_requests())
             send(item.to, std::move(item.request));
         collect_ledger();
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -143,6 +143,18 @@
     return found != upstreams_.end() && found->second.leaving;
 }
 
+double swim::live_share() const
+{
+    std::size_t live = 1;
+    std::size_t lost = 0;
+    for (const auto& [id, item] : members_)
+    {
+        live += is_live(item.record.state) ? 1 : 0;
+        lost += item.record.state == member_state::dead ? 1 : 0;
+    }
+    return static_cast<double>(live) / static_cast<double>(live + lost);
+}
+
 std::uint64_t swim::view_version() const
 {
     return view_version_;
@@ -353,13 +365,15 @@
         record.state = member_state::dead;
         merge(now, record);
     }
-    std::erase_if(members_,
-                  [&](const auto& entry)
-                  {
-                      return !is_live(entry.second.record.state) &&
-                             now - entry.second.changed >
-                                 options_.remember_dead;
-                  });
+    const auto forgotten = std::erase_if(
+        members_,
+        [&](const auto& entry)
+        {
+            return !is_live(entry.second.record.state) &&
+                   now - entry.second.changed > options_.remember_dead;
+        });
+    if (forgotten > 0)
+        ++view_version_;
     std::erase_if(relayed_, [now](const auto& entry)
                   { return now - entry.second.started > relayed_lifetime; });
 }
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -130,8 +130,7 @@
     std::uint8_t flags = (it.may_queue ? queue_bit : 0U) |
                          (it.suspect ? suspect_bit : 0U) |
                          (it.first_choice ? first_bit : 0U);
-    archive(it.sequence, it.upstream, it.chat, it.customer, it.patience_ms,
-            it.sampled_load, it.sampled_first_token_ms);
+    archive(it.sequence, it.upstream, it.chat, it.customer, it.patience_ms);
     checked_enum(archive, it.priority, urgency::deferrable);
     archive(flags);
     it.may_queue = (flags & queue_bit) != 0;
@@ -144,7 +143,7 @@
 {
     archive(it.sequence);
     checked_enum(archive, it.decision, verdict::expired);
-    archive(it.load, it.first_token_ms);
+    archive(it.usual_first_token_ms);
 }
 
 template <typename Archive>
@@ -191,6 +190,17 @@
     archive(it.sequence, it.waited_ms);
 }
 
+template <typename Archive> void serialize(Archive& archive, load_entry& it)
+{
+    archive(it.index, it.load, it.age, it.first_token);
+}
+
+template <typename Archive> void serialize(Archive& archive, load_digest& it)
+{
+    archive(it.service, it.generation);
+    short_list(archive, it.entries);
+}
+
 } // namespace routing
 
 namespace ledger
--- a/lib/routing/fair_queue.cpp
+++ b/lib/routing/fair_queue.cpp
@@ -76,6 +76,14 @@
     return false;
 }
 
+void fair_queue::remove_askers(const std::function<bool(router_id)>& is_gone)
+{
+    for (auto& [name, candidate] : lanes_)
+        size_ -= std::erase_if(candidate.items, [&](const waiting_ask& ask)
+                               { return is_gone(ask.key.asker); });
+    erase_empty_lanes();
+}
+
 std::vector<waiting_ask> fair_queue::remove_expired(time_point now)
 {
     std::vector<waiting_ask> expired;
--- /dev/null
+++ b/lib/routing/load_table.cpp
@@ -0,0 +1,116 @@
+#include "baobabloft/routing/load_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabloft::routing
+{
+
+namespace
+{
+
+/// Loads older than this no longer count.
+constexpr duration longest_age = 6s;
+
+std::uint8_t to_steps(double value, double step)
+{
+    constexpr double most = 255;
+    return static_cast<std::uint8_t>(
+        std::clamp(std::round(value / step), 0.0, most));
+}
+
+double median(std::vector<double> values)
+{
+    if (values.empty())
+        return 0;
+    const auto middle =
+        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+} // namespace
+
+load_table::load_table(std::size_t upstreams) : known_(upstreams)
+{
+}
+
+void load_table::set_own(time_point now, std::uint16_t index, double load,
+                         double first_token_ms)
+{
+    if (index < known_.size())
+        known_[index] = {load, first_token_ms, now};
+}
+
+void load_table::merge(time_point now, const std::vector<load_entry>& entries)
+{
+    for (const auto& entry : entries)
+    {
+        if (entry.index >= known_.size())
+            continue;
+        auto& known = known_[entry.index];
+        const auto at = now - entry.age * load_entry_age_step;
+        if (known.at && *known.at >= at)
+            continue;
+        known = {static_cast<double>(entry.load),
+                 entry.first_token * load_entry_first_token_step_ms, at};
+    }
+}
+
+void load_table::remove(std::uint16_t index)
+{
+    if (index < known_.size())
+        known_[index].at.reset();
+}
+
+std::vector<load_entry> load_table::freshest(time_point now,
+                                             std::size_t limit) const
+{
+    std::vector<std::uint16_t> order;
+    for (std::size_t index = 0; index < known_.size(); ++index)
+        if (known_[index].at && now - *known_[index].at < longest_age)
+            order.push_back(static_cast<std::uint16_t>(index));
+    const auto kept = std::min(limit, order.size());
+    std::partial_sort(order.begin(),
+                      order.begin() + static_cast<std::ptrdiff_t>(kept),
+                      order.end(),
+                      [this](std::uint16_t left, std::uint16_t right)
+                      { return *known_[left].at > *known_[right].at; });
+    std::vector<load_entry> result;
+    for (std::size_t place = 0; place < kept; ++place)
+    {
+        const auto& known = known_[order[place]];
+        const auto age = now - *known.at;
+        result.push_back(
+            {.index = order[place],
+             .load = static_cast<std::uint16_t>(known.load),
+             .age = to_steps(to_seconds(age),
+                             to_seconds(load_entry_age_step)),
+             .first_token = to_steps(known.first_token_ms,
+                                     load_entry_first_token_step_ms)});
+    }
+    return result;
+}
+
+fleet_load load_table::summary(time_point now) const
+{
+    double sum = 0;
+    std::size_t count = 0;
+    std::vector<double> first_tokens;
+    for (const auto& known : known_)
+    {
+        if (!known.at || now - *known.at >= longest_age)
+            continue;
+        sum += known.load;
+        ++count;
+        if (known.first_token_ms > 0)
+            first_tokens.push_back(known.first_token_ms);
+    }
+    if (count == 0)
+        return {};
+    const double mean = sum / static_cast<double>(count);
+    return {mean, mean * static_cast<double>(known_.size()),
+            median(std::move(first_tokens))};
+}
+
+} // namespace baobabloft::routing
--- a/lib/routing/permit_client.cpp
+++ b/lib/routing/permit_client.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr duration sample_window = 2s;
-constexpr duration first_token_window = 10s;
 constexpr duration first_repeat = 30ms;
 constexpr unsigned max_repeats = 3;
 /// An ask that waits in a queue is repeated this often, which also finds out
@@ -29,12 +27,10 @@
 constexpr double slow_factor = 3.0;
 constexpr double slow_floor_ms = 250.0;
 
-std::uint16_t to_sample(const std::optional<double>& value, double unit)
+std::uint16_t to_ms(double value)
 {
-    if (!value)
-        return no_sample;
-    return static_cast<std::uint16_t>(
-        std::clamp(*value * unit, 0.0, no_sample - 1.0));
+    constexpr double most = 65535;
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
 }
 
 std::uint32_t to_patience_ms(duration left)
@@ -47,8 +43,7 @@
 } // namespace
 
 permit_client::permit_client(owner_lookup owner_of, std::uint32_t first_ticket)
-    : owner_of_(std::move(owner_of)), sampled_load_(sample_window),
-      sampled_first_token_(first_token_window), last_ticket_(first_ticket)
+    : owner_of_(std::move(owner_of)), last_ticket_(first_ticket)
 {
 }
 
@@ -64,7 +59,7 @@
     return ticket;
 }
 
-void permit_client::release(time_point now, permit_ticket ticket, outcome how,
+void permit_client::release(permit_ticket ticket, outcome how,
                             std::uint16_t first_token_ms)
 {
     if (const auto waiting = pending_.find(ticket); waiting != pending_.end())
@@ -79,8 +74,6 @@
     if (item.local)
         --local_running_[item.upstream];
     releases_[item.owner].push_back({ticket, how, first_token_ms});
-    if (first_token_ms > 0)
-        sampled_first_token_.add(now, first_token_ms);
     held_.erase(found);
 }
 
@@ -116,12 +109,10 @@
     }
     if (!item.queued)
         loss_ += loss_weight * ((item.repeats > 0 ? 1.0 : 0.0) - loss_);
-    if (item.choice == 0 && !item.last_round)
-        sample(now, answer);
     switch (answer.decision)
     {
     case verdict::granted:
-        grant(now, answer.sequence, false);
+        grant(now, answer.sequence, answer.usual_first_token_ms);
         return;
     case verdict::queued:
         item.queued = true;
@@ -224,10 +215,6 @@
                     .chat = item.want.chat,
                     .customer = item.want.customer,
                     .patience_ms = to_patience_ms(item.want.latest - now),
-                    .sampled_load = to_sample(sampled_load_.value(now),
-                                              load_units_per_request),
-                    .sampled_first_token_ms =
-                        to_sample(sampled_first_token_.value(now), 1),
                     .priority = item.want.priority,
                     .may_queue = item.last_round,
                     .suspect = item.want.suspect,
@@ -271,7 +258,8 @@
     decisions_.push_back({.ticket = ticket, .result = result});
 }
 
-void permit_client::grant(time_point now, permit_ticket ticket, bool local)
+void permit_client::grant(time_point now, permit_ticket ticket,
+                          std::uint16_t usual_first_token_ms)
 {
     const auto found = pending_.find(ticket);
     const auto& item = found->second;
@@ -281,8 +269,8 @@
                      .owner = item.owner,
                      .granted_at = now,
                      .next_renewal = now + renewal_period,
-                     .suspect = item.want.suspect,
-                     .local = local};
+                     .usual_first_token_ms = usual_first_token_ms,
+                     .suspect = item.want.suspect};
     granted_lately_[upstream] = now;
     ++(choice == 0 ? counts_.first_choices : counts_.other_choices);
     pending_.erase(found);
@@ -302,7 +290,8 @@
         item.choice = choice;
         ++local_running_[upstream];
         ++counts_.local_grants;
-        grant(now, ticket, true);
+        grant(now, ticket, 0);
+        held_.at(ticket).local = true;
         return true;
     }
     return false;
@@ -362,12 +351,13 @@
 {
     if (item.has_first_token || item.alerted)
         return;
-    const auto usual = sampled_first_token_.value(now);
+    const double usual_ms = item.usual_first_token_ms;
     const double waited_ms = to_seconds(now - item.granted_at) * 1000.0;
-    if (!usual || waited_ms < slow_floor_ms || waited_ms < slow_factor * *usual)
+    if (usual_ms == 0 || waited_ms < slow_floor_ms ||
+        waited_ms < slow_factor * usual_ms)
         return;
     item.alerted = true;
-    send(item.owner, slow_first_token{ticket, to_sample(waited_ms, 1)});
+    send(item.owner, slow_first_token{ticket, to_ms(waited_ms)});
 }
 
 void permit_client::flush_releases()
@@ -383,14 +373,6 @@
     releases_.clear();
 }
 
-void permit_client::sample(time_point now, const permit_answer& answer)
-{
-    if (answer.decision != verdict::unavailable)
-        sampled_load_.add(now, answer.load);
-    if (answer.first_token_ms > 0)
-        sampled_first_token_.add(now, answer.first_token_ms);
-}
-
 void permit_client::send(router_id to, permit_message content)
 {
     if (to == router_id{})
--- a/lib/routing/permit_owner.cpp
+++ b/lib/routing/permit_owner.cpp
@@ -1,7 +1,7 @@
 #include "baobabloft/routing/permit_owner.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <bit>
 #include <utility>
 
 namespace baobabloft::routing
@@ -18,6 +18,8 @@
 constexpr double deferrable_share = 0.7;
 /// Deferrable requests become interactive this long before their latest time.
 constexpr duration deferrable_margin = 60s;
+constexpr duration digest_period = 500ms;
+constexpr std::size_t entries_per_digest = 16;
 
 std::uint16_t to_u16(double value)
 {
@@ -51,16 +53,24 @@
            now - found->second->at < displaced_lifetime;
 }
 
+permit_owner::permit_owner(router_id self) : self_(self)
+{
+}
+
 void permit_owner::set_owned(time_point now,
                              const config::preset_snapshot& preset,
-                             const std::vector<owned_upstream>& owned)
+                             const std::vector<owned_upstream>& owned,
+                             const std::vector<service_owners>& owners)
 {
+    const bool renumbered = !preset_ || preset_->number != preset->number;
     preset_ = preset;
+    const auto& services = preset->value.services;
     std::unordered_map<upstream_id, station> kept;
     for (const auto& item : owned)
     {
-        const auto id = item.upstream->id;
-        const auto options = make_gate_options(*item.service);
+        const auto& service = services.at(item.service);
+        const auto id = service.upstreams.at(item.index).id;
+        const auto options = make_gate_options(service);
         if (const auto known = stations_.find(id); known != stations_.end())
         {
             known->second.gate.set_options(options);
@@ -71,7 +81,9 @@
                                      .queue = {},
                                      .displaced = {}});
         auto& at = kept.at(id);
-        at.queue_limit = item.service->queue_limit;
+        at.service = item.service;
+        at.index = item.index;
+        at.queue_limit = service.queue_limit;
         at.admitted = item.admitted;
         if (!item.admitted)
             for (const auto& waiting : at.queue.drain())
@@ -83,6 +95,39 @@
     stations_ = std::move(kept);
     std::erase_if(grants_, [this](const auto& entry)
                   { return !stations_.contains(entry.second.upstream); });
+    std::map<std::uint16_t, service_state> known_services;
+    for (const auto& item : owners)
+    {
+        const auto count = services.at(item.service).upstreams.size();
+        service_state state{.loads = load_table{count}, .owners = item.owners};
+        // Places keep their meaning only within one preset.
+        const auto known = services_.find(item.service);
+        if (known != services_.end() && !renumbered)
+            state.loads = known->second.loads;
+        for (const auto index : item.closed)
+            state.loads.remove(index);
+        known_services.emplace(item.service, std::move(state));
+    }
+    services_ = std::move(known_services);
+    update_loads(now);
+}
+
+void permit_owner::set_members(time_point now,
+                               const std::vector<router_id>& live,
+                               double live_share)
+{
+    live_share_ = live_share;
+    const auto is_gone = [&live](router_id router)
+    { return !std::binary_search(live.begin(), live.end(), router); };
+    std::vector<ask_key> gone;
+    for (const auto& [key, item] : grants_)
+        if (is_gone(key.asker))
+            gone.push_back(key);
+    for (const auto& key : gone)
+        end_grant(now, key,
+                  {.sequence = key.sequence, .how = outcome::cancelled});
+    for (auto& [id, at] : stations_)
+        at.queue.remove_askers(is_gone);
 }
 
 void permit_owner::handle(time_point now, router_id from, const permit_ask& ask)
@@ -95,10 +140,6 @@
         return;
     }
     auto& at = found->second;
-    if (ask.sampled_load != no_sample)
-        at.gate.sample_load(now, ask.sampled_load / load_units_per_request);
-    if (ask.sampled_first_token_ms != no_sample)
-        at.gate.sample_first_token(now, ask.sampled_first_token_ms);
     answer(now, key, decide(now, key, ask, at), &at);
 }
 
@@ -157,6 +198,15 @@
             .gate.slow_first_token(now, note.waited_ms);
 }
 
+void permit_owner::handle(time_point now, router_id /*from*/,
+                          const load_digest& digest)
+{
+    const auto found = services_.find(digest.service);
+    if (found == services_.end() || digest.generation != preset_->number)
+        return;
+    found->second.loads.merge(now, digest.entries);
+}
+
 void permit_owner::report(time_point now, upstream_id upstream,
                           const load_report& report)
 {
@@ -175,6 +225,8 @@
 
 void permit_owner::tick(time_point now)
 {
+    update_loads(now);
+    send_digests(now);
     std::vector<ask_key> lapsed;
     for (const auto& [key, item] : grants_)
         if (item.expires <= now)
@@ -202,6 +254,11 @@
     return std::exchange(answers_, {});
 }
 
+std::vector<addressed_digest> permit_owner::take_digests()
+{
+    return std::exchange(digests_, {});
+}
+
 std::vector<upstream_status> permit_owner::status(time_point now) const
 {
     std::vector<upstream_status> result;
@@ -211,7 +268,7 @@
                           .load = at.gate.load(),
                           .limit = at.gate.limit(now),
                           .waiting = at.queue.size(),
-                          .mean_load = at.gate.mean_load(now),
+                          .mean_load = at.gate.mean_load(),
                           .first_token_ms = at.gate.first_token_ms(now),
                           .state = at.gate.state(now),
                           .available = at.gate.is_available(now),
@@ -324,18 +381,54 @@
     }
 }
 
+void permit_owner::update_loads(time_point now)
+{
+    for (const auto& [id, at] : stations_)
+        if (const auto found = services_.find(at.service);
+            found != services_.end() && at.admitted)
+            found->second.loads.set_own(now, at.index, at.gate.load(),
+                                        at.gate.first_token_ms(now));
+    std::map<std::uint16_t, fleet_load> summaries;
+    for (const auto& [service, state] : services_)
+        summaries[service] = state.loads.summary(now);
+    for (auto& [id, at] : stations_)
+    {
+        at.gate.set_fleet_load(summaries[at.service]);
+        at.gate.set_live_share(live_share_);
+    }
+}
+
+void permit_owner::send_digests(time_point now)
+{
+    for (auto& [service, state] : services_)
+    {
+        const auto count = state.owners.size();
+        if (now < state.next_digest || count < 2)
+            continue;
+        state.next_digest = now + digest_period;
+        // Doubling steps around the ring of owners carry each load to all of
+        // them in as many rounds as their number has binary digits.
+        const auto own =
+            std::find(state.owners.begin(), state.owners.end(), self_);
+        const auto place =
+            static_cast<std::size_t>(own - state.owners.begin());
+        const auto rounds = static_cast<unsigned>(std::bit_width(count - 1));
+        const auto step = std::size_t{1} << (state.round++ % rounds);
+        digests_.push_back(
+            {state.owners[(place + step) % count],
+             {.service = service,
+              .generation = preset_->number,
+              .entries = state.loads.freshest(now, entries_per_digest)}});
+    }
+}
+
 void permit_owner::answer(time_point now, const ask_key& key, verdict decision,
                           const station* at)
 {
     ++counts_[static_cast<std::size_t>(decision)];
     permit_answer answer{.sequence = key.sequence, .decision = decision};
-    if (at != nullptr)
-    {
-        const auto load = at->gate.load();
-        const bool counts_itself = decision == verdict::granted && load > 0;
-        answer.load = to_u16(counts_itself ? load - 1 : load);
-        answer.first_token_ms = to_u16(at->gate.first_token_ms(now));
-    }
+    if (at != nullptr && decision == verdict::granted)
+        answer.usual_first_token_ms = to_u16(at->gate.usual_first_token_ms());
     answers_.push_back({key.asker, answer});
 }
 
--- a/lib/routing/upstream_gate.cpp
+++ b/lib/routing/upstream_gate.cpp
@@ -9,14 +9,20 @@
 namespace
 {
 
-/// Window of the sampled means: long enough for a steady estimate, short
-/// enough to follow a surge.
-constexpr duration sample_window = 2s;
 constexpr duration first_token_window = 10s;
 /// Reports older than this do not occur; load within it explains a report.
 constexpr duration report_lag_slot = 750ms;
-/// Share of the multiple that is kept back for the estimate's error.
-constexpr double headroom = 0.06;
+/// Share of the multiple that is kept back for what the mean's estimate does
+/// not know yet: a constant part, and a part for the arrivals and departures
+/// since the loads were measured, which weigh less the more requests there are.
+constexpr double constant_headroom = 0.02;
+constexpr double headroom_deviations = 3;
+/// Variance of the total within the loads' age, per request in progress.
+constexpr double variance_per_request = 0.33;
+constexpr double most_headroom = 0.15;
+/// Below this share of the fleet the rest may be alive behind a partition,
+/// with an owner of its own. Single lost hosts stay above it.
+constexpr double partition_share = 0.8;
 /// A former owner may still grant for this long after a view changed.
 constexpr duration handover = 3s;
 constexpr double slow_factor = 3.0;
@@ -43,8 +49,7 @@
 }
 
 upstream_gate::upstream_gate(const gate_options& options, time_point now)
-    : options_(options), owned_since_(now), sampled_load_(sample_window),
-      sampled_first_token_(first_token_window),
+    : options_(options), owned_since_(now),
       own_first_token_(first_token_window)
 {
     if (!options_.reports_load)
@@ -91,14 +96,14 @@
         become_down(now);
 }
 
-void upstream_gate::sample_load(time_point now, double load)
+void upstream_gate::set_fleet_load(const fleet_load& load)
 {
-    sampled_load_.add(now, load);
+    fleet_ = load;
 }
 
-void upstream_gate::sample_first_token(time_point now, double ms)
+void upstream_gate::set_live_share(double share)
 {
-    sampled_first_token_.add(now, ms);
+    live_share_ = share;
 }
 
 void upstream_gate::granted(time_point now)
@@ -158,7 +163,7 @@
 {
     if (!is_available(now) || leaving_)
         return 0;
-    const auto full = full_limit(now);
+    const auto full = full_limit();
     const auto bearable = std::min(options_.cold_bearable, full);
     const bool new_owner = now - owned_since_ < handover;
     switch (state(now))
@@ -167,16 +172,18 @@
         return 0;
     case warmth::cold:
         // A former owner may still grant up to the bearable load itself.
-        return new_owner ? 0 : bearable;
+        return new_owner ? 0 : shared_limit(bearable);
     case warmth::ramping:
         break;
     case warmth::warm:
-        return full;
+        return live_share_ < partition_share ? shared_limit(full) : full;
     }
     const double progress =
         to_seconds(now - ramp_started_) / to_seconds(options_.ramp);
-    return bearable + static_cast<std::uint32_t>(
-                          std::clamp(progress, 0.0, 1.0) * (full - bearable));
+    const auto ramped =
+        bearable + static_cast<std::uint32_t>(
+                       std::clamp(progress, 0.0, 1.0) * (full - bearable));
+    return shared_limit(ramped);
 }
 
 bool upstream_gate::is_available(time_point now) const
@@ -196,9 +203,9 @@
     return warmth_;
 }
 
-double upstream_gate::mean_load(time_point now) const
+double upstream_gate::mean_load() const
 {
-    return sampled_load_.value(now).value_or(load());
+    return fleet_.mean;
 }
 
 double upstream_gate::first_token_ms(time_point now) const
@@ -206,6 +213,11 @@
     return own_first_token_.value(now).value_or(0);
 }
 
+double upstream_gate::usual_first_token_ms() const
+{
+    return fleet_.first_token_ms;
+}
+
 std::uint64_t upstream_gate::setbacks() const
 {
     return setbacks_;
@@ -230,15 +242,28 @@
     return most;
 }
 
-std::uint32_t upstream_gate::full_limit(time_point now) const
+std::uint32_t upstream_gate::full_limit() const
 {
-    const double allowed =
-        options_.load_multiple * (1 - headroom) * mean_load(now);
+    const double headroom =
+        constant_headroom +
+        headroom_deviations *
+            std::sqrt(variance_per_request / std::max(fleet_.total, 1.0));
+    const double allowed = options_.load_multiple *
+                           (1 - std::min(headroom, most_headroom)) *
+                           fleet_.mean;
     const auto by_mean =
-        std::max(options_.load_floor, static_cast<std::uint32_t>(allowed));
+        std::max(options_.load_floor, static_cast<std::uint32_t>(std::ceil(allowed)));
     return std::min(options_.capacity, by_mean);
 }
 
+std::uint32_t upstream_gate::shared_limit(std::uint32_t limit) const
+{
+    // Shares of all parts of a divided fleet add up to one, so that the sum of
+    // what their owners grant stays within the limit.
+    const auto own = static_cast<std::uint32_t>(live_share_ * limit);
+    return std::min(limit, unexplained_ + own);
+}
+
 void upstream_gate::become_cold(time_point now)
 {
     if (warmth_ != warmth::unknown)
@@ -264,17 +289,16 @@
     ramp_started_ = down_until_;
 }
 
-bool upstream_gate::is_slow(time_point now, double first_token_ms) const
+bool upstream_gate::is_slow(double first_token_ms) const
 {
-    const auto usual = sampled_first_token_.value(now);
-    return usual && first_token_ms > slow_floor_ms &&
-           first_token_ms > slow_factor * *usual;
+    return fleet_.first_token_ms > 0 && first_token_ms > slow_floor_ms &&
+           first_token_ms > slow_factor * fleet_.first_token_ms;
 }
 
 void upstream_gate::note_first_token(time_point now, double ms)
 {
     own_first_token_.add(now, ms);
-    if (!is_slow(now, ms))
+    if (!is_slow(ms))
     {
         slow_in_a_row_ = 0;
         if (warmth_ == warmth::cold && !options_.reports_load)
