--- a/benchmarks/bookings.cpp
+++ b/benchmarks/bookings.cpp
@@ -30,9 +30,7 @@
 class storm
 {
 public:
-    storm(world& world, std::size_t keys) : world_(world), keys_(keys)
-    {
-    }
+    storm(world& world, std::size_t keys) : world_(world), keys_(keys) {}
 
     void start()
     {
@@ -51,23 +49,23 @@
             answered += key.answered ? 1 : 0;
         }
         const auto total = static_cast<double>(bookings_.size());
-        return {{"bookings.storm.keys", total, "keys", bound_kind::at_least,
-                 static_cast<double>(keys_)},
-                {"bookings.storm.attempts", static_cast<double>(attempts_),
-                 "attempts"},
-                {"bookings.storm.run_twice", static_cast<double>(twice),
-                 "keys", bound_kind::at_most, 0},
-                {"bookings.storm.false_not_run",
-                 static_cast<double>(false_not_run_), "attempts",
-                 bound_kind::at_most, 0},
-                {"bookings.storm.told_not_run",
-                 static_cast<double>(not_run_), "attempts"},
-                {"bookings.storm.told_unknown",
-                 static_cast<double>(unknown_), "attempts"},
-                {"bookings.storm.ran", static_cast<double>(ran) / total,
-                 "share"},
-                {"bookings.storm.answered",
-                 static_cast<double>(answered) / total, "share"}};
+        return {
+            {"bookings.storm.keys", total, "keys", bound_kind::at_least,
+             static_cast<double>(keys_)},
+            {"bookings.storm.attempts", static_cast<double>(attempts_),
+             "attempts"},
+            {"bookings.storm.run_twice", static_cast<double>(twice), "keys",
+             bound_kind::at_most, 0},
+            {"bookings.storm.false_not_run",
+             static_cast<double>(false_not_run_), "attempts",
+             bound_kind::at_most, 0},
+            {"bookings.storm.told_not_run", static_cast<double>(not_run_),
+             "attempts"},
+            {"bookings.storm.told_unknown", static_cast<double>(unknown_),
+             "attempts"},
+            {"bookings.storm.ran", static_cast<double>(ran) / total, "share"},
+            {"bookings.storm.answered", static_cast<double>(answered) / total,
+             "share"}};
     }
 
 private:
@@ -104,10 +102,9 @@
             {
                 std::uniform_int_distribution<unsigned> tries(1, 5);
                 auto& random = world_.random();
-                bookings_.push_back(
-                    {ledger::make_booking_key(world_.wall_ms(), random(),
-                                              random()),
-                     tries(random)});
+                bookings_.push_back({ledger::make_booking_key(
+                                         world_.wall_ms(), random(), random()),
+                                     tries(random)});
                 attempt(bookings_.size() - 1);
                 schedule_next();
             });
@@ -221,14 +218,15 @@
     void tell(std::size_t number, told what, const std::shared_ptr<bool>& over)
     {
         auto& item = bookings_[number];
+        // A caller that has given up is told nothing.
+        if (std::exchange(*over, true))
+            return;
         if (what == told::not_run)
         {
             ++not_run_;
             false_not_run_ += item.executions > 0 ? 1 : 0;
         }
         unknown_ += what == told::unknown ? 1 : 0;
-        if (std::exchange(*over, true))
-            return;
         if (what == told::answered)
         {
             item.answered = true;
@@ -251,8 +249,8 @@
 void disturb(world& world)
 {
     auto& random = world.random();
-    std::uniform_int_distribution<std::size_t> pick(
-        0, world.options().routers - 1);
+    std::uniform_int_distribution<std::size_t> pick(0, world.options().routers -
+                                                           1);
     std::uniform_int_distribution<int> what(0, 4);
     std::uniform_int_distribution<int> length_ms(300, 6000);
     const auto router = pick(random);
@@ -330,8 +328,7 @@
         world.claim(router, key, patience,
                     [&, router, asked](const ledger::claim_decision& decision)
                     {
-                        if (decision.result !=
-                            ledger::claim_result::accepted)
+                        if (decision.result != ledger::claim_result::accepted)
                         {
                             ++failed;
                             return;
@@ -351,8 +348,7 @@
                                             world.now(), ticket,
                                             {.status = 200,
                                              .complete = true,
-                                             .content_type =
-                                                 "application/json",
+                                             .content_type = "application/json",
                                              .body = std::string(200, 'x')});
                                     });
                             });
@@ -402,8 +398,7 @@
                    run_ledger(options.seed, routers, rate, batched), true);
     for (const double slower : {10.0, 100.0})
         add_ledger(all,
-                   "bookings.r9." +
-                       std::to_string(static_cast<int>(slower)),
+                   "bookings.r9." + std::to_string(static_cast<int>(slower)),
                    run_ledger(options.seed, 9, slower, batched), true);
     add_ledger(all, "bookings.r9.100.unbatched",
                run_ledger(options.seed, 9, 100, 1), false);
--- a/benchmarks/churn.cpp
+++ b/benchmarks/churn.cpp
@@ -19,6 +19,7 @@
 constexpr double mean_load = 24;
 constexpr double service_s = 12;
 constexpr double active_seconds = 180;
+constexpr double load_multiple = 1.25;
 
 world_options make_shape(const measure_options& options)
 {
@@ -36,12 +37,13 @@
 double share(std::uint64_t part, std::uint64_t whole)
 {
     return whole == 0 ? 0
-                      : static_cast<double>(part) /
-                            static_cast<double>(whole);
+                      : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-/// What an omniscient placement would have reused: a chat is warm wherever it
-/// ran last, as long as that engine has not stopped since and has room.
+/// What an omniscient placement under the same cap would have reused: a chat is
+/// warm wherever it ran last, as long as that engine has not stopped since and
+/// carries less than the multiple of the mean. Otherwise it moves to the least
+/// loaded engine.
 class omniscient
 {
 public:
@@ -52,7 +54,8 @@
         const bool known = home.engine < engines.size() && home.known;
         const bool warm =
             known && engines[home.engine].up &&
-            engines[home.engine].incarnation == home.incarnation;
+            engines[home.engine].incarnation == home.incarnation &&
+            engines[home.engine].running < load_multiple * mean(engines);
         if (warm)
             return true;
         std::size_t best = 0;
@@ -66,6 +69,18 @@
     }
 
 private:
+    static double mean(const std::vector<fake_engine>& engines)
+    {
+        double sum = 0;
+        double count = 0;
+        for (const auto& engine : engines)
+        {
+            sum += engine.up ? engine.running : 0;
+            count += engine.up ? 1 : 0;
+        }
+        return count == 0 ? 0 : sum / count;
+    }
+
     struct home
     {
         std::size_t engine = 0;
@@ -85,8 +100,7 @@
     world world{shape};
     world.start();
     const double rate = rate_of(shape);
-    workload load{world, rate,
-                  static_cast<std::size_t>(rate * active_seconds)};
+    workload load{world, rate, static_cast<std::size_t>(rate * active_seconds)};
     load.use_ready_routers_only();
     std::uint64_t hits = 0;
     std::uint64_t turns = 0;
@@ -136,8 +150,7 @@
     world world{shape};
     world.start();
     const double rate = rate_of(shape);
-    workload load{world, rate,
-                  static_cast<std::size_t>(rate * active_seconds)};
+    workload load{world, rate, static_cast<std::size_t>(rate * active_seconds)};
     load.use_ready_routers_only();
     std::uint64_t total = 0;
     std::uint64_t in_time = 0;
@@ -158,7 +171,9 @@
     counting = true;
     constexpr std::size_t leaving = 0;
     const auto stays = [&](std::size_t engine)
-    { return engine % shape.data_centres != leaving; };
+    {
+        return engine % shape.data_centres != leaving;
+    };
     const auto left_at = world.now();
     world.set_data_centre(leaving, false);
     world.run_for(120s);
@@ -197,8 +212,8 @@
              bound_kind::at_least, 0.95},
             {"departure.first_token_in_time.after_return",
              share(in_time, total), "share", bound_kind::at_least, 0.95},
-            {"departure.cut_in_progress", static_cast<double>(cut),
-             "requests", bound_kind::at_most, 0},
+            {"departure.cut_in_progress", static_cast<double>(cut), "requests",
+             bound_kind::at_most, 0},
             {"departure.even_after_return", even_after_s, "s",
              bound_kind::at_least, 0}};
 }
--- a/benchmarks/control.cpp
+++ b/benchmarks/control.cpp
@@ -16,7 +16,8 @@
 using namespace driver;
 
 /// The target's size.
-constexpr double target_routers = 390;
+constexpr std::size_t target_routers = 390;
+constexpr std::size_t target_engines = 600;
 constexpr double target_requests_per_second = 2100;
 constexpr double target_bytes_per_second = 2000;
 constexpr double target_core_share = 0.011;
@@ -52,8 +53,8 @@
 usage run(const measure_options& options, std::size_t size,
           double requests_per_router)
 {
-    world_options shape{.seed = options.seed, .routers = size,
-                        .engines = size};
+    world_options shape{.seed = options.seed, .routers = size};
+    shape.engines = size * target_engines / target_routers;
     shape.count_bytes = true;
     const double memory_before = resident_mb();
     world world{shape};
@@ -62,7 +63,7 @@
         std::max(requests_per_router * static_cast<double>(size), 0.001);
     workload load{world, rate, static_cast<std::size_t>(rate * 180) + 1};
     load.start([](const world_request&, const world_answer&) {});
-    world.run_for(60s);
+    world.run_for(180s);
     const auto before = world.sent();
     const auto reads_before = world.load_reads();
     const double cpu_before = cpu_seconds();
@@ -74,16 +75,15 @@
     const auto& after = world.sent();
     for (std::size_t kind = 0; kind < after.bytes.size(); ++kind)
     {
-        result.sent.bytes.at(kind) = after.bytes.at(kind) -
-                                     before.bytes.at(kind);
-        result.sent.datagrams.at(kind) = after.datagrams.at(kind) -
-                                         before.datagrams.at(kind);
+        result.sent.bytes.at(kind) =
+            after.bytes.at(kind) - before.bytes.at(kind);
+        result.sent.datagrams.at(kind) =
+            after.datagrams.at(kind) - before.datagrams.at(kind);
     }
-    result.datagram_bytes =
-        static_cast<double>(std::accumulate(result.sent.bytes.begin(),
-                                            result.sent.bytes.end(),
-                                            std::uint64_t{0})) *
-        per_router;
+    result.datagram_bytes = static_cast<double>(std::accumulate(
+                                result.sent.bytes.begin(),
+                                result.sent.bytes.end(), std::uint64_t{0})) *
+                            per_router;
     result.load_read_bytes_sent =
         static_cast<double>(world.load_reads() - reads_before) *
         load_read_bytes * per_router;
@@ -112,22 +112,19 @@
         all.push_back({name + ".idle", idle.datagram_bytes, "B/s"});
         all.push_back({name + ".busy", busy.datagram_bytes, "B/s",
                        bound_kind::at_most, target_bytes_per_second});
-        all.push_back(
-            {name + ".load_reads", busy.load_read_bytes_sent, "B/s"});
+        all.push_back({name + ".load_reads", busy.load_read_bytes_sent, "B/s"});
         for (std::size_t kind = 0; kind < busy.sent.bytes.size(); ++kind)
         {
-            const double bytes =
-                static_cast<double>(busy.sent.bytes.at(kind)) / 60 /
-                static_cast<double>(size);
+            const double bytes = static_cast<double>(busy.sent.bytes.at(kind)) /
+                                 60 / static_cast<double>(size);
             if (bytes > 1)
-                all.push_back({name + ".busy." +
-                                   fleet::message_names.at(kind),
+                all.push_back({name + ".busy." + fleet::message_names.at(kind),
                                bytes, "B/s"});
         }
         all.push_back({name + ".busy.core_with_driver", busy.core_share,
                        "share", bound_kind::at_most, target_core_share});
-        all.push_back({name + ".busy.memory_with_driver", busy.memory_mb,
-                       "MB", bound_kind::at_most, target_memory_mb});
+        all.push_back({name + ".busy.memory_with_driver", busy.memory_mb, "MB",
+                       bound_kind::at_most, target_memory_mb});
         if (size == 50)
             idle_50 = idle.datagram_bytes;
         if (size == 200)
--- a/benchmarks/decisions.cpp
+++ b/benchmarks/decisions.cpp
@@ -133,8 +133,7 @@
                                                  .patience_ms = 100,
                                                  .first_choice = true});
                 owner.handle(now, asker,
-                             routing::permit_release{
-                                 {{.sequence = sequence}}});
+                             routing::permit_release{{{.sequence = sequence}}});
                 if (owner.take_answers().empty())
                     std::abort();
             });
@@ -143,13 +142,14 @@
 void time_codec(figures& all)
 {
     const net::datagram_keys keys{{"a secret for benchmarks"}};
-    const net::datagram message{make_router_id(1, 1), routing::permit_ask{}};
+    const auto sender = make_router_id(1, 1);
+    const fleet::message message{routing::permit_ask{}};
     time_it(all, "datagram.encode_and_decode",
             [&](std::uint64_t)
             {
                 failure reason;
-                const auto bytes = net::encode_datagram(keys, message);
-                if (!net::decode_datagram(keys, bytes, reason))
+                const auto bytes = net::encode_datagram(keys, sender, message);
+                if (!net::decode_datagram(keys, sender, bytes, reason))
                     std::abort();
             });
 }
--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -131,7 +131,7 @@
                     .avoid = {}};
                 const auto ticket = own.node->begin_route(now(), want);
                 own.waiting[ticket] = {request.router, own.life, ticket,
-                                       request, done, asked};
+                                       request,        done,     asked};
             });
 }
 
@@ -290,8 +290,8 @@
 
 std::uint64_t world::wall_ms() const
 {
-    return wall_start_ms + static_cast<std::uint64_t>(
-                               now().time_since_epoch() / 1ms);
+    return wall_start_ms +
+           static_cast<std::uint64_t>(now().time_since_epoch() / 1ms);
 }
 
 void world::claim(std::size_t router, const ledger::booking_key& key,
@@ -352,16 +352,15 @@
         upstreams.push_back({{"name", engines_[index].name},
                              {"data_centre", data_centre_name(index)},
                              {"address", "10.0.0.1:1"}});
-    const json service{
-        {"name", "model"},
-        {"models", {"model"}},
-        {"load_multiple", options_.load_multiple},
-        {"load_floor", options_.load_floor},
-        {"capacity", options_.capacity},
-        {"cold_start",
-         {{"bearable", options_.cold_bearable},
-          {"ramp_s", to_seconds(options_.ramp)}}},
-        {"upstreams", upstreams}};
+    const json service{{"name", "model"},
+                       {"models", {"model"}},
+                       {"load_multiple", options_.load_multiple},
+                       {"load_floor", options_.load_floor},
+                       {"capacity", options_.capacity},
+                       {"cold_start",
+                        {{"bearable", options_.cold_bearable},
+                         {"ramp_s", to_seconds(options_.ramp)}}},
+                       {"upstreams", upstreams}};
     preset_text_ = json{{"format", 1},
                         {"name", "driver"},
                         {"data_centres", centres},
@@ -377,8 +376,7 @@
         return;
     if (!hosts_[index].paused)
         deliver(index, life,
-                [this, index]
-                { hosts_[index].node->tick(now(), wall_ms()); });
+                [this, index] { hosts_[index].node->tick(now(), wall_ms()); });
     events_.after(tick_period,
                   [this, index, life] { schedule_tick(index, life); });
 }
@@ -411,8 +409,7 @@
     ++sent_.datagrams.at(kind);
     if (options_.count_bytes)
         sent_.bytes.at(kind) +=
-            net::encode_datagram(keys_, {router(index), effect.content})
-                .size() +
+            net::encode_datagram(keys_, router(index), effect.content).size() +
             net::datagram_header_bytes;
     const auto target = router_index_.find(effect.to);
     if (target == router_index_.end())
@@ -428,17 +425,14 @@
         auto delay = some_delay();
         if (chance(random_) < options_.late)
             delay += from_seconds(chance(random_) * longest_lateness_s);
-        events_.after(delay,
-                      [this, to, from = router(index),
-                       content = effect.content]
-                      {
-                          deliver(to, hosts_[to].life,
-                                  [this, to, from, content]
-                                  {
-                                      hosts_[to].node->receive(now(), from,
-                                                               content);
-                                  });
-                      });
+        events_.after(
+            delay,
+            [this, to, from = router(index), content = effect.content]
+            {
+                deliver(to, hosts_[to].life,
+                        [this, to, from, content]
+                        { hosts_[to].node->receive(now(), from, content); });
+            });
     }
 }
 
@@ -456,18 +450,18 @@
         fail();
         return;
     }
-    events_.after(
-        kv_.delay / 2,
-        [this, index, life, effect_at_kv, answer, fail]
-        {
-            effect_at_kv();
-            std::uniform_real_distribution<double> chance(0, 1);
-            if (kv_.outage || chance(random_) < kv_.lost_answers)
-                fail();
-            else
-                events_.after(kv_.delay / 2, [this, index, life, answer]
-                              { deliver(index, life, answer); });
-        });
+    events_.after(kv_.delay / 2,
+                  [this, index, life, effect_at_kv, answer, fail]
+                  {
+                      effect_at_kv();
+                      std::uniform_real_distribution<double> chance(0, 1);
+                      if (kv_.outage || chance(random_) < kv_.lost_answers)
+                          fail();
+                      else
+                          events_.after(kv_.delay / 2,
+                                        [this, index, life, answer]
+                                        { deliver(index, life, answer); });
+                  });
 }
 
 void world::apply(std::size_t index, const fleet::read_preset& /*effect*/)
@@ -480,8 +474,9 @@
             ++kv_.reads;
             *seen = kv_.envelope;
         },
-        [this, index, seen]
-        { hosts_[index].node->preset_read(now(), {true, *seen}); },
+        [this, index, seen] {
+            hosts_[index].node->preset_read(now(), {true, *seen});
+        },
         [this, index] { hosts_[index].node->preset_read(now(), {}); });
 }
 
@@ -495,9 +490,10 @@
                       [this, index, life = hosts_[index].life]
                       {
                           hosts_[index].watching = false;
-                          deliver(index, life, [this, index]
-                                  { hosts_[index].node->watch_ended(now(),
-                                                                    {}); });
+                          deliver(
+                              index, life,
+                              [this, index]
+                              { hosts_[index].node->watch_ended(now(), {}); });
                       });
 }
 
@@ -509,16 +505,16 @@
         if (!item.watching || kv_.outage)
             continue;
         item.watching = false;
-        events_.after(kv_.delay,
-                      [this, index, life = item.life, text = kv_.envelope]
-                      {
-                          deliver(index, life,
-                                  [this, index, text]
-                                  {
-                                      hosts_[index].node->watch_ended(
-                                          now(), {true, text});
-                                  });
-                      });
+        events_.after(
+            kv_.delay,
+            [this, index, life = item.life, text = kv_.envelope]
+            {
+                deliver(
+                    index, life,
+                    [this, index, text] {
+                        hosts_[index].node->watch_ended(now(), {true, text});
+                    });
+            });
     }
 }
 
@@ -530,18 +526,15 @@
     std::optional<std::string> envelope;
     if (reachable && hosts_[peer].node->preset())
         envelope = config::to_envelope(*hosts_[peer].node->preset());
-    const duration delay =
-        reachable ? 4 * some_delay() : duration{kv_timeout};
-    events_.after(delay,
-                  [this, index, life = hosts_[index].life, envelope]
-                  {
-                      deliver(index, life,
-                              [this, index, envelope]
-                              {
-                                  hosts_[index].node->preset_pulled(now(),
-                                                                    envelope);
-                              });
-                  });
+    const duration delay = reachable ? 4 * some_delay() : duration{kv_timeout};
+    events_.after(
+        delay,
+        [this, index, life = hosts_[index].life, envelope]
+        {
+            deliver(index, life,
+                    [this, index, envelope]
+                    { hosts_[index].node->preset_pulled(now(), envelope); });
+        });
 }
 
 void world::apply(std::size_t index, const fleet::read_load& effect)
@@ -558,10 +551,9 @@
                    upstream = effect.upstream, report]
                   {
                       deliver(index, life,
-                              [this, index, upstream, report]
-                              {
-                                  hosts_[index].node->load_read(
-                                      now(), upstream, report);
+                              [this, index, upstream, report] {
+                                  hosts_[index].node->load_read(now(), upstream,
+                                                                report);
                               });
                   });
 }
@@ -668,12 +660,11 @@
                           std::uint32_t choice)
 {
     auto& target = engines_[engine];
-    const auto end = [this](const running_request& ended,
-                            routing::outcome how, std::uint16_t first_ms)
+    const auto end = [this](const running_request& ended, routing::outcome how,
+                            std::uint16_t first_ms)
     {
         deliver(ended.router, ended.life,
-                [this, ended, how, first_ms]
-                {
+                [this, ended, how, first_ms] {
                     hosts_[ended.router].node->end_route(now(), ended.ticket,
                                                          how, first_ms);
                 });
@@ -696,8 +687,7 @@
     target.hits += hit ? 1 : 0;
     const double slowness = target.slowness * (cold ? cold_slowness : 1);
     const auto first = from_seconds(
-        to_seconds(hit ? cached_first_token : uncached_first_token) *
-        slowness);
+        to_seconds(hit ? cached_first_token : uncached_first_token) * slowness);
     const auto waited = now() - request.asked + first;
     const auto open =
         std::make_shared<run>(run{engine, target.incarnation, false});
@@ -706,31 +696,30 @@
                   [this, request]
                   {
                       deliver(request.router, request.life,
-                              [this, request]
-                              {
+                              [this, request] {
                                   hosts_[request.router].node->first_token(
                                       request.ticket, {});
                               });
                   });
-    events_.after(
-        first + request.request.service,
-        [this, request, open, end, first, waited, hit, choice]
-        {
-            const bool completed =
-                engines_[open->engine].incarnation == open->incarnation &&
-                hosts_[request.router].life == request.life;
-            end_run(*open);
-            hosts_[request.router].runs.remove(open);
-            end(request,
-                completed ? routing::outcome::completed
-                          : routing::outcome::broken,
-                static_cast<std::uint16_t>(first / 1ms));
-            request.done({.result = routing::permit_result::granted,
-                          .waited = waited,
-                          .choice = choice,
-                          .cache_hit = hit,
-                          .completed = completed});
-        });
+    events_.after(first + request.request.service,
+                  [this, request, open, end, first, waited, hit, choice]
+                  {
+                      const bool completed =
+                          engines_[open->engine].incarnation ==
+                              open->incarnation &&
+                          hosts_[request.router].life == request.life;
+                      end_run(*open);
+                      hosts_[request.router].runs.remove(open);
+                      end(request,
+                          completed ? routing::outcome::completed
+                                    : routing::outcome::broken,
+                          static_cast<std::uint16_t>(first / 1ms));
+                      request.done({.result = routing::permit_result::granted,
+                                    .waited = waited,
+                                    .choice = choice,
+                                    .cache_hit = hit,
+                                    .completed = completed});
+                  });
 }
 
 void world::end_run(run& ended)
@@ -750,7 +739,8 @@
                                     .cold = engine.is_cold(now()),
                                     .leaving = engine.leaving});
     auto& reports = engine.reports;
-    while (reports.size() > 1 && reports[1].first <= now() - options_.report_lag)
+    while (reports.size() > 1 &&
+           reports[1].first <= now() - options_.report_lag)
         reports.erase(reports.begin());
     return reports.front().second;
 }
--- a/benchmarks/driver/world.hpp
+++ b/benchmarks/driver/world.hpp
@@ -182,8 +182,8 @@
     /// Stops a router for a time; what arrives meanwhile is handled after.
     void pause_router(std::size_t index, duration time);
     /// Cuts datagrams between routers for which `cut` is true.
-    void set_partition(
-        std::function<bool(std::size_t from, std::size_t to)> cut);
+    void
+    set_partition(std::function<bool(std::size_t from, std::size_t to)> cut);
 
     /// Stops an engine with all it runs; starts it cold.
     void stop_engine(std::size_t index);
--- a/benchmarks/fairness.cpp
+++ b/benchmarks/fairness.cpp
@@ -21,9 +21,9 @@
 
     [[nodiscard]] double share_in_time() const
     {
-        return total == 0 ? 0
-                          : static_cast<double>(in_time) /
-                                static_cast<double>(total);
+        return total == 0
+                   ? 0
+                   : static_cast<double>(in_time) / static_cast<double>(total);
     }
 };
 
@@ -37,8 +37,8 @@
     world world{shape};
     world.start();
     constexpr double busy = 0.8;
-    const double rate = busy * shape.capacity *
-                        static_cast<double>(shape.engines) / 12.0;
+    const double rate =
+        busy * shape.capacity * static_cast<double>(shape.engines) / 12.0;
     workload load{world, rate, static_cast<std::size_t>(rate * 180)};
     load.use_ready_routers_only();
     tally others;
@@ -48,8 +48,7 @@
         {
             if (!counting)
                 return;
-            auto& own =
-                request.customer == surging_customer ? surging : others;
+            auto& own = request.customer == surging_customer ? surging : others;
             const bool granted =
                 answer.result == routing::permit_result::granted;
             ++own.total;
@@ -75,8 +74,7 @@
     const auto calm = run(options, 1, calm_surging);
     const auto others = run(options, surge, surging);
     return {{"fairness.others.in_time.calm", calm.share_in_time(), "share"},
-            {"fairness.others.in_time.surge", others.share_in_time(),
-             "share"},
+            {"fairness.others.in_time.surge", others.share_in_time(), "share"},
             {"fairness.others.fall",
              std::max(calm.share_in_time() - others.share_in_time(), 0.0),
              "share", bound_kind::at_most, 0.01},
--- a/benchmarks/measure.cpp
+++ b/benchmarks/measure.cpp
@@ -107,11 +107,10 @@
             cxxopts::value<std::size_t>()->default_value("0"));
         options.parse_positional({"name"});
         const auto parsed = options.parse(argc, argv);
-        return baobabloft::measure::run(
-            parsed["name"].as<std::string>(),
-            {parsed["seed"].as<std::uint64_t>(),
-             parsed["routers"].as<std::size_t>(),
-             parsed["engines"].as<std::size_t>()});
+        return baobabloft::measure::run(parsed["name"].as<std::string>(),
+                                        {parsed["seed"].as<std::uint64_t>(),
+                                         parsed["routers"].as<std::size_t>(),
+                                         parsed["engines"].as<std::size_t>()});
     }
     catch (const std::exception& error)
     {
--- a/benchmarks/policy.cpp
+++ b/benchmarks/policy.cpp
@@ -39,8 +39,8 @@
         const double most = *std::max_element(loads.begin(), loads.end());
         if (mean <= 0)
             return;
-        const double allowed = std::max<double>(
-            load_floor, std::ceil(load_multiple * mean));
+        const double allowed =
+            std::max<double>(load_floor, std::ceil(load_multiple * mean));
         worst_ratio = std::max(worst_ratio, most / mean);
         sum_ratio += most / mean;
         ++samples;
@@ -94,8 +94,7 @@
     const double rate =
         static_cast<double>(shape.engines) * mean_load / service_s;
     constexpr double active_seconds = 180;
-    workload load{world, rate,
-                  static_cast<std::size_t>(rate * active_seconds)};
+    workload load{world, rate, static_cast<std::size_t>(rate * active_seconds)};
     load.use_ready_routers_only();
     std::uint64_t answers = 0;
     std::uint64_t first = 0;
@@ -153,8 +152,7 @@
 
 /// One run of a placement policy on reports of age `lag`.
 void run_baseline(const measure_options& options,
-                  routing::placement_policy& policy, duration lag,
-                  figures& all)
+                  routing::placement_policy& policy, duration lag, figures& all)
 {
     const std::size_t count = options.engines != 0 ? options.engines : 9;
     event_queue events;
@@ -186,8 +184,8 @@
     std::function<void()> report = [&]
     {
         // What routers see is this old when the next report replaces it.
-        events.after(lag, [&reported, copy = loads]
-                     { reported.by_index = copy; });
+        events.after(lag,
+                     [&reported, copy = loads] { reported.by_index = copy; });
         events.after(100ms, report);
     };
     arrive();
@@ -271,8 +269,8 @@
     load.stop();
     return {{"cold.two_owners.peak", static_cast<double>(peak), "requests",
              bound_kind::at_most, static_cast<double>(shape.cold_bearable)},
-            {"cold.full_service_after", full_after_s, "s",
-             bound_kind::at_least, 0}};
+            {"cold.full_service_after", full_after_s, "s", bound_kind::at_least,
+             0}};
 }
 
 } // namespace baobabloft::measure
--- a/benchmarks/preset.cpp
+++ b/benchmarks/preset.cpp
@@ -62,8 +62,8 @@
         "preset.r" + std::to_string(routers) + "." + scenario.name;
     all.push_back({name + ".in_force.median", times[times.size() / 2], "s",
                    bound_kind::at_most, 2});
-    all.push_back({name + ".in_force.worst", times.back(), "s",
-                   bound_kind::at_most, 2});
+    all.push_back(
+        {name + ".in_force.worst", times.back(), "s", bound_kind::at_most, 2});
 }
 
 } // namespace
--- a/benchmarks/workload.cpp
+++ b/benchmarks/workload.cpp
@@ -26,10 +26,9 @@
     const auto small = chats_.size() - large;
     for (std::size_t index = 0; index < chats_.size(); ++index)
     {
-        weights_[index] =
-            index < large
-                ? large_share / static_cast<double>(large)
-                : (1 - large_share) / static_cast<double>(small);
+        weights_[index] = index < large
+                              ? large_share / static_cast<double>(large)
+                              : (1 - large_share) / static_cast<double>(small);
         const auto count = static_cast<std::size_t>(
             weights_[index] * static_cast<double>(active_chats));
         std::uniform_int_distribution<unsigned> turns(1, turns_per_chat);
@@ -56,8 +55,7 @@
     const double before = weights_.at(customer);
     rate_ *= 1 + before * (factor - 1);
     weights_.at(customer) = before * factor;
-    const double total =
-        std::accumulate(weights_.begin(), weights_.end(), 0.0);
+    const double total = std::accumulate(weights_.begin(), weights_.end(), 0.0);
     for (auto& weight : weights_)
         weight /= total;
 }
@@ -80,17 +78,16 @@
 void workload::schedule_next()
 {
     std::exponential_distribution<double> gap(rate_);
-    world_.events().after(
-        from_seconds(gap(world_.random())),
-        [this]
-        {
-            if (!running_)
-                return;
-            std::discrete_distribution<std::uint32_t> pick(weights_.begin(),
-                                                           weights_.end());
-            send_one(pick(world_.random()));
-            schedule_next();
-        });
+    world_.events().after(from_seconds(gap(world_.random())),
+                          [this]
+                          {
+                              if (!running_)
+                                  return;
+                              std::discrete_distribution<std::uint32_t> pick(
+                                  weights_.begin(), weights_.end());
+                              send_one(pick(world_.random()));
+                              schedule_next();
+                          });
 }
 
 void workload::send_one(std::uint32_t customer)
@@ -108,10 +105,8 @@
         .chat = chat.chat,
         .customer = customer,
         .patience = patience_,
-        .service =
-            shortest_service + from_seconds(length(random))};
-    world_.request(request,
-                   [this, request](const driver::world_answer& answer)
+        .service = shortest_service + from_seconds(length(random))};
+    world_.request(request, [this, request](const driver::world_answer& answer)
                    { done_(request, answer); });
 }
 
@@ -124,9 +119,8 @@
     {
         const auto index = pick(world_.random());
         const auto* node = world_.node(index);
-        const bool ready =
-            node != nullptr &&
-            node->state(world_.now()) == fleet::readiness::ready;
+        const bool ready = node != nullptr &&
+                           node->state(world_.now()) == fleet::readiness::ready;
         if (ready || !ready_only_)
             return index;
     }
--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -23,14 +23,14 @@
     routing::permit_answer, routing::permit_release, routing::permit_hold,
     routing::permit_cancel, routing::suspect_cleared, routing::slow_first_token,
     ledger::append_request, ledger::append_reply, preset_notice,
-                 routing::load_digest>;
+    routing::load_digest>;
 
 /// Names of the message kinds, in the order of the variant, for metrics.
 inline constexpr std::array message_names{
     "ping",           "ping_ack",      "indirect_ping",   "join_request",
     "member_list",    "permit_ask",    "permit_answer",   "permit_release",
     "permit_hold",    "permit_cancel", "suspect_cleared", "slow_first_token",
-    "append_request", "append_reply",  "preset_notice", "load_digest"};
+    "append_request", "append_reply",  "preset_notice",   "load_digest"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "each message kind needs a name");
--- a/include/baobabloft/net/codec.hpp
+++ b/include/baobabloft/net/codec.hpp
@@ -1,5 +1,5 @@
-// Datagrams between routers: cereal's portable binary form of one message,
-// with the sender and a keyed MAC in front.
+// Datagrams between routers: a keyed MAC, then cereal's portable binary form of
+// one message.
 #pragma once
 
 #include "baobabloft/fleet/message.hpp"
@@ -51,19 +51,15 @@
     std::vector<key> keys_;
 };
 
-/// A message and its sender.
-struct datagram
-{
-    router_id sender{};
-    fleet::message content;
-};
-
-/// Returns the bytes of `message` from `sender`.
-std::string encode_datagram(const datagram_keys& keys, const datagram& message);
+/// Returns the bytes of `message`. The MAC covers the sender's address, which
+/// does not travel: the receiver knows it from the packet.
+std::string encode_datagram(const datagram_keys& keys, router_id sender,
+                            const fleet::message& message);
 
-/// Parses and verifies `bytes`.
-std::optional<datagram> decode_datagram(const datagram_keys& keys,
-                                        std::string_view bytes,
-                                        failure& reason);
+/// Verifies and parses `bytes`, which came from `sender`.
+std::optional<fleet::message> decode_datagram(const datagram_keys& keys,
+                                              router_id sender,
+                                              std::string_view bytes,
+                                              failure& reason);
 
 } // namespace baobabloft::net
--- a/include/baobabloft/routing/fair_queue.hpp
+++ b/include/baobabloft/routing/fair_queue.hpp
@@ -1,5 +1,6 @@
 // A bounded queue shared fairly between customers by weight: start-time fair
-// queueing within each urgency. When full it sheds from the customer that
+// queueing within each urgency, with credit for bursts of customers that stayed
+// below their share. When full it sheds from the customer that
 // holds the most for its weight.
 #pragma once
 
@@ -28,6 +29,7 @@
 struct waiting_ask
 {
     ask_key key;
+    chat_id chat{};
     customer_id customer{};
     std::uint32_t weight = 1;
     urgency priority = urgency::interactive;
@@ -36,6 +38,15 @@
     time_point latest;
 };
 
+/// Which waiting requests may start now.
+struct pop_filter
+{
+    bool with_deferrable = false;
+    bool with_suspects = false;
+
+    [[nodiscard]] bool admits(const waiting_ask& ask) const;
+};
+
 /// Waiting requests of one upstream.
 class fair_queue
 {
@@ -44,10 +55,10 @@
     /// itself, if `limit` would be passed.
     std::optional<waiting_ask> push(const waiting_ask& ask, std::size_t limit);
 
-    /// Removes and returns the next request: interactive ones by fair share,
-    /// then, if `with_deferrable`, deferrable ones. Skips suspects unless
-    /// `with_suspects`.
-    std::optional<waiting_ask> pop(bool with_deferrable, bool with_suspects);
+    /// Removes and returns the next request that `filter` admits: interactive
+    /// ones near their latest time whose customers are below their share, then
+    /// interactive ones by fair share, then deferrable ones.
+    std::optional<waiting_ask> pop(time_point now, const pop_filter& filter);
 
     /// Removes the request `key`; returns false if it does not wait here.
     bool remove(const ask_key& key);
@@ -64,6 +75,11 @@
     /// Removes and returns everything.
     std::vector<waiting_ask> drain();
 
+    /// Returns about how many waiting requests would go before a new one of
+    /// `customer` with `weight`.
+    [[nodiscard]] std::size_t place_of(customer_id customer,
+                                       std::uint32_t weight) const;
+
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] bool contains(const ask_key& key) const;
     /// Returns the number of waiting requests of this urgency.
@@ -86,7 +102,20 @@
         double start = 0;
     };
 
+    /// A waiting request and the lane it stands in.
+    struct choice
+    {
+        std::map<lane_key, lane>::iterator from;
+        std::deque<waiting_ask>::iterator item;
+    };
+
+    std::optional<choice> find_urgent(time_point now, const pop_filter& filter);
+    std::optional<choice> find_next(const pop_filter& filter);
     lane& lane_for(const waiting_ask& ask);
+    /// Returns the virtual start of the next request of a customer that has
+    /// none waiting.
+    [[nodiscard]] double start_of_idle(const lane_key& key,
+                                       std::uint32_t weight) const;
     std::optional<waiting_ask> shed_one();
     void erase_empty_lanes();
 
--- a/include/baobabloft/routing/messages.hpp
+++ b/include/baobabloft/routing/messages.hpp
@@ -101,6 +101,8 @@
     verdict decision = verdict::unavailable;
     /// The service's usual time to first token, milliseconds; 0 if not known.
     std::uint16_t usual_first_token_ms = 0;
+    /// About how many requests would go before this one in the queue.
+    std::uint16_t place = 0;
 };
 
 /// End of one request that held a permit.
--- a/include/baobabloft/routing/permit_client.hpp
+++ b/include/baobabloft/routing/permit_client.hpp
@@ -134,7 +134,10 @@
         bool last_round = false;
         bool queued = false;
         bool any_at_limit = false;
-        std::size_t first_at_limit = 0;
+        bool any_redirect = false;
+        /// Candidate whose queue is the shortest for this customer.
+        std::size_t shortest_queue = 0;
+        std::uint16_t shortest_place = 0;
         unsigned repeats = 0;
         unsigned unreachable = 0;
         unsigned restarts = 0;
--- a/include/baobabloft/routing/permit_owner.hpp
+++ b/include/baobabloft/routing/permit_owner.hpp
@@ -4,11 +4,11 @@
 #pragma once
 
 #include "baobabloft/config/preset.hpp"
+#include "baobabloft/routing/chat_memory.hpp"
 #include "baobabloft/routing/fair_queue.hpp"
 #include "baobabloft/routing/messages.hpp"
 #include "baobabloft/routing/upstream_gate.hpp"
 
-#include <list>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -66,9 +66,9 @@
     struct service_owners
     {
         std::uint16_t service = 0;
-        std::vector<router_id> owners;
+        std::vector<router_id> owners{};
         /// Places of upstreams that may not receive new work.
-        std::vector<std::uint16_t> closed;
+        std::vector<std::uint16_t> closed{};
     };
 
     /// `self` is this router.
@@ -115,29 +115,19 @@
     [[nodiscard]] const verdict_counts& counts() const;
 
 private:
-    /// Chats whose last turn went to a later choice, oldest first.
-    class displaced_chats
-    {
-    public:
-        void remember(time_point now, chat_id chat);
-        void forget(chat_id chat);
-        [[nodiscard]] bool contains(time_point now, chat_id chat) const;
-
-    private:
-        struct item
-        {
-            chat_id chat{};
-            time_point at;
-        };
-        std::list<item> by_age_;
-        std::unordered_map<chat_id, std::list<item>::iterator> by_chat_;
-    };
+    static constexpr std::size_t max_remembered_chats = 32768;
+    static constexpr duration chat_lifetime = 1800s;
 
     struct station
     {
         upstream_gate gate;
         fair_queue queue;
-        displaced_chats displaced;
+        /// Chats whose last turn ran here, so that their prefix is cached.
+        chat_memory resident{max_remembered_chats, chat_lifetime};
+        /// Chats whose last turn went on to a later choice.
+        chat_memory displaced{max_remembered_chats, chat_lifetime};
+        /// Setbacks of the gate when the chats were last forgotten.
+        std::uint64_t setbacks = 0;
         std::uint16_t service = 0;
         std::uint16_t index = 0;
         std::uint32_t queue_limit = 0;
@@ -150,7 +140,7 @@
     {
         load_table loads;
         std::vector<router_id> owners;
-        time_point next_digest;
+        time_point next_digest{};
         unsigned round = 0;
     };
 
@@ -163,15 +153,20 @@
 
     [[nodiscard]] verdict decide(time_point now, const ask_key& key,
                                  const permit_ask& ask, station& at);
-    verdict enqueue(time_point now, const ask_key& key, const permit_ask& ask,
-                    station& at);
+    verdict enqueue(const waiting_ask& waiting, station& at);
+    [[nodiscard]] std::uint32_t weight_of(customer_id customer) const;
+    [[nodiscard]] waiting_ask to_waiting(time_point now, const ask_key& key,
+                                         const permit_ask& ask) const;
     void grant_permit(time_point now, const ask_key& key, station& at,
-                      upstream_id upstream, bool suspect);
+                      upstream_id upstream, const waiting_ask& ask);
+    /// Returns how many requests the upstream may carry before `ask` is
+    /// turned away.
+    [[nodiscard]] double room_for(time_point now, const permit_ask& ask,
+                                  const station& at) const;
     void end_grant(time_point now, const ask_key& key,
                    const released_permit& released);
     void pump(time_point now, upstream_id upstream, station& at);
-    void answer(time_point now, const ask_key& key, verdict decision,
-                const station* at);
+    void answer(const ask_key& key, verdict decision, const station* at);
 
     void update_loads(time_point now);
     void send_digests(time_point now);
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -26,6 +26,9 @@
 /// Silence of peers and KV service after which the preset may be old.
 constexpr duration isolation = 5s;
 constexpr duration appender_idle_lifetime = 300s;
+/// Share of the ledger's writes for entries; the rest is for compaction and for
+/// routers that append at the same time.
+constexpr double entry_share_of_writes = 0.9;
 
 std::uint32_t data_centre_hash(std::string_view name)
 {
@@ -603,8 +606,8 @@
     }
     const ledger::appender_options options{
         .shard = shard,
-        .writes_per_second =
-            options_.ledger_writes_per_second / options_.ledger_shards,
+        .writes_per_second = options_.ledger_writes_per_second *
+                             entry_share_of_writes / options_.ledger_shards,
         .max_records_per_entry = options_.ledger_records_per_entry,
         .retention = options_.ledger_retention,
         .seed = hash_combine(options_.seed, 1000 + shard)};
--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr std::size_t entries_per_read = 64;
-constexpr double max_tokens = 4;
+constexpr double max_tokens = 2;
 constexpr duration first_back_off = 50ms;
 constexpr duration longest_back_off = 1s;
 constexpr duration compaction_period = 60s;
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -17,7 +17,7 @@
 constexpr duration join_retry_period = 500ms;
 /// A settled router still asks one member for its list now and then, which
 /// heals views that lost a record.
-constexpr duration resync_period = 120s;
+constexpr duration resync_period = 300s;
 constexpr duration relayed_lifetime = 5s;
 constexpr duration meeting_period = 500ms;
 /// Seeds outside the view are probed at this share of the probe rate, so that
@@ -466,7 +466,7 @@
 
 unsigned swim::max_sends() const
 {
-    constexpr unsigned sends_per_doubling = 3;
+    constexpr unsigned sends_per_doubling = 1;
     return sends_per_doubling *
            static_cast<unsigned>(std::bit_width(members_.size() + 1));
 }
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -143,7 +143,7 @@
 {
     archive(it.sequence);
     checked_enum(archive, it.decision, verdict::expired);
-    archive(it.usual_first_token_ms);
+    archive(it.usual_first_token_ms, it.place);
 }
 
 template <typename Archive>
@@ -190,12 +190,14 @@
     archive(it.sequence, it.waited_ms);
 }
 
-template <typename Archive> void serialize(Archive& archive, load_entry& it)
+template <typename Archive>
+void serialize(Archive& archive, load_entry& it)
 {
     archive(it.index, it.load, it.age, it.first_token);
 }
 
-template <typename Archive> void serialize(Archive& archive, load_digest& it)
+template <typename Archive>
+void serialize(Archive& archive, load_digest& it)
 {
     archive(it.service, it.generation);
     short_list(archive, it.entries);
@@ -276,6 +278,12 @@
         throw std::out_of_range("message kind");
 }
 
+/// Returns what the MAC of a datagram covers.
+std::string signed_text(router_id sender, std::string_view body)
+{
+    return to_string(sender) + std::string{body};
+}
+
 constexpr const char* rebuild_remedy =
     "run the same version on every router and check the shared secrets";
 
@@ -323,29 +331,31 @@
     return false;
 }
 
-std::string encode_datagram(const datagram_keys& keys, const datagram& message)
+std::string encode_datagram(const datagram_keys& keys, router_id sender,
+                            const fleet::message& message)
 {
     std::ostringstream stream;
     {
         cereal::PortableBinaryOutputArchive archive(stream);
-        archive(raw(message.sender),
-                static_cast<std::uint8_t>(message.content.index()));
+        archive(static_cast<std::uint8_t>(message.index()));
         std::visit(
             [&archive](const auto& part)
             {
                 auto copy = part;
                 archive(copy);
             },
-            message.content);
+            message);
     }
     const auto body = std::move(stream).str();
-    const auto code = keys.sign(body);
+    const auto code = keys.sign(signed_text(sender, body));
     std::string bytes{reinterpret_cast<const char*>(code.data()), code.size()};
     return bytes + body;
 }
 
-std::optional<datagram> decode_datagram(const datagram_keys& keys,
-                                        std::string_view bytes, failure& reason)
+std::optional<fleet::message> decode_datagram(const datagram_keys& keys,
+                                              router_id sender,
+                                              std::string_view bytes,
+                                              failure& reason)
 {
     datagram_keys::mac code{};
     if (bytes.size() <= code.size())
@@ -357,7 +367,7 @@
     std::copy_n(bytes.begin(), code.size(),
                 reinterpret_cast<char*>(code.data()));
     const auto body = bytes.substr(code.size());
-    if (!keys.verify(body, code))
+    if (!keys.verify(signed_text(sender, body), code))
     {
         reason = {failure_kind::wrong_key, "datagram with a wrong MAC",
                   rebuild_remedy};
@@ -368,10 +378,9 @@
     try
     {
         input_archive archive(stream);
-        std::uint64_t sender = 0;
         std::uint8_t kind = 0;
-        archive(sender, kind);
-        return datagram{router_id{sender}, read_message(archive, kind)};
+        archive(kind);
+        return read_message(archive, kind);
     }
     catch (const std::exception&)
     {
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -367,22 +367,15 @@
 void control_task::receive(router_id from, std::string_view bytes)
 {
     failure reason;
-    auto message = net::decode_datagram(keys_, bytes, reason);
+    const auto message = net::decode_datagram(keys_, from, bytes, reason);
     if (!message)
     {
         metrics_->datagram_refused(name_in(failure_kind_names, reason.kind));
         return;
     }
-    // The sender's address stands inside the MAC; the packet's own does not.
-    if (message->sender != from)
-    {
-        metrics_->datagram_refused("wrong_sender");
-        return;
-    }
-    metrics_->datagram_received(
-        fleet::message_names.at(message->content.index()),
-        bytes.size() + net::datagram_header_bytes);
-    node_.receive(net::monotonic_now(), from, message->content);
+    metrics_->datagram_received(fleet::message_names.at(message->index()),
+                                bytes.size() + net::datagram_header_bytes);
+    node_.receive(net::monotonic_now(), from, *message);
     apply_effects();
 }
 
@@ -443,7 +436,7 @@
 
 void control_task::apply(const fleet::send_message& effect)
 {
-    const auto bytes = net::encode_datagram(keys_, {self_, effect.content});
+    const auto bytes = net::encode_datagram(keys_, self_, effect.content);
     metrics_->datagram_sent(fleet::message_names.at(effect.content.index()),
                             bytes.size() + net::datagram_header_bytes);
     socket_->send(effect.to, bytes);
--- a/lib/routing/fair_queue.cpp
+++ b/lib/routing/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "baobabloft/routing/fair_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace baobabloft::routing
 {
@@ -10,6 +11,13 @@
 
 /// Finish times of idle customers are forgotten beyond this many.
 constexpr std::size_t max_idle_lanes = 1024;
+/// Requests that a customer which stayed below its share may send at once
+/// without waiting behind customers that are above theirs.
+constexpr double burst_requests = 16;
+
+/// A request that must start within this goes first if its customer is below
+/// its share.
+constexpr duration urgent_margin = 2s;
 
 } // namespace
 
@@ -23,41 +31,78 @@
     return shed_one();
 }
 
-std::optional<waiting_ask> fair_queue::pop(bool with_deferrable,
-                                           bool with_suspects)
+std::optional<waiting_ask> fair_queue::pop(time_point now,
+                                           const pop_filter& filter)
+{
+    auto chosen = find_urgent(now, filter);
+    if (!chosen)
+        chosen = find_next(filter);
+    if (!chosen)
+        return std::nullopt;
+    auto& from = chosen->from->second;
+    const auto result = *chosen->item;
+    from.items.erase(chosen->item);
+    --size_;
+    virtual_time_ = std::max(virtual_time_, from.start);
+    from.start += 1.0 / from.weight;
+    erase_empty_lanes();
+    return result;
+}
+
+std::optional<fair_queue::choice>
+fair_queue::find_urgent(time_point now, const pop_filter& filter)
+{
+    std::optional<choice> best;
+    for (auto entry = lanes_.begin(); entry != lanes_.end(); ++entry)
+    {
+        auto& [key, candidate] = *entry;
+        const bool below_share = candidate.start < virtual_time_;
+        if (key.priority != urgency::interactive || !below_share)
+            continue;
+        for (auto item = candidate.items.begin(); item != candidate.items.end();
+             ++item)
+        {
+            const bool is_due = item->latest - now < urgent_margin;
+            if (!is_due || !filter.admits(*item))
+                continue;
+            if (!best || item->latest < best->item->latest)
+                best = choice{entry, item};
+        }
+    }
+    return best;
+}
+
+std::optional<fair_queue::choice>
+fair_queue::find_next(const pop_filter& filter)
 {
-    const auto is_allowed = [with_suspects](const waiting_ask& ask)
+    const auto goes_before = [](const choice& left, const choice& right)
     {
-        return with_suspects || !ask.suspect;
+        const auto& left_key = left.from->first;
+        const auto& right_key = right.from->first;
+        if (left_key.priority != right_key.priority)
+            return left_key.priority < right_key.priority;
+        return left.from->second.start < right.from->second.start;
     };
-    auto best = lanes_.end();
+    std::optional<choice> best;
     for (auto entry = lanes_.begin(); entry != lanes_.end(); ++entry)
     {
-        const auto& [key, candidate] = *entry;
-        if (key.priority == urgency::deferrable && !with_deferrable)
-            continue;
-        if (std::none_of(candidate.items.begin(), candidate.items.end(),
-                         is_allowed))
+        auto& items = entry->second.items;
+        const auto item = std::find_if(items.begin(), items.end(),
+                                       [&filter](const waiting_ask& ask)
+                                       { return filter.admits(ask); });
+        if (item == items.end())
             continue;
-        const bool better = best == lanes_.end() ||
-                            key.priority < best->first.priority ||
-                            (key.priority == best->first.priority &&
-                             candidate.start < best->second.start);
-        if (better)
-            best = entry;
+        const choice candidate{entry, item};
+        if (!best || goes_before(candidate, *best))
+            best = candidate;
     }
-    if (best == lanes_.end())
-        return std::nullopt;
-    auto& chosen = best->second;
-    const auto item =
-        std::find_if(chosen.items.begin(), chosen.items.end(), is_allowed);
-    const auto result = *item;
-    chosen.items.erase(item);
-    --size_;
-    virtual_time_ = std::max(virtual_time_, chosen.start);
-    chosen.start += 1.0 / chosen.weight;
-    erase_empty_lanes();
-    return result;
+    return best;
+}
+
+bool pop_filter::admits(const waiting_ask& ask) const
+{
+    return (with_suspects || !ask.suspect) &&
+           (with_deferrable || ask.priority != urgency::deferrable);
 }
 
 bool fair_queue::remove(const ask_key& key)
@@ -131,6 +176,26 @@
     return all;
 }
 
+std::size_t fair_queue::place_of(customer_id customer,
+                                 std::uint32_t weight) const
+{
+    const auto own = lanes_.find({urgency::interactive, customer});
+    const auto items_of = [](const lane& candidate)
+    {
+        return static_cast<double>(candidate.items.size());
+    };
+    const double own_items = own == lanes_.end() ? 0 : items_of(own->second);
+    double before = own_items;
+    for (const auto& [key, candidate] : lanes_)
+    {
+        if (key.priority != urgency::interactive || key.customer == customer)
+            continue;
+        const double served = (own_items + 1) * candidate.weight / weight;
+        before += std::min(items_of(candidate), served);
+    }
+    return static_cast<std::size_t>(before);
+}
+
 std::size_t fair_queue::size() const
 {
     return size_;
@@ -157,17 +222,22 @@
 fair_queue::lane& fair_queue::lane_for(const waiting_ask& ask)
 {
     const lane_key key{ask.priority, ask.customer};
+    const auto weight = std::max<std::uint32_t>(ask.weight, 1);
     const auto [entry, added] = lanes_.try_emplace(key);
     if (added)
-    {
-        const auto last = finish_times_.find(key);
-        const double finish = last == finish_times_.end() ? 0.0 : last->second;
-        entry->second.start = std::max(virtual_time_, finish);
-    }
-    entry->second.weight = std::max<std::uint32_t>(ask.weight, 1);
+        entry->second.start = start_of_idle(key, weight);
+    entry->second.weight = weight;
     return entry->second;
 }
 
+double fair_queue::start_of_idle(const lane_key& key,
+                                 std::uint32_t weight) const
+{
+    const auto last = finish_times_.find(key);
+    const double finish = last == finish_times_.end() ? 0.0 : last->second;
+    return std::max(virtual_time_ - burst_requests / weight, finish);
+}
+
 std::optional<waiting_ask> fair_queue::shed_one()
 {
     const auto cost = [](const auto& entry)
@@ -201,7 +271,7 @@
         entry = lanes_.erase(entry);
     }
     std::erase_if(finish_times_, [this](const auto& entry)
-                  { return entry.second <= virtual_time_; });
+                  { return entry.second <= virtual_time_ - burst_requests; });
     if (finish_times_.size() > max_idle_lanes)
         finish_times_.clear();
 }
--- a/lib/routing/load_table.cpp
+++ b/lib/routing/load_table.cpp
@@ -31,9 +31,7 @@
 
 } // namespace
 
-load_table::load_table(std::size_t upstreams) : known_(upstreams)
-{
-}
+load_table::load_table(std::size_t upstreams) : known_(upstreams) {}
 
 void load_table::set_own(time_point now, std::uint16_t index, double load,
                          double first_token_ms)
@@ -84,8 +82,7 @@
         result.push_back(
             {.index = order[place],
              .load = static_cast<std::uint16_t>(known.load),
-             .age = to_steps(to_seconds(age),
-                             to_seconds(load_entry_age_step)),
+             .age = to_steps(to_seconds(age), to_seconds(load_entry_age_step)),
              .first_token = to_steps(known.first_token_ms,
                                      load_entry_first_token_step_ms)});
     }
--- a/lib/routing/permit_client.cpp
+++ b/lib/routing/permit_client.cpp
@@ -120,8 +120,11 @@
         item.next_repeat = now + queued_repeat;
         return;
     case verdict::at_limit:
-        if (!item.any_at_limit)
-            item.first_at_limit = item.choice;
+        if (!item.any_at_limit || answer.place < item.shortest_place)
+        {
+            item.shortest_queue = item.choice;
+            item.shortest_place = answer.place;
+        }
         item.any_at_limit = true;
         break;
     case verdict::queue_full:
@@ -131,9 +134,7 @@
         finish(answer.sequence, permit_result::expired);
         return;
     case verdict::cached_elsewhere:
-        if (!item.any_at_limit)
-            item.first_at_limit = item.choice;
-        item.any_at_limit = true;
+        item.any_redirect = true;
         break;
     case verdict::unavailable:
         break;
@@ -230,10 +231,10 @@
         ask(now, ticket, item);
         return;
     }
-    if (!item.last_round && item.any_at_limit)
+    if (!item.last_round && (item.any_at_limit || item.any_redirect))
     {
         item.last_round = true;
-        item.choice = item.first_at_limit;
+        item.choice = item.any_at_limit ? item.shortest_queue : 0;
         ask(now, ticket, item);
         return;
     }
@@ -243,6 +244,7 @@
         ++item.restarts;
         item.last_round = false;
         item.any_at_limit = false;
+        item.any_redirect = false;
         item.choice = 0;
         ask(now, ticket, item);
         return;
--- a/lib/routing/permit_owner.cpp
+++ b/lib/routing/permit_owner.cpp
@@ -12,8 +12,9 @@
 
 /// A permit that its holder neither returns nor renews ends after this.
 constexpr duration permit_lease = 40s;
-constexpr duration displaced_lifetime = 600s;
-constexpr std::size_t max_displaced_chats = 4096;
+/// Chats without a cached prefix use an upstream only below this share of its
+/// limit. They lose nothing elsewhere, and the rest stays for those that would.
+constexpr double newcomer_share = 0.9;
 /// Deferrable requests use an upstream only below this share of its limit.
 constexpr double deferrable_share = 0.7;
 /// Deferrable requests become interactive this long before their latest time.
@@ -28,34 +29,7 @@
 
 } // namespace
 
-void permit_owner::displaced_chats::remember(time_point now, chat_id chat)
-{
-    forget(chat);
-    by_age_.push_back({chat, now});
-    by_chat_[chat] = std::prev(by_age_.end());
-    if (by_age_.size() > max_displaced_chats)
-        forget(by_age_.front().chat);
-}
-
-void permit_owner::displaced_chats::forget(chat_id chat)
-{
-    const auto found = by_chat_.find(chat);
-    if (found == by_chat_.end())
-        return;
-    by_age_.erase(found->second);
-    by_chat_.erase(found);
-}
-
-bool permit_owner::displaced_chats::contains(time_point now, chat_id chat) const
-{
-    const auto found = by_chat_.find(chat);
-    return found != by_chat_.end() &&
-           now - found->second->at < displaced_lifetime;
-}
-
-permit_owner::permit_owner(router_id self) : self_(self)
-{
-}
+permit_owner::permit_owner(router_id self) : self_(self) {}
 
 void permit_owner::set_owned(time_point now,
                              const config::preset_snapshot& preset,
@@ -77,9 +51,8 @@
             kept.insert(stations_.extract(known));
         }
         else
-            kept.emplace(id, station{.gate = upstream_gate{options, now},
-                                     .queue = {},
-                                     .displaced = {}});
+            kept.emplace(
+                id, station{.gate = upstream_gate{options, now}, .queue = {}});
         auto& at = kept.at(id);
         at.service = item.service;
         at.index = item.index;
@@ -87,11 +60,11 @@
         at.admitted = item.admitted;
         if (!item.admitted)
             for (const auto& waiting : at.queue.drain())
-                answer(now, waiting.key, verdict::unavailable, &at);
+                answer(waiting.key, verdict::unavailable, &at);
     }
     for (auto& [id, lost] : stations_)
         for (const auto& waiting : lost.queue.drain())
-            answer(now, waiting.key, verdict::unavailable, nullptr);
+            answer(waiting.key, verdict::unavailable, nullptr);
     stations_ = std::move(kept);
     std::erase_if(grants_, [this](const auto& entry)
                   { return !stations_.contains(entry.second.upstream); });
@@ -118,7 +91,9 @@
 {
     live_share_ = live_share;
     const auto is_gone = [&live](router_id router)
-    { return !std::binary_search(live.begin(), live.end(), router); };
+    {
+        return !std::binary_search(live.begin(), live.end(), router);
+    };
     std::vector<ask_key> gone;
     for (const auto& [key, item] : grants_)
         if (is_gone(key.asker))
@@ -136,11 +111,15 @@
     const auto found = stations_.find(ask.upstream);
     if (found == stations_.end())
     {
-        answer(now, key, verdict::unavailable, nullptr);
+        answer(key, verdict::unavailable, nullptr);
         return;
     }
     auto& at = found->second;
-    answer(now, key, decide(now, key, ask, at), &at);
+    const auto decision = decide(now, key, ask, at);
+    answer(key, decision, &at);
+    if (decision == verdict::at_limit)
+        answers_.back().answer.place =
+            to_u16(at.queue.place_of(ask.customer, weight_of(ask.customer)));
 }
 
 void permit_owner::handle(time_point now, router_id from,
@@ -237,13 +216,13 @@
     for (auto& [id, at] : stations_)
     {
         for (const auto& ask : at.queue.remove_expired(now))
-            answer(now, ask.key, verdict::expired, &at);
+            answer(ask.key, verdict::expired, &at);
         at.queue.promote_due(now, deferrable_margin);
         const bool useless =
             !at.admitted || !at.gate.is_available(now) || at.gate.is_leaving();
         if (useless)
             for (const auto& ask : at.queue.drain())
-                answer(now, ask.key, verdict::unavailable, &at);
+                answer(ask.key, verdict::unavailable, &at);
         else
             pump(now, id, at);
     }
@@ -299,54 +278,87 @@
     if (at.queue.contains(key))
         return verdict::queued;
     if (!at.admitted || !at.gate.is_available(now) || at.gate.is_leaving())
+    {
+        at.displaced.remember(now, ask.chat);
         return verdict::unavailable;
+    }
+    if (at.setbacks != at.gate.setbacks())
+    {
+        // What restarted or went cold has lost its cache.
+        at.setbacks = at.gate.setbacks();
+        at.resident.clear();
+    }
     if (ask.first_choice && at.displaced.contains(now, ask.chat))
     {
         at.displaced.remember(now, ask.chat);
         return verdict::cached_elsewhere;
     }
-    const auto limit = at.gate.limit(now);
-    const bool deferrable = ask.priority == urgency::deferrable;
-    const double room = deferrable ? deferrable_share * limit : limit;
+    const auto waiting = to_waiting(now, key, ask);
     const bool suspect_blocked = ask.suspect && at.suspects > 0;
     const bool others_wait = at.queue.size_of(urgency::interactive) > 0;
-    if (at.gate.load() < room && !others_wait && !suspect_blocked)
+    if (at.gate.load() < room_for(now, ask, at) && !others_wait &&
+        !suspect_blocked)
     {
-        grant_permit(now, key, at, ask.upstream, ask.suspect);
-        at.displaced.forget(ask.chat);
+        grant_permit(now, key, at, ask.upstream, waiting);
         return verdict::granted;
     }
     if (ask.may_queue)
-        return enqueue(now, key, ask, at);
+        return enqueue(waiting, at);
+    at.resident.forget(ask.chat);
     at.displaced.remember(now, ask.chat);
     return verdict::at_limit;
 }
 
-verdict permit_owner::enqueue(time_point now, const ask_key& key,
-                              const permit_ask& ask, station& at)
+double permit_owner::room_for(time_point now, const permit_ask& ask,
+                              const station& at) const
+{
+    const double limit = at.gate.limit(now);
+    if (ask.priority == urgency::deferrable)
+        return deferrable_share * limit;
+    // The last round has nowhere else to go.
+    const bool newcomer =
+        !ask.may_queue && !at.resident.contains(now, ask.chat);
+    return newcomer && at.gate.state(now) == warmth::warm
+               ? newcomer_share * limit
+               : limit;
+}
+
+std::uint32_t permit_owner::weight_of(customer_id customer) const
+{
+    return preset_ ? preset_->value.weight_of(customer) : 1;
+}
+
+waiting_ask permit_owner::to_waiting(time_point now, const ask_key& key,
+                                     const permit_ask& ask) const
+{
+    return {.key = key,
+            .chat = ask.chat,
+            .customer = ask.customer,
+            .weight = weight_of(ask.customer),
+            .priority = ask.priority,
+            .suspect = ask.suspect,
+            .latest = now + std::chrono::milliseconds{ask.patience_ms}};
+}
+
+verdict permit_owner::enqueue(const waiting_ask& waiting, station& at)
 {
-    const waiting_ask waiting{
-        .key = key,
-        .customer = ask.customer,
-        .weight = preset_ ? preset_->value.weight_of(ask.customer) : 1,
-        .priority = ask.priority,
-        .suspect = ask.suspect,
-        .latest = now + std::chrono::milliseconds{ask.patience_ms}};
     const auto shed = at.queue.push(waiting, at.queue_limit);
     if (!shed)
         return verdict::queued;
-    if (shed->key == key)
+    if (shed->key == waiting.key)
         return verdict::queue_full;
-    answer(now, shed->key, verdict::queue_full, &at);
+    answer(shed->key, verdict::queue_full, &at);
     return verdict::queued;
 }
 
 void permit_owner::grant_permit(time_point now, const ask_key& key, station& at,
-                                upstream_id upstream, bool suspect)
+                                upstream_id upstream, const waiting_ask& ask)
 {
-    grants_[key] = {upstream, now + permit_lease, suspect};
+    grants_[key] = {upstream, now + permit_lease, ask.suspect};
     at.gate.granted(now);
-    if (suspect)
+    at.displaced.forget(ask.chat);
+    at.resident.remember(now, ask.chat);
+    if (ask.suspect)
         ++at.suspects;
 }
 
@@ -372,22 +384,34 @@
     const auto limit = at.gate.limit(now);
     while (at.gate.load() < limit && at.queue.size() > 0)
     {
-        const bool with_deferrable = at.gate.load() < deferrable_share * limit;
-        const auto next = at.queue.pop(with_deferrable, at.suspects == 0);
+        const pop_filter filter{.with_deferrable =
+                                    at.gate.load() < deferrable_share * limit,
+                                .with_suspects = at.suspects == 0};
+        const auto next = at.queue.pop(now, filter);
         if (!next)
             return;
-        grant_permit(now, next->key, at, upstream, next->suspect);
-        answer(now, next->key, verdict::granted, &at);
+        grant_permit(now, next->key, at, upstream, *next);
+        answer(next->key, verdict::granted, &at);
     }
 }
 
 void permit_owner::update_loads(time_point now)
 {
     for (const auto& [id, at] : stations_)
-        if (const auto found = services_.find(at.service);
-            found != services_.end() && at.admitted)
+    {
+        const auto found = services_.find(at.service);
+        if (found == services_.end())
+            continue;
+        // The mean is one of upstreams that can carry their share: one that is
+        // down or cold would lower it and with it what the others may take.
+        const bool counts = at.admitted && at.gate.is_available(now) &&
+                            at.gate.state(now) == warmth::warm;
+        if (counts)
             found->second.loads.set_own(now, at.index, at.gate.load(),
                                         at.gate.first_token_ms(now));
+        else
+            found->second.loads.remove(at.index);
+    }
     std::map<std::uint16_t, fleet_load> summaries;
     for (const auto& [service, state] : services_)
         summaries[service] = state.loads.summary(now);
@@ -410,8 +434,7 @@
         // them in as many rounds as their number has binary digits.
         const auto own =
             std::find(state.owners.begin(), state.owners.end(), self_);
-        const auto place =
-            static_cast<std::size_t>(own - state.owners.begin());
+        const auto place = static_cast<std::size_t>(own - state.owners.begin());
         const auto rounds = static_cast<unsigned>(std::bit_width(count - 1));
         const auto step = std::size_t{1} << (state.round++ % rounds);
         digests_.push_back(
@@ -422,7 +445,7 @@
     }
 }
 
-void permit_owner::answer(time_point now, const ask_key& key, verdict decision,
+void permit_owner::answer(const ask_key& key, verdict decision,
                           const station* at)
 {
     ++counts_[static_cast<std::size_t>(decision)];
--- a/lib/routing/upstream_gate.cpp
+++ b/lib/routing/upstream_gate.cpp
@@ -49,8 +49,7 @@
 }
 
 upstream_gate::upstream_gate(const gate_options& options, time_point now)
-    : options_(options), owned_since_(now),
-      own_first_token_(first_token_window)
+    : options_(options), owned_since_(now), own_first_token_(first_token_window)
 {
     if (!options_.reports_load)
         warmth_ = warmth::warm;
@@ -181,8 +180,8 @@
     const double progress =
         to_seconds(now - ramp_started_) / to_seconds(options_.ramp);
     const auto ramped =
-        bearable + static_cast<std::uint32_t>(
-                       std::clamp(progress, 0.0, 1.0) * (full - bearable));
+        bearable + static_cast<std::uint32_t>(std::clamp(progress, 0.0, 1.0) *
+                                              (full - bearable));
     return shared_limit(ramped);
 }
 
@@ -251,8 +250,8 @@
     const double allowed = options_.load_multiple *
                            (1 - std::min(headroom, most_headroom)) *
                            fleet_.mean;
-    const auto by_mean =
-        std::max(options_.load_floor, static_cast<std::uint32_t>(std::ceil(allowed)));
+    const auto by_mean = std::max(
+        options_.load_floor, static_cast<std::uint32_t>(std::ceil(allowed)));
     return std::min(options_.capacity, by_mean);
 }
 
