--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -436,8 +436,9 @@
     }
 }
 
-void world::kv_call(std::size_t index, event_queue::action effect_at_kv,
-                    event_queue::action answer, event_queue::action no_answer)
+void world::kv_call(std::size_t index, const event_queue::action& effect_at_kv,
+                    const event_queue::action& answer,
+                    const event_queue::action& no_answer)
 {
     const auto life = hosts_[index].life;
     const auto fail = [this, index, life, no_answer]
@@ -639,8 +640,7 @@
                              .waited = now() - found.mapped().asked});
         return;
     }
-    run_on_engine(std::move(found.mapped()),
-                  engine_index_.at(effect.decision.upstream),
+    run_on_engine(found.mapped(), engine_index_.at(effect.decision.upstream),
                   effect.decision.choice);
 }
 
@@ -656,7 +656,7 @@
 {
 }
 
-void world::run_on_engine(running_request request, std::size_t engine,
+void world::run_on_engine(const running_request& request, std::size_t engine,
                           std::uint32_t choice)
 {
     auto& target = engines_[engine];
--- a/benchmarks/driver/world.hpp
+++ b/benchmarks/driver/world.hpp
@@ -273,9 +273,10 @@
     void apply(std::size_t index, const fleet::claim_decided& effect);
     void apply(std::size_t index, const fleet::preset_adopted& effect);
     /// Runs `answer` after the KV service's delay; `no_answer` if it is lost.
-    void kv_call(std::size_t index, event_queue::action effect_at_kv,
-                 event_queue::action answer, event_queue::action no_answer);
-    void run_on_engine(running_request request, std::size_t engine,
+    void kv_call(std::size_t index, const event_queue::action& effect_at_kv,
+                 const event_queue::action& answer,
+                 const event_queue::action& no_answer);
+    void run_on_engine(const running_request& request, std::size_t engine,
                        std::uint32_t choice);
     void end_run(run& ended);
     void notify_watchers();
--- a/include/baobabloft/membership/swim.hpp
+++ b/include/baobabloft/membership/swim.hpp
@@ -148,7 +148,7 @@
     void refute(std::uint64_t incarnation);
     /// Exchanges member lists with a router outside the view.
     void meet(time_point now, router_id from);
-    void probe_lost_seed();
+    void probe_lost();
     void hear_generation(router_id from, std::uint64_t generation);
     void expire_members(time_point now);
     void check_probe(time_point now);
--- a/include/baobabloft/routing/load_table.hpp
+++ b/include/baobabloft/routing/load_table.hpp
@@ -29,6 +29,9 @@
     /// `upstreams` is the number of upstreams that the service has.
     explicit load_table(std::size_t upstreams);
 
+    /// Sets how many of the upstreams may receive new work.
+    void set_open(std::size_t upstreams);
+
     /// Takes in the present load of an upstream of this owner.
     void set_own(time_point now, std::uint16_t index, double load,
                  double first_token_ms);
@@ -55,6 +58,7 @@
     };
 
     std::vector<known_load> known_;
+    std::size_t open_;
 };
 
 } // namespace baobabloft::routing
--- a/include/baobabloft/routing/permit_owner.hpp
+++ b/include/baobabloft/routing/permit_owner.hpp
@@ -147,6 +147,7 @@
     struct grant
     {
         upstream_id upstream{};
+        time_point granted_at;
         time_point expires;
         bool suspect = false;
     };
--- a/include/baobabloft/routing/upstream_gate.hpp
+++ b/include/baobabloft/routing/upstream_gate.hpp
@@ -85,8 +85,9 @@
     /// Counts a permit that a former owner had granted.
     void registered(time_point now);
 
-    /// Counts the end of a permit.
-    void released(time_point now, outcome how, double first_token_ms);
+    /// Counts the end of a permit that was granted at `granted_at`.
+    void released(time_point now, outcome how, double first_token_ms,
+                  time_point granted_at);
 
     /// Counts a permit whose lease ran out.
     void lapsed(time_point now);
@@ -129,7 +130,7 @@
     void become_cold(time_point now);
     void become_down(time_point now);
     [[nodiscard]] bool is_slow(double first_token_ms) const;
-    void note_first_token(time_point now, double ms);
+    void note_first_token(time_point now, double ms, time_point granted_at);
 
     static constexpr std::size_t history_slots = 8;
 
@@ -152,6 +153,7 @@
     double live_share_ = 1;
     windowed_mean own_first_token_;
     std::uint32_t slow_in_a_row_ = 0;
+    time_point last_slow_;
     std::uint32_t breaks_ = 0;
     time_point last_break_;
     std::uint32_t failed_reports_ = 0;
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -20,9 +20,9 @@
 constexpr duration resync_period = 300s;
 constexpr duration relayed_lifetime = 5s;
 constexpr duration meeting_period = 500ms;
-/// Seeds outside the view are probed at this share of the probe rate, so that
-/// two halves of a fleet find each other after a partition.
-constexpr std::uint32_t probes_per_seed_probe = 4;
+/// Seeds outside the view and dead members are probed at this share of the
+/// probe rate, so that two halves of a fleet find each other after a partition.
+constexpr std::uint32_t probes_per_lost_probe = 4;
 
 bool is_live(member_state state)
 {
@@ -325,7 +325,7 @@
     send(from, join_request{options_.self});
 }
 
-void swim::probe_lost_seed()
+void swim::probe_lost()
 {
     std::vector<router_id> lost;
     for (const auto seed : seeds_)
@@ -334,6 +334,10 @@
         if (known == members_.end() || !is_live(known->second.record.state))
             lost.push_back(seed);
     }
+    // Two members that each believe the other dead would never meet again.
+    for (const auto& [id, item] : members_)
+        if (item.record.state == member_state::dead)
+            lost.push_back(id);
     if (lost.empty())
         return;
     std::uniform_int_distribution<std::size_t> pick(0, lost.size() - 1);
@@ -408,8 +412,8 @@
     std::uniform_int_distribution<duration::rep> jitter(
         0, options_.probe_period.count() / 8);
     next_probe_ = now + options_.probe_period + duration{jitter(random_)};
-    if (++probes_ % probes_per_seed_probe == 0)
-        probe_lost_seed();
+    if (++probes_ % probes_per_lost_probe == 0)
+        probe_lost();
     const auto target = next_target();
     if (!target)
         return;
--- a/lib/operators/burn_report.cpp
+++ b/lib/operators/burn_report.cpp
@@ -142,6 +142,7 @@
         }
     }
     std::vector<burn_series> result;
+    result.reserve(sums.size());
     for (auto& [key, series] : sums)
         result.push_back(std::move(series));
     return result;
@@ -210,7 +211,10 @@
         "objective allows.</p><table><tr><th>Service<th>Customer"
         "<th>Objective<th>Target";
     for (const auto name : router::burn_window_names)
-        page += "<th>Burn, " + std::string{name};
+    {
+        page += "<th>Burn, ";
+        page += name;
+    }
     page += "<th>Alert</tr>";
     for (const auto& row : series)
     {
@@ -221,7 +225,11 @@
                 escaped(row.objective) + "<td>" + format("%.3f", row.target);
         for (std::size_t index = 0; index < row.windows.size(); ++index)
             page += "<td>" + bar(row.rate(index));
-        page += "<td class=\"" + alert + "\">" + alert + "</tr>";
+        page += "<td class=\"";
+        page += alert;
+        page += "\">";
+        page += alert;
+        page += "</tr>";
     }
     return page + "</table></html>\n";
 }
--- a/lib/router/settings.cpp
+++ b/lib/router/settings.cpp
@@ -66,8 +66,7 @@
 mistake apply_seconds(duration& target, const std::string& text)
 {
     double seconds = 0;
-    if (const auto wrong =
-            apply_number<double>(seconds, text, 0.001, max_seconds))
+    if (auto wrong = apply_number<double>(seconds, text, 0.001, max_seconds))
         return wrong;
     target = from_seconds(seconds);
     return std::nullopt;
--- a/lib/routing/load_table.cpp
+++ b/lib/routing/load_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace baobabloft::routing
 {
@@ -10,7 +11,11 @@
 {
 
 /// Loads older than this no longer count.
-constexpr duration longest_age = 6s;
+constexpr duration longest_age = 10s;
+/// An upstream whose owner has fallen silent gets no new work, so that its load
+/// falls: from this age on it is taken to fall at the pace of long requests.
+constexpr duration steady_age = 2s;
+constexpr double seconds_to_drain = 12;
 
 std::uint8_t to_steps(double value, double step)
 {
@@ -31,7 +36,15 @@
 
 } // namespace
 
-load_table::load_table(std::size_t upstreams) : known_(upstreams) {}
+load_table::load_table(std::size_t upstreams)
+    : known_(upstreams), open_(upstreams)
+{
+}
+
+void load_table::set_open(std::size_t upstreams)
+{
+    open_ = upstreams;
+}
 
 void load_table::set_own(time_point now, std::uint16_t index, double load,
                          double first_token_ms)
@@ -92,21 +105,28 @@
 fleet_load load_table::summary(time_point now) const
 {
     double sum = 0;
+    double least = std::numeric_limits<double>::max();
     std::size_t count = 0;
     std::vector<double> first_tokens;
     for (const auto& known : known_)
     {
         if (!known.at || now - *known.at >= longest_age)
             continue;
-        sum += known.load;
+        const double silent_s =
+            std::max(to_seconds(now - *known.at - steady_age), 0.0);
+        sum += known.load * std::max(1 - silent_s / seconds_to_drain, 0.0);
+        least = std::min(least, known.load);
         ++count;
         if (known.first_token_ms > 0)
             first_tokens.push_back(known.first_token_ms);
     }
     if (count == 0)
         return {};
-    const double mean = sum / static_cast<double>(count);
-    return {mean, mean * static_cast<double>(known_.size()),
+    // A new owner that has heard of a few upstreams only must not take a high
+    // load among them for the mean.
+    const bool few = 2 * count < open_;
+    const double mean = few ? least : sum / static_cast<double>(count);
+    return {mean, mean * static_cast<double>(open_),
             median(std::move(first_tokens))};
 }
 
--- a/lib/routing/permit_owner.cpp
+++ b/lib/routing/permit_owner.cpp
@@ -20,6 +20,9 @@
 /// Deferrable requests become interactive this long before their latest time.
 constexpr duration deferrable_margin = 60s;
 constexpr duration digest_period = 500ms;
+/// Few owners carry few requests, whose mean changes faster.
+constexpr duration small_digest_period = 250ms;
+constexpr std::size_t few_owners = 16;
 constexpr std::size_t entries_per_digest = 16;
 
 std::uint16_t to_u16(double value)
@@ -77,6 +80,7 @@
         const auto known = services_.find(item.service);
         if (known != services_.end() && !renumbered)
             state.loads = known->second.loads;
+        state.loads.set_open(count - item.closed.size());
         for (const auto index : item.closed)
             state.loads.remove(index);
         known_services.emplace(item.service, std::move(state));
@@ -354,7 +358,7 @@
 void permit_owner::grant_permit(time_point now, const ask_key& key, station& at,
                                 upstream_id upstream, const waiting_ask& ask)
 {
-    grants_[key] = {upstream, now + permit_lease, ask.suspect};
+    grants_[key] = {upstream, now, now + permit_lease, ask.suspect};
     at.gate.granted(now);
     at.displaced.forget(ask.chat);
     at.resident.remember(now, ask.chat);
@@ -373,7 +377,8 @@
     auto& at = stations_.at(ended.upstream);
     if (ended.suspect)
         --at.suspects;
-    at.gate.released(now, released.how, released.first_token_ms);
+    at.gate.released(now, released.how, released.first_token_ms,
+                     ended.granted_at);
     pump(now, ended.upstream, at);
 }
 
@@ -429,7 +434,8 @@
         const auto count = state.owners.size();
         if (now < state.next_digest || count < 2)
             continue;
-        state.next_digest = now + digest_period;
+        state.next_digest =
+            now + (count <= few_owners ? small_digest_period : digest_period);
         // Doubling steps around the ring of owners carry each load to all of
         // them in as many rounds as their number has binary digits.
         const auto own =
--- a/lib/routing/upstream_gate.cpp
+++ b/lib/routing/upstream_gate.cpp
@@ -118,11 +118,12 @@
     granted(now);
 }
 
-void upstream_gate::released(time_point now, outcome how, double first_token_ms)
+void upstream_gate::released(time_point now, outcome how, double first_token_ms,
+                             time_point granted_at)
 {
     lapsed(now);
     if (first_token_ms > 0)
-        note_first_token(now, first_token_ms);
+        note_first_token(now, first_token_ms, granted_at);
     if (how == outcome::connect_failed)
     {
         become_down(now);
@@ -150,7 +151,7 @@
 
 void upstream_gate::slow_first_token(time_point now, double waited_ms)
 {
-    note_first_token(now, waited_ms);
+    note_first_token(now, waited_ms, now);
 }
 
 std::uint32_t upstream_gate::load() const
@@ -275,7 +276,7 @@
 {
     if (now < down_until_)
         return;
-    const bool calm = now - last_down_ > calm_after;
+    const bool calm = hold_down_ == duration{} || now - last_down_ > calm_after;
     hold_down_ =
         calm ? first_hold_down : std::min(hold_down_ * 2, longest_hold_down);
     last_down_ = now;
@@ -294,11 +295,16 @@
            first_token_ms > slow_factor * fleet_.first_token_ms;
 }
 
-void upstream_gate::note_first_token(time_point now, double ms)
+void upstream_gate::note_first_token(time_point now, double ms,
+                                     time_point granted_at)
 {
     own_first_token_.add(now, ms);
     if (!is_slow(ms))
     {
+        // A request that began before the upstream turned slow says nothing of
+        // its state now.
+        if (granted_at < last_slow_)
+            return;
         slow_in_a_row_ = 0;
         if (warmth_ == warmth::cold && !options_.reports_load)
         {
@@ -307,6 +313,7 @@
         }
         return;
     }
+    last_slow_ = now;
     if (++slow_in_a_row_ < slow_limit)
         return;
     if (warmth_ == warmth::warm || warmth_ == warmth::ramping)
--- /dev/null
+++ b/unittests/config/config_test.cpp
@@ -0,0 +1,178 @@
+// Presets: the check of files, envelopes, edits and adoption.
+#include "baobabloft/config/preset_follower.hpp"
+#include "baobabloft/config/preset_parser.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace baobabloft::config
+{
+
+namespace
+{
+
+constexpr const char* valid_text = R"({
+  "format": 1, "name": "day",
+  "data_centres": [{"name": "a", "region": "r"}, {"name": "b", "region": "r"}],
+  "services": [
+    {"name": "m", "models": ["m"],
+     "upstreams": [{"name": "m-1", "data_centre": "a",
+                    "address": "10.0.0.1:80"}]}]})";
+
+accepted_preset accept(generation number, const std::string& text = valid_text)
+{
+    std::vector<preset_mistake> mistakes;
+    return {number, "nonce", "me", 0, text, *parse_preset(text, mistakes)};
+}
+
+std::string replaced(std::string text, const std::string& from,
+                     const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::vector<preset_mistake> mistakes_of(const std::string& text)
+{
+    std::vector<preset_mistake> mistakes;
+    EXPECT_FALSE(parse_preset(text, mistakes));
+    return mistakes;
+}
+
+TEST(preset_parser, accepts_the_examples)
+{
+    const std::filesystem::path folder{BAOBAB_SOURCE_DIR "/examples"};
+    int count = 0;
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator{folder})
+    {
+        if (entry.path().extension() != ".json")
+            continue;
+        std::ifstream file{entry.path()};
+        std::ostringstream text;
+        text << file.rdbuf();
+        std::vector<preset_mistake> mistakes;
+        EXPECT_TRUE(parse_preset(text.str(), mistakes)) << entry.path();
+        ++count;
+    }
+    EXPECT_EQ(count, 6);
+}
+
+TEST(preset_parser, names_the_line_of_broken_json)
+{
+    const auto mistakes = mistakes_of("{\n  \"format\": 1,,\n}");
+    ASSERT_EQ(mistakes.size(), 1U);
+    EXPECT_EQ(mistakes[0].where.substr(0, 6), "line 2");
+}
+
+TEST(preset_parser, reports_every_mistake_with_place_and_remedy)
+{
+    auto text = replaced(valid_text, R"("data_centre": "a")",
+                         R"("data_centre": "x", "colour": "red")");
+    text = replaced(text, R"("name": "m",)", R"("name": "m", "capacity": -1,)");
+    const auto mistakes = mistakes_of(text);
+    ASSERT_EQ(mistakes.size(), 3U);
+    EXPECT_EQ(mistakes[0].where, "/services/0/capacity");
+    EXPECT_EQ(mistakes[1].where, "/services/0/upstreams/0/colour");
+    for (const auto& item : mistakes)
+        EXPECT_FALSE(item.remedy.empty());
+}
+
+TEST(preset_parser, refuses_a_preset_without_any_data_centre_in_service)
+{
+    failure reason;
+    auto text = *set_data_centre(valid_text, "a", false, reason);
+    text = *set_data_centre(text, "b", false, reason);
+    EXPECT_EQ(mistakes_of(text).size(), 1U);
+}
+
+TEST(preset_edit, takes_a_data_centre_out_and_shows_in_the_diff)
+{
+    failure reason;
+    const auto text = set_data_centre(valid_text, "b", false, reason);
+    ASSERT_TRUE(text);
+    const auto changes = diff_presets(valid_text, *text);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes[0].where, "/data_centres/1/in_service");
+    EXPECT_FALSE(set_data_centre(valid_text, "z", false, reason));
+    EXPECT_EQ(reason.kind, failure_kind::invalid_preset);
+}
+
+TEST(preset, draining_and_departed_upstreams_get_no_work)
+{
+    failure reason;
+    auto preset = accept(1).value;
+    const auto& upstream = preset.services[0].upstreams[0];
+    EXPECT_TRUE(may_receive_work(preset, upstream));
+    preset.data_centres[0].in_service = false;
+    EXPECT_FALSE(may_receive_work(preset, upstream));
+    preset.data_centres[0].in_service = true;
+    const auto drained = set_upstream_intent(valid_text, "m-1",
+                                             upstream_intent::draining, reason);
+    const auto after = accept(2, *drained).value;
+    EXPECT_FALSE(may_receive_work(after, after.services[0].upstreams[0]));
+}
+
+TEST(envelope, survives_a_round_trip)
+{
+    failure reason;
+    const auto before = accept(7);
+    const auto after = parse_envelope(to_envelope(before), reason);
+    ASSERT_TRUE(after);
+    EXPECT_EQ(after->number, 7U);
+    EXPECT_EQ(after->text, before.text);
+    EXPECT_FALSE(parse_envelope("{}", reason));
+    EXPECT_EQ(reason.kind, failure_kind::invalid_preset);
+}
+
+TEST(preset_follower, asks_the_peer_that_has_a_newer_preset)
+{
+    preset_follower follower{1};
+    const time_point now{10s};
+    follower.kv_answered(now, to_envelope(accept(3)));
+    const router_id peer{5};
+    follower.peer_has(peer, 3);
+    EXPECT_FALSE(follower.take_reads(now, false).from_peer);
+    follower.peer_has(peer, 4);
+    EXPECT_EQ(follower.take_reads(now, false).from_peer, peer);
+    EXPECT_TRUE(follower.peer_answered(to_envelope(accept(4))));
+    EXPECT_EQ(follower.number(), 4U);
+}
+
+TEST(preset_follower, keeps_its_preset_when_the_stored_one_is_damaged)
+{
+    preset_follower follower{1};
+    follower.kv_answered(time_point{}, to_envelope(accept(3)));
+    EXPECT_FALSE(follower.kv_answered(time_point{}, "{\"generation\": 4}"));
+    EXPECT_EQ(follower.number(), 3U);
+    EXPECT_EQ(follower.last_failure().kind, failure_kind::invalid_preset);
+}
+
+RC_GTEST_PROP(preset_follower, never_goes_backwards, ())
+{
+    preset_follower follower{1};
+    generation highest = 0;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40));
+    for (const int step : steps)
+    {
+        const auto number = static_cast<generation>(step / 4) + 1;
+        const auto envelope = to_envelope(accept(number));
+        if (step % 4 == 0)
+            follower.kv_failed(time_point{});
+        else if (step % 4 == 1)
+            follower.kv_answered(time_point{}, envelope);
+        else
+            follower.peer_answered(envelope);
+        if (step % 4 != 0)
+            highest = std::max(highest, number);
+        RC_ASSERT(follower.number() == highest);
+    }
+}
+
+} // namespace
+
+} // namespace baobabloft::config
--- /dev/null
+++ b/unittests/ledger/ledger_test.cpp
@@ -0,0 +1,424 @@
+// The at-most-once ledger: keys, batches, replay, and appenders racing over a
+// KV service that loses answers.
+#include "baobabloft/ledger/appender.hpp"
+#include "baobabloft/ledger/claim_client.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace baobabloft::ledger
+{
+
+namespace
+{
+
+constexpr std::uint64_t wall_ms = 1'700'000'000'000;
+
+booking_key make_key(std::uint64_t number, std::uint64_t at_ms = wall_ms)
+{
+    return make_booking_key(at_ms, number, number * 77);
+}
+
+record claim_of(const booking_key& key, std::uint64_t attempt)
+{
+    return {record_kind::claimed, key, attempt, {}};
+}
+
+TEST(booking_key, reads_and_prints_uuids_of_version_7_only)
+{
+    const auto key = make_key(5);
+    EXPECT_EQ(parse_booking_key(to_string(key)), key);
+    EXPECT_EQ(created_at_ms(key), wall_ms);
+    EXPECT_FALSE(parse_booking_key("5fc03087-d265-4d4f-9c0e-4d7b4a1d3c11"));
+    EXPECT_FALSE(parse_booking_key(""));
+    EXPECT_FALSE(parse_booking_key(to_string(key) + "0"));
+}
+
+TEST(batch, survives_a_round_trip_and_refuses_damage)
+{
+    batch content{.nonce = 1, .horizon_ms = 2, .records = {}};
+    content.records.push_back(claim_of(make_key(1), 9));
+    content.records.push_back(
+        {record_kind::done, make_key(2), 8, {200, true, "text/plain", "ok"}});
+    const auto bytes = encode_batch(content);
+    EXPECT_EQ(decode_batch(bytes), content);
+    EXPECT_FALSE(decode_batch(bytes.substr(0, bytes.size() - 3)));
+    EXPECT_FALSE(decode_batch(""));
+}
+
+TEST(shard_state, the_first_claim_wins_and_only_its_attempt_ends_it)
+{
+    shard_state state;
+    const auto key = make_key(1);
+    state.apply(1, {1, 0, {claim_of(key, 10), claim_of(key, 11)}});
+    EXPECT_EQ(state.find(key).attempt, 10U);
+    state.apply(2, {2, 0, {{record_kind::released, key, 11, {}}}});
+    EXPECT_EQ(state.find(key).standing, key_standing::claimed);
+    state.apply(3, {3, 0, {{record_kind::released, key, 10, {}}}});
+    EXPECT_EQ(state.find(key).standing, key_standing::free);
+}
+
+TEST(shard_state, keys_before_the_horizon_are_never_free)
+{
+    shard_state state;
+    const auto old_key = make_key(1, wall_ms - 1000);
+    state.apply(1, {1, 0, {claim_of(old_key, 10)}});
+    state.apply(2, {2, wall_ms, {}});
+    EXPECT_EQ(state.find(old_key).standing, key_standing::beyond_horizon);
+    state.apply(3, {3, 0, {claim_of(old_key, 12)}});
+    EXPECT_EQ(state.find(old_key).standing, key_standing::beyond_horizon);
+    EXPECT_EQ(state.first_needed(), 3U);
+}
+
+/// The KV service's part in the ledger, with answers that may get lost.
+struct fake_log
+{
+    std::map<entry_number, std::string> entries;
+    bool started = false;
+
+    bool create(const create_entry& action)
+    {
+        const bool follows =
+            action.number == 1 ? !started : entries.contains(action.number - 1);
+        if (!follows || entries.contains(action.number))
+            return false;
+        started = true;
+        entries[action.number] = action.bytes;
+        return true;
+    }
+
+    [[nodiscard]] std::vector<log_entry> read(const read_entries& action) const
+    {
+        std::vector<log_entry> result;
+        for (auto entry = entries.lower_bound(action.first.value_or(0));
+             entry != entries.end() && result.size() < action.limit; ++entry)
+            result.push_back({entry->first, entry->second});
+        return result;
+    }
+
+    void erase(const delete_entries& action)
+    {
+        entries.erase(entries.lower_bound(action.first),
+                      entries.lower_bound(action.end));
+    }
+};
+
+/// Carries out an appender's actions, in full unless told otherwise.
+struct host
+{
+    explicit host(std::uint64_t seed, duration retention = 600s)
+        : log(appender_options{
+              .writes_per_second = 1e6,
+              .retention =
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      retention),
+              .seed = seed})
+    {
+    }
+
+    enum class fault
+    {
+        none,
+        lost_before,
+        lost_after
+    };
+
+    void run_one(fake_log& store, time_point now, fault what)
+    {
+        for (auto& action : log.take_actions())
+            pending.push_back(std::move(action));
+        if (pending.empty())
+            return;
+        const auto action = pending.front();
+        pending.erase(pending.begin());
+        if (const auto* read = std::get_if<read_entries>(&action))
+        {
+            if (what == fault::none)
+                log.entries_read(now, store.read(*read));
+            else
+                log.read_failed(now);
+        }
+        else if (const auto* create = std::get_if<create_entry>(&action))
+        {
+            const bool created =
+                what != fault::lost_before && store.create(*create);
+            if (what == fault::none)
+                log.entry_created(now, created);
+            else
+                log.create_unknown(now);
+        }
+        else if (const auto* erase = std::get_if<delete_entries>(&action))
+        {
+            if (what != fault::lost_before)
+                store.erase(*erase);
+            if (what == fault::none)
+                log.entries_deleted(erase->end);
+        }
+    }
+
+    void run_all(fake_log& store, time_point now)
+    {
+        for (int count = 0; count < 100; ++count)
+            run_one(store, now, fault::none);
+    }
+
+    std::vector<append_result> results()
+    {
+        std::vector<append_result> all;
+        for (const auto& outcome : log.take_outcomes())
+            all.push_back(outcome.reply.result);
+        return all;
+    }
+
+    appender log;
+    std::vector<log_action> pending;
+};
+
+constexpr time_point start{100s};
+
+TEST(appender, many_records_go_into_one_entry)
+{
+    fake_log store;
+    host one{1};
+    for (std::uint32_t number = 0; number < 50; ++number)
+        one.log.submit(start, wall_ms, {1, number},
+                       claim_of(make_key(number), number + 1));
+    one.run_all(store, start);
+    EXPECT_EQ(one.results().size(), 50U);
+    EXPECT_LE(store.entries.size(), 2U);
+}
+
+TEST(appender, a_paused_appender_learns_of_its_successor)
+{
+    fake_log store;
+    host slow{1};
+    host fast{2};
+    const auto key = make_key(1);
+    slow.log.submit(start, wall_ms, {1, 1}, claim_of(key, 100));
+    slow.run_one(store, start, host::fault::none);
+    fast.log.submit(start, wall_ms, {2, 1}, claim_of(key, 200));
+    fast.run_all(store, start);
+    slow.run_all(store, start);
+    EXPECT_EQ(fast.results(), std::vector{append_result::accepted});
+    EXPECT_EQ(slow.results(), std::vector{append_result::claimed_by_other});
+}
+
+TEST(appender, a_lost_answer_is_resolved_by_the_log)
+{
+    fake_log store;
+    host one{1};
+    one.log.submit(start, wall_ms, {1, 1}, claim_of(make_key(1), 100));
+    one.run_one(store, start, host::fault::none);
+    one.run_one(store, start, host::fault::lost_after);
+    EXPECT_TRUE(one.results().empty());
+    one.log.tick(start + 5s, wall_ms);
+    one.run_all(store, start + 5s);
+    EXPECT_EQ(one.results(), std::vector{append_result::accepted});
+    EXPECT_EQ(store.entries.size(), 1U);
+}
+
+TEST(appender, a_stale_appender_cannot_write_into_a_compacted_log)
+{
+    fake_log store;
+    host stale{1};
+    host busy{2, 1s};
+    stale.log.submit(start, wall_ms, {1, 1}, claim_of(make_key(1), 1));
+    stale.run_all(store, start);
+    for (std::uint32_t number = 2; number < 40; ++number)
+    {
+        const auto now_ms = wall_ms + number * 1000;
+        const auto now = start + number * 10s;
+        busy.log.submit(now, now_ms, {2, number},
+                        claim_of(make_key(number, now_ms), number));
+        busy.run_all(store, now);
+        busy.log.tick(now, now_ms);
+        busy.run_all(store, now);
+    }
+    ASSERT_FALSE(store.entries.contains(2)) << "nothing was compacted";
+    const auto taken = make_key(39, wall_ms + 39000);
+    stale.log.submit(start + 500s, wall_ms + 39000, {1, 2},
+                     claim_of(taken, 999));
+    stale.run_all(store, start + 500s);
+    const auto results = stale.results();
+    EXPECT_EQ(results.back(), append_result::claimed_by_other);
+}
+
+TEST(appender, an_old_key_is_refused_and_a_future_one_too)
+{
+    fake_log store;
+    host one{1, 10s};
+    one.log.submit(start, wall_ms, {1, 1}, claim_of(make_key(1), 1));
+    one.run_all(store, start);
+    const auto later = wall_ms + 60'000;
+    one.log.submit(start, later, {1, 2}, claim_of(make_key(2, later), 2));
+    one.run_all(store, start);
+    const auto now = start + 10s;
+    one.log.submit(now, later, {1, 3}, claim_of(make_key(3, wall_ms + 1), 3));
+    one.log.submit(now, later, {1, 4},
+                   claim_of(make_key(4, later + 120'000), 4));
+    one.run_all(store, now);
+    auto results = one.results();
+    std::sort(results.begin(), results.end());
+    EXPECT_EQ(results,
+              (std::vector{append_result::accepted, append_result::accepted,
+                           append_result::beyond_horizon,
+                           append_result::key_from_future}));
+}
+
+TEST(appender, one_fast_clock_does_not_push_keys_beyond_the_horizon)
+{
+    fake_log store;
+    host one{1, 10s};
+    one.log.submit(start, wall_ms, {1, 1}, claim_of(make_key(1), 1));
+    one.run_all(store, start);
+    one.log.tick(start, wall_ms + 3'600'000);
+    one.log.submit(start, wall_ms + 3'600'000, {1, 2},
+                   claim_of(make_key(2, wall_ms + 10), 2));
+    one.run_all(store, start);
+    EXPECT_EQ(one.results(),
+              (std::vector{append_result::accepted, append_result::accepted}));
+}
+
+TEST(appender, a_done_key_gives_its_answer_to_every_later_attempt)
+{
+    fake_log store;
+    host one{1};
+    host two{2};
+    const auto key = make_key(1);
+    one.log.submit(start, wall_ms, {1, 1}, claim_of(key, 5));
+    one.run_all(store, start);
+    one.log.submit(start, wall_ms, {1, 2},
+                   {record_kind::done, key, 5, {200, true, "t", "body"}});
+    one.run_all(store, start);
+    two.log.submit(start, wall_ms, {2, 1}, claim_of(key, 6));
+    two.run_all(store, start);
+    const auto outcomes = two.log.take_outcomes();
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].reply.result, append_result::already_done);
+    EXPECT_EQ(outcomes[0].reply.answer.body, "body");
+}
+
+RC_GTEST_PROP(appender, no_key_is_ever_held_by_two_attempts, ())
+{
+    // Three appenders over one log: any order of steps, lost requests and
+    // answers, restarts, and a horizon short enough to compact.
+    fake_log store;
+    std::vector<std::unique_ptr<host>> hosts;
+    std::uint64_t seed = 0;
+    for (int count = 0; count < 3; ++count)
+        hosts.push_back(std::make_unique<host>(++seed, 2s));
+    std::map<std::uint32_t, std::pair<booking_key, std::uint64_t>> attempts;
+    std::map<booking_key, std::uint64_t> holders;
+    std::set<std::uint64_t> released;
+    std::uint32_t sequence = 0;
+    time_point now = start;
+    std::uint64_t clock_ms = wall_ms;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 3000));
+    for (const int step : steps)
+    {
+        auto& chosen = *hosts[static_cast<std::size_t>(step) % 3];
+        now += 100ms;
+        clock_ms += 100;
+        switch (step / 3 % 8)
+        {
+        case 0:
+        case 1:
+        {
+            const auto number = static_cast<std::uint64_t>(step) % 5;
+            const auto created = wall_ms + (clock_ms - wall_ms) / 1000 * 1000;
+            const auto key = make_key(number, created);
+            attempts[++sequence] = {key, sequence};
+            chosen.log.submit(now, clock_ms, {1, sequence},
+                              claim_of(key, sequence));
+            break;
+        }
+        case 2:
+            chosen.run_one(store, now, host::fault::lost_before);
+            break;
+        case 3:
+            chosen.run_one(store, now, host::fault::lost_after);
+            break;
+        case 4:
+            if (step % 5 == 0)
+                hosts[static_cast<std::size_t>(step) % 3] =
+                    std::make_unique<host>(++seed, 2s);
+            break;
+        case 5:
+            chosen.log.tick(now + 61s * (step % 2), clock_ms);
+            break;
+        default:
+            chosen.run_one(store, now, host::fault::none);
+        }
+        for (auto& item : hosts)
+            for (const auto& outcome : item->log.take_outcomes())
+            {
+                if (outcome.reply.result != append_result::accepted)
+                    continue;
+                const auto found = attempts.find(outcome.ticket.sequence);
+                if (found == attempts.end())
+                    continue;
+                const auto [key, attempt] = found->second;
+                const auto [holder, first] = holders.try_emplace(key, attempt);
+                RC_ASSERT(first || holder->second == attempt);
+            }
+    }
+}
+
+/// A client of one shard and the router it talks to.
+TEST(claim_client, takes_no_answer_meant_for_its_former_life)
+{
+    claim_client client{
+        1, [](std::uint32_t) { return std::vector{router_id{1}}; }, 1};
+    client.claim(start, make_key(1), start + 3s);
+    const auto request = client.take_requests()[0].request;
+    client.handle(start, {.sequence = request.sequence,
+                          .attempt = request.content.attempt + 1});
+    EXPECT_TRUE(client.take_decisions().empty());
+    client.handle(start, {.sequence = request.sequence,
+                          .attempt = request.content.attempt});
+    ASSERT_EQ(client.take_decisions().size(), 1U);
+}
+
+TEST(claim_client, goes_to_the_next_appender_while_one_is_silent)
+{
+    claim_client client{1,
+                        [](std::uint32_t) {
+                            return std::vector{router_id{1}, router_id{2}};
+                        },
+                        1};
+    client.claim(start, make_key(1), start + 10s);
+    std::set<router_id> asked;
+    for (auto now = start; now < start + 3s; now += 50ms)
+    {
+        client.tick(now);
+        for (const auto& item : client.take_requests())
+            asked.insert(item.to);
+    }
+    EXPECT_EQ(asked.size(), 2U);
+}
+
+TEST(claim_client, frees_a_claim_that_was_accepted_too_late)
+{
+    claim_client client{
+        1, [](std::uint32_t) { return std::vector{router_id{1}}; }, 1};
+    client.claim(start, make_key(1), start + 1s);
+    const auto request = client.take_requests()[0].request;
+    client.tick(start + 2s);
+    const auto decisions = client.take_decisions();
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].result, claim_result::unconfirmed);
+    client.handle(start + 3s, {.sequence = request.sequence,
+                               .attempt = request.content.attempt});
+    const auto next = client.take_requests();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].request.content.kind, record_kind::released);
+    EXPECT_TRUE(client.take_decisions().empty());
+}
+
+} // namespace
+
+} // namespace baobabloft::ledger
--- /dev/null
+++ b/unittests/router/router_test.cpp
@@ -0,0 +1,225 @@
+// Settings, classification of requests, refusals, event streams, burn, and the
+// pages that must name every setting and metric.
+#include "baobabloft/config/preset_parser.hpp"
+#include "baobabloft/router/burn.hpp"
+#include "baobabloft/router/metrics.hpp"
+#include "baobabloft/router/request.hpp"
+#include "baobabloft/router/settings.hpp"
+#include "baobabloft/router/sse.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace baobabloft::router
+{
+
+namespace
+{
+
+std::string read_page(const std::string& name)
+{
+    std::ifstream file{std::string{BAOBAB_SOURCE_DIR "/docs/"} + name};
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+const std::vector<given_setting> required{
+    {"data-centre", "fyn-a"},
+    {"kv-url", "http://127.0.0.1:2379"},
+    {"fleet-secrets", "0123456789abcdef"}};
+
+TEST(settings, defaults_fill_what_is_not_given)
+{
+    std::vector<failure> mistakes;
+    const auto result = make_settings(required, mistakes);
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->listen.port, 8080);
+    EXPECT_EQ(result->workers, 2U);
+    EXPECT_EQ(result->ledger_retention, 600s);
+}
+
+TEST(settings, every_mistake_is_reported_at_once_with_its_remedy)
+{
+    std::vector<failure> mistakes;
+    const std::vector<given_setting> given{{"listen", "nowhere"},
+                                           {"workers", "many"},
+                                           {"fleet-secrets", "short"},
+                                           {"tls-key", "key.pem"}};
+    EXPECT_FALSE(make_settings(given, mistakes));
+    EXPECT_EQ(mistakes.size(), 6U);
+    for (const auto& mistake : mistakes)
+        EXPECT_FALSE(mistake.remedy.empty()) << mistake.text();
+}
+
+TEST(settings, each_has_a_variable_and_a_place_in_the_documentation)
+{
+    const auto page = read_page("SETTINGS.md");
+    for (const auto& row : setting_table())
+    {
+        EXPECT_NE(page.find("--" + std::string{row.flag}), std::string::npos)
+            << row.flag;
+        EXPECT_NE(page.find(variable_of(row)), std::string::npos) << row.flag;
+    }
+}
+
+TEST(metrics, each_has_a_place_in_the_documentation)
+{
+    const auto page = read_page("METRICS.md");
+    for (const auto& row : metric_table())
+        EXPECT_NE(page.find(row.name), std::string::npos) << row.name;
+}
+
+TEST(refusals, each_has_a_place_in_the_documentation)
+{
+    const auto page = read_page("CALLERS.md");
+    for (std::size_t index = 0; index < refusal_kinds; ++index)
+    {
+        const auto& row = row_of(static_cast<refusal_kind>(index));
+        EXPECT_NE(page.find(row.name), std::string::npos) << row.name;
+        EXPECT_FALSE(row.remedy.empty());
+        EXPECT_GE(row.status, 400U);
+    }
+}
+
+config::preset make_preset()
+{
+    std::vector<config::preset_mistake> mistakes;
+    return *config::parse_preset(R"({
+      "format": 1, "name": "t",
+      "data_centres": [{"name": "a", "region": "r"}],
+      "services": [
+        {"name": "m", "models": ["frugt-lm"], "upstreams": []},
+        {"name": "pass-app", "kind": "plain", "upstreams": [],
+         "non_repeatable": [{"method": "POST", "path": "/bookings"}]}]})",
+                                 mistakes);
+}
+
+/// Classifies a request with headers.
+std::optional<routed_request> classify_with(
+    const std::string& method, const std::string& path, const std::string& body,
+    const std::map<std::string, std::string>& headers, refusal_kind& reason)
+{
+    const raw_request raw{.method = method,
+                          .path = path,
+                          .body = body,
+                          .header = [&headers](const char* name)
+                          {
+                              const auto found = headers.find(name);
+                              return found == headers.end() ? std::string{}
+                                                            : found->second;
+                          }};
+    return classify(raw, make_preset(), 600s, 1, reason);
+}
+
+constexpr const char* a_key = "0192f3a4-0000-7000-8000-000000000001";
+
+TEST(classify, finds_the_service_of_a_model)
+{
+    refusal_kind reason{};
+    const auto found =
+        classify_with("POST", "/v1/chat/completions",
+                      R"({"model": "frugt-lm", "stream": true})",
+                      {{"X-Customer", "c1"}, {"X-Timeout-Ms", "1500"}}, reason);
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found->service, "m");
+    EXPECT_TRUE(found->streamed);
+    EXPECT_TRUE(found->repeatable);
+    EXPECT_EQ(found->timeout, 1500ms);
+}
+
+TEST(classify, names_what_is_wrong)
+{
+    refusal_kind reason{};
+    EXPECT_FALSE(
+        classify_with("POST", "/v1/chat/completions", "{", {}, reason));
+    EXPECT_EQ(reason, refusal_kind::bad_request);
+    EXPECT_FALSE(classify_with("POST", "/v1/chat/completions",
+                               R"({"model": "x"})", {}, reason));
+    EXPECT_EQ(reason, refusal_kind::unknown_model);
+    EXPECT_FALSE(classify_with("GET", "/services/x/y", "", {}, reason));
+    EXPECT_EQ(reason, refusal_kind::unknown_service);
+    EXPECT_FALSE(classify_with("GET", "/elsewhere", "", {}, reason));
+    EXPECT_EQ(reason, refusal_kind::unknown_path);
+    EXPECT_FALSE(
+        classify_with("POST", "/services/pass-app/bookings", "", {}, reason));
+    EXPECT_EQ(reason, refusal_kind::key_required);
+    EXPECT_FALSE(classify_with("POST", "/services/pass-app/bookings", "",
+                               {{"Idempotency-Key", "1"}}, reason));
+    EXPECT_EQ(reason, refusal_kind::key_invalid);
+}
+
+TEST(classify, other_spellings_of_a_route_need_a_key_as_well)
+{
+    refusal_kind reason{};
+    for (const auto* path : {"/bookings", "/bookings/", "//bookings",
+                             "/%62ookings", "/bookings?row=7"})
+    {
+        EXPECT_FALSE(classify_with(
+            "POST", std::string{"/services/pass-app"} + path, "", {}, reason))
+            << path;
+        EXPECT_EQ(reason, refusal_kind::key_required) << path;
+        const auto found = classify_with(
+            "POST", std::string{"/services/pass-app"} + path, "",
+            {{"Idempotency-Key", a_key}, {"X-Attempt", "1"}}, reason);
+        ASSERT_TRUE(found) << path;
+        EXPECT_FALSE(found->repeatable);
+        EXPECT_TRUE(found->first_attempt);
+    }
+}
+
+TEST(classify, only_idempotent_methods_of_plain_services_repeat)
+{
+    refusal_kind reason{};
+    const auto get =
+        classify_with("GET", "/services/pass-app/rows", "", {}, reason);
+    const auto post =
+        classify_with("POST", "/services/pass-app/notes", "", {}, reason);
+    ASSERT_TRUE(get && post);
+    EXPECT_TRUE(get->repeatable);
+    EXPECT_FALSE(post->repeatable);
+}
+
+TEST(sse, splits_events_wherever_the_bytes_break)
+{
+    const std::string stream =
+        "id: 1\ndata: {\"a\":1}\n\nid: 2\ndata: {}\n\ndata: [DONE]\n\n";
+    for (std::size_t step = 1; step < stream.size(); ++step)
+    {
+        sse_splitter splitter;
+        std::vector<sse_event> events;
+        for (std::size_t at = 0; at < stream.size(); at += step)
+        {
+            splitter.add(stream.substr(at, step));
+            while (auto event = splitter.next())
+                events.push_back(*event);
+        }
+        ASSERT_EQ(events.size(), 3U);
+        EXPECT_EQ(events[1].id, 2U);
+        EXPECT_FALSE(events[1].is_end);
+        EXPECT_TRUE(events[2].is_end);
+    }
+}
+
+TEST(burn_meter, counts_each_window)
+{
+    burn_meter meter;
+    const burn_key key{"m", "c", objective::answered};
+    const time_point present{100'000s};
+    meter.count(present - 7200s, key, 0.95, true);
+    meter.count(present - 1000s, key, 0.95, true);
+    meter.count(present, key, 0.95, false);
+    const auto rows = meter.rows(present);
+    ASSERT_EQ(rows.size(), 1U);
+    EXPECT_EQ(rows[0].windows[0].total, 1U);
+    EXPECT_EQ(rows[0].windows[1].missed, 1U);
+    EXPECT_EQ(rows[0].windows[3].total, 3U);
+}
+
+} // namespace
+
+} // namespace baobabloft::router
--- /dev/null
+++ b/unittests/support/support_test.cpp
@@ -0,0 +1,64 @@
+// Names, identifiers and rendezvous scores.
+#include "baobabloft/support/failure.hpp"
+#include "baobabloft/support/hash.hpp"
+#include "baobabloft/support/ids.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace baobabloft
+{
+
+namespace
+{
+
+TEST(failure_text, names_kind_message_and_remedy)
+{
+    const failure reason{failure_kind::conflict, "too late", "try again"};
+    EXPECT_EQ(reason.text(), "conflict: too late (try again)");
+}
+
+TEST(enum_names, finds_both_directions)
+{
+    EXPECT_EQ(name_in(failure_kind_names, failure_kind::io), "io");
+    EXPECT_EQ(value_in(failure_kind_names, "io"), failure_kind::io);
+    EXPECT_FALSE(value_in(failure_kind_names, "nothing of the kind"));
+}
+
+TEST(router_id, prints_address_and_port)
+{
+    const auto id = make_router_id(0x7f000001, 7080);
+    EXPECT_EQ(to_string(id), "127.0.0.1:7080");
+    EXPECT_EQ(address_of(id), 0x7f000001U);
+    EXPECT_EQ(port_of(id), 7080);
+}
+
+RC_GTEST_PROP(rendezvous, removing_a_node_moves_only_its_keys, ())
+{
+    const auto nodes =
+        *rc::gen::suchThat(rc::gen::unique<std::vector<std::uint64_t>>(
+                               rc::gen::arbitrary<std::uint64_t>()),
+                           [](const auto& items) { return items.size() >= 2; });
+    const auto key = *rc::gen::arbitrary<std::uint64_t>();
+    const auto best = [key](const std::vector<std::uint64_t>& among)
+    {
+        return *std::max_element(among.begin(), among.end(),
+                                 [key](auto left, auto right) {
+                                     return rendezvous_score(key, left) <
+                                            rendezvous_score(key, right);
+                                 });
+    };
+    const auto winner = best(nodes);
+    auto fewer = nodes;
+    const auto removed = *rc::gen::elementOf(nodes);
+    std::erase(fewer, removed);
+    if (removed != winner)
+        RC_ASSERT(best(fewer) == winner);
+}
+
+} // namespace
+
+} // namespace baobabloft
