Keep an attempt that gave its claim back from claiming again

Cause: during a KV outage a claim waits at up to three appenders. After the outage the first one wrote it, the router released it, then the second wrote it again: the key stayed held by an attempt that was over, and the caller's repetition got 409 until the horizon. Found by the end-to-end outage test. Change: the log's state remembers released attempts of a key. Seen: OutageTest fails before (409 for 200), passes after.

--- a/include/baobabloft/ledger/shard_state.hpp
+++ b/include/baobabloft/ledger/shard_state.hpp
@@ -28,6 +28,11 @@
     /// The attempt that holds the claim.
     std::uint64_t attempt = 0;
     stored_answer answer{};
+    /// Attempts that gave their claim back. They may still wait at another
+    /// appender and must not claim the key again, since nobody would end it.
+    std::vector<std::uint64_t> released{};
+
+    [[nodiscard]] bool has_released(std::uint64_t attempt) const;
 };
 
 /// Number of an entry in a shard's log.
--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -269,7 +269,11 @@
     switch (known.standing)
     {
     case key_standing::free:
-        return std::nullopt;
+        if (!known.has_released(content.attempt))
+            return std::nullopt;
+        // The claim was given up and given back; it only still waited here.
+        reply.result = append_result::claimed_by_other;
+        return reply;
     case key_standing::claimed:
         if (!own)
             reply.result = append_result::claimed_by_other;
--- a/lib/ledger/shard_state.cpp
+++ b/lib/ledger/shard_state.cpp
@@ -8,6 +8,12 @@
 namespace baobabloft::ledger
 {
 
+bool key_state::has_released(std::uint64_t attempt) const
+{
+    return std::find(released.begin(), released.end(), attempt) !=
+           released.end();
+}
+
 void shard_state::apply(entry_number number, const batch& content)
 {
     assert((!last_ || number == *last_ + 1) && "entries apply in order");
@@ -28,7 +34,7 @@
     if (const auto found = keys_.find(key); found != keys_.end())
         return found->second;
     if (created_at_ms(key) < horizon_ms_)
-        return {key_standing::beyond_horizon, 0, {}};
+        return {.standing = key_standing::beyond_horizon};
     return {};
 }
 
@@ -85,8 +91,12 @@
         // decides, never a clock.
         if (created_at_ms(item.key) < horizon_ms_)
             return;
-        keys_.try_emplace(item.key,
-                          key_state{key_standing::claimed, item.attempt, {}});
+        auto& known = keys_[item.key];
+        if (known.standing != key_standing::free ||
+            known.has_released(item.attempt))
+            return;
+        known.standing = key_standing::claimed;
+        known.attempt = item.attempt;
         return;
     }
     const auto found = keys_.find(item.key);
@@ -96,7 +106,8 @@
         return;
     if (item.kind == record_kind::released)
     {
-        keys_.erase(found);
+        found->second.standing = key_standing::free;
+        found->second.released.push_back(item.attempt);
         return;
     }
     found->second.standing = key_standing::done;
--- a/unittests/ledger/ledger_test.cpp
+++ b/unittests/ledger/ledger_test.cpp
@@ -61,6 +61,18 @@
     EXPECT_EQ(state.find(key).standing, key_standing::free);
 }
 
+TEST(shard_state, an_attempt_that_gave_its_claim_back_cannot_claim_again)
+{
+    shard_state state;
+    const auto key = make_key(1);
+    state.apply(1, {1, 0, {claim_of(key, 10)}});
+    state.apply(2, {2, 0, {{record_kind::released, key, 10, {}}}});
+    state.apply(3, {3, 0, {claim_of(key, 10)}});
+    EXPECT_EQ(state.find(key).standing, key_standing::free);
+    state.apply(4, {4, 0, {claim_of(key, 11)}});
+    EXPECT_EQ(state.find(key).attempt, 11U);
+}
+
 TEST(shard_state, keys_before_the_horizon_are_never_free)
 {
     shard_state state;
