--- a/include/baobabloft/router/metrics.hpp
+++ b/include/baobabloft/router/metrics.hpp
@@ -5,7 +5,10 @@
 #include "baobabloft/router/refusal.hpp"
 #include "baobabloft/support/time.hpp"
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
@@ -59,13 +62,35 @@
     [[nodiscard]] std::string text() const;
 
 private:
-    prometheus::Counter& counter(std::string_view name,
-                                 const prometheus::Labels& labels);
+    /// The one label of a counter.
+    struct label
+    {
+        std::string name;
+        std::string value;
+    };
+
+    /// Series found before, so that a request does not search the registry.
+    template <typename Metric>
+    using series_by_label = std::map<std::string, Metric*, std::less<>>;
+    template <typename Metric>
+    using cache = std::map<std::string, series_by_label<Metric>, std::less<>>;
+
+    /// Returns the place of a series, null if it has to be made. Two threads
+    /// that make one at once get the same from the registry.
+    template <typename Metric>
+    Metric*& find(cache<Metric>& known, std::string_view name,
+                  std::string_view label);
+
+    prometheus::Counter& counter(std::string_view name, const label& label);
     prometheus::Histogram& histogram(std::string_view name,
                                      const std::string& service);
     prometheus::Gauge& gauge(std::string_view name);
 
     std::shared_ptr<prometheus::Registry> registry_;
+    std::mutex mutex_;
+    cache<prometheus::Counter> counters_;
+    cache<prometheus::Histogram> histograms_;
+    cache<prometheus::Gauge> gauges_;
 };
 
 } // namespace baobabloft::router
--- a/lib/router/metrics.cpp
+++ b/lib/router/metrics.cpp
@@ -30,7 +30,10 @@
     metric_row{"baobab_control_refused_total",
                "Datagrams that were not accepted, by cause"},
     metric_row{"baobab_platform_calls_total",
-               "Calls to the platform and for load reports, by kind"},
+               "Answered calls to the platform and for load reports, by kind"},
+    metric_row{"baobab_platform_failures_total",
+               "Calls to the platform and for load reports without an answer, "
+               "by kind"},
     metric_row{"baobab_members", "Live routers in this router's view"},
     metric_row{"baobab_preset_generation", "Number of the preset in force"},
     metric_row{"baobab_owned_upstreams", "Upstreams that this router owns"},
@@ -81,13 +84,13 @@
 
 void metrics::answered(const std::string& service, duration took)
 {
-    counter("baobab_answers_total", {{"service", service}}).Increment();
+    counter("baobab_answers_total", {"service", service}).Increment();
     histogram("baobab_answer_seconds", service).Observe(to_seconds(took));
 }
 
 void metrics::refused(refusal_kind kind)
 {
-    counter("baobab_refusals_total", {{"kind", std::string{row_of(kind).name}}})
+    counter("baobab_refusals_total", {"kind", std::string{row_of(kind).name}})
         .Increment();
 }
 
@@ -104,12 +107,12 @@
 
 void metrics::retried(std::string_view why)
 {
-    counter("baobab_retries_total", {{"cause", std::string{why}}}).Increment();
+    counter("baobab_retries_total", {"cause", std::string{why}}).Increment();
 }
 
 void metrics::datagram_sent(std::string_view kind, std::size_t bytes)
 {
-    const prometheus::Labels labels{{"kind", std::string{kind}}};
+    const label labels{"kind", std::string{kind}};
     counter("baobab_control_sent_bytes_total", labels)
         .Increment(static_cast<double>(bytes));
     counter("baobab_control_sent_total", labels).Increment();
@@ -117,7 +120,7 @@
 
 void metrics::datagram_received(std::string_view kind, std::size_t bytes)
 {
-    const prometheus::Labels labels{{"kind", std::string{kind}}};
+    const label labels{"kind", std::string{kind}};
     counter("baobab_control_received_bytes_total", labels)
         .Increment(static_cast<double>(bytes));
     counter("baobab_control_received_total", labels).Increment();
@@ -125,16 +128,15 @@
 
 void metrics::datagram_refused(std::string_view why)
 {
-    counter("baobab_control_refused_total", {{"cause", std::string{why}}})
+    counter("baobab_control_refused_total", {"cause", std::string{why}})
         .Increment();
 }
 
 void metrics::platform_call(std::string_view kind, bool answered)
 {
-    counter(
-        "baobab_platform_calls_total",
-        {{"kind", std::string{kind}}, {"answered", answered ? "yes" : "no"}})
-        .Increment();
+    const auto* name = answered ? "baobab_platform_calls_total"
+                                : "baobab_platform_failures_total";
+    counter(name, {"kind", std::string{kind}}).Increment();
 }
 
 void metrics::requests_in_progress(int change)
@@ -152,34 +154,59 @@
     return prometheus::TextSerializer{}.Serialize(registry_->Collect());
 }
 
-prometheus::Counter& metrics::counter(std::string_view name,
-                                      const prometheus::Labels& labels)
+prometheus::Counter& metrics::counter(std::string_view name, const label& label)
 {
-    return prometheus::BuildCounter()
-        .Name(std::string{name})
-        .Help(help_of(name))
-        .Register(*registry_)
-        .Add(labels);
+    auto& known = find(counters_, name, label.value);
+    if (known == nullptr)
+        known = &prometheus::BuildCounter()
+                     .Name(std::string{name})
+                     .Help(help_of(name))
+                     .Register(*registry_)
+                     .Add({{label.name, label.value}});
+    return *known;
 }
 
 prometheus::Histogram& metrics::histogram(std::string_view name,
                                           const std::string& service)
 {
     const bool by_token = name != "baobab_answer_seconds";
-    return prometheus::BuildHistogram()
-        .Name(std::string{name})
-        .Help(help_of(name))
-        .Register(*registry_)
-        .Add({{"service", service}}, by_token ? token_buckets : answer_buckets);
+    auto& known = find(histograms_, name, service);
+    if (known == nullptr)
+        known = &prometheus::BuildHistogram()
+                     .Name(std::string{name})
+                     .Help(help_of(name))
+                     .Register(*registry_)
+                     .Add({{"service", service}},
+                          by_token ? token_buckets : answer_buckets);
+    return *known;
 }
 
 prometheus::Gauge& metrics::gauge(std::string_view name)
 {
-    return prometheus::BuildGauge()
-        .Name(std::string{name})
-        .Help(help_of(name))
-        .Register(*registry_)
-        .Add({});
+    auto& known = find(gauges_, name, {});
+    if (known == nullptr)
+        known = &prometheus::BuildGauge()
+                     .Name(std::string{name})
+                     .Help(help_of(name))
+                     .Register(*registry_)
+                     .Add({});
+    return *known;
+}
+
+template <typename Metric>
+Metric*& metrics::find(cache<Metric>& known, std::string_view name,
+                       std::string_view label)
+{
+    const std::scoped_lock lock{mutex_};
+    const auto by_name = known.find(name);
+    auto& series =
+        by_name != known.end()
+            ? by_name->second
+            : known.emplace(name, series_by_label<Metric>{}).first->second;
+    const auto found = series.find(label);
+    if (found != series.end())
+        return found->second;
+    return series.emplace(label, nullptr).first->second;
 }
 
 } // namespace baobabloft::router
--- a/lib/routing/load_table.cpp
+++ b/lib/routing/load_table.cpp
@@ -16,6 +16,8 @@
 /// falls: from this age on it is taken to fall at the pace of long requests.
 constexpr duration steady_age = 2s;
 constexpr double seconds_to_drain = 12;
+/// Loads from which a mean is taken even if the service has many more.
+constexpr std::size_t enough_loads = 16;
 
 std::uint8_t to_steps(double value, double step)
 {
@@ -124,7 +126,7 @@
         return {};
     // A new owner that has heard of a few upstreams only must not take a high
     // load among them for the mean.
-    const bool few = 2 * count < open_;
+    const bool few = 2 * count < std::min(open_, enough_loads);
     const double mean = few ? least : sum / static_cast<double>(count);
     return {mean, mean * static_cast<double>(open_),
             median(std::move(first_tokens))};
--- a/tools/standins/standins.hpp
+++ b/tools/standins/standins.hpp
@@ -61,6 +61,17 @@
     std::size_t cached_chats = 1000;
 };
 
+/// Settings of the load.
+struct load_options
+{
+    std::string url;
+    /// Sent by POST if not empty.
+    std::string body;
+    unsigned concurrency = 1;
+    std::uint64_t requests = 1000;
+};
+
+int run_load(const load_options& options);
 int run_kv(std::uint16_t port);
 int run_engine(const engine_options& options);
 int run_plain(std::uint16_t port, unsigned work_ms);
