--- /dev/null
+++ b/include/baobabloft/net/base64.hpp
@@ -0,0 +1,30 @@
+// Base64 text of byte strings, by GLib.
+#pragma once
+
+#include <glib.h>
+#include <string>
+
+namespace baobabloft::net
+{
+
+/// Returns the base64 form of `bytes`.
+inline std::string encode_base64(const std::string& bytes)
+{
+    gchar* encoded = g_base64_encode(
+        reinterpret_cast<const guchar*>(bytes.data()), bytes.size());
+    std::string result{encoded};
+    g_free(encoded);
+    return result;
+}
+
+/// Returns the bytes behind the base64 form `text`.
+inline std::string decode_base64(const std::string& text)
+{
+    gsize size = 0;
+    guchar* decoded = g_base64_decode(text.c_str(), &size);
+    std::string result{reinterpret_cast<const char*>(decoded), size};
+    g_free(decoded);
+    return result;
+}
+
+} // namespace baobabloft::net
--- a/lib/net/etcd_client.cpp
+++ b/lib/net/etcd_client.cpp
@@ -1,5 +1,6 @@
 // The etcd v3 JSON gateway: keys and values travel in base64, 64-bit numbers
 // as strings.
+#include "baobabloft/net/base64.hpp"
 #include "baobabloft/net/kv_client.hpp"
 
 #include <nlohmann/json.hpp>
@@ -14,24 +15,6 @@
 
 constexpr unsigned status_ok = 200;
 
-std::string encode(const std::string& text)
-{
-    gchar* encoded = g_base64_encode(
-        reinterpret_cast<const guchar*>(text.data()), text.size());
-    std::string result{encoded};
-    g_free(encoded);
-    return result;
-}
-
-std::string decode(const std::string& text)
-{
-    gsize size = 0;
-    guchar* decoded = g_base64_decode(text.c_str(), &size);
-    std::string result{reinterpret_cast<const char*>(decoded), size};
-    g_free(decoded);
-    return result;
-}
-
 /// Reads a 64-bit number that the gateway writes as a string, and leaves out
 /// when it is 0.
 std::int64_t number_at(const json& object, const char* key)
@@ -47,7 +30,8 @@
 
 kv_entry to_entry(const json& item)
 {
-    return {decode(item.value("key", "")), decode(item.value("value", "")),
+    return {decode_base64(item.value("key", "")),
+            decode_base64(item.value("value", "")),
             number_at(item, "mod_revision")};
 }
 
@@ -55,7 +39,7 @@
 {
     const bool by_version = condition.target == kv_compare_target::version;
     const bool greater = condition.relation == kv_compare_relation::greater;
-    return {{"key", encode(condition.key)},
+    return {{"key", encode_base64(condition.key)},
             {"target", by_version ? "VERSION" : "MOD"},
             {"result", greater ? "GREATER" : "EQUAL"},
             {by_version ? "version" : "mod_revision",
@@ -69,13 +53,13 @@
         compare.push_back(to_json(condition));
     json success = json::array();
     for (const auto& put : transaction.puts)
-        success.push_back(
-            {{"request_put",
-              {{"key", encode(put.key)}, {"value", encode(put.value)}}}});
+        success.push_back({{"request_put",
+                            {{"key", encode_base64(put.key)},
+                             {"value", encode_base64(put.value)}}}});
     for (const auto& range : transaction.deletes)
         success.push_back({{"request_delete_range",
-                            {{"key", encode(range.first)},
-                             {"range_end", encode(range.end)}}}});
+                            {{"key", encode_base64(range.first)},
+                             {"range_end", encode_base64(range.end)}}}});
     return {{"compare", compare}, {"success", success}};
 }
 
@@ -107,9 +91,9 @@
 
     void read(const kv_range& range, callback<kv_range_result> done) override
     {
-        json body{{"key", encode(range.first)}};
+        json body{{"key", encode_base64(range.first)}};
         if (!range.end.empty())
-            body["range_end"] = encode(range.end);
+            body["range_end"] = encode_base64(range.end);
         if (range.limit != 0)
             body["limit"] = std::to_string(range.limit);
         call<kv_range_result>(
@@ -134,7 +118,7 @@
         wait->message.reset(soup_message_new(
             "POST", (options_.base_url + "/v3/watch").c_str()));
         const json body{{"create_request",
-                         {{"key", encode(key)},
+                         {{"key", encode_base64(key)},
                           {"start_revision", std::to_string(revision + 1)}}}};
         const auto text = body.dump();
         const bytes_ptr bytes{g_bytes_new(text.data(), text.size())};
--- a/lib/routing/load_table.cpp
+++ b/lib/routing/load_table.cpp
@@ -106,6 +106,8 @@
 
 fleet_load load_table::summary(time_point now) const
 {
+    double fresh_sum = 0;
+    std::size_t fresh_count = 0;
     double sum = 0;
     double least = std::numeric_limits<double>::max();
     std::size_t count = 0;
@@ -117,6 +119,11 @@
         const double silent_s =
             std::max(to_seconds(now - *known.at - steady_age), 0.0);
         sum += known.load * std::max(1 - silent_s / seconds_to_drain, 0.0);
+        if (now - *known.at <= steady_age)
+        {
+            fresh_sum += known.load;
+            ++fresh_count;
+        }
         least = std::min(least, known.load);
         ++count;
         if (known.first_token_ms > 0)
@@ -127,7 +134,11 @@
     // A new owner that has heard of a few upstreams only must not take a high
     // load among them for the mean.
     const bool few = 2 * count < std::min(open_, enough_loads);
-    const double mean = few ? least : sum / static_cast<double>(count);
+    double mean = few ? least : sum / static_cast<double>(count);
+    // In a large service most loads are old when they arrive; enough fresh ones
+    // say more than all of them.
+    if (fresh_count >= enough_loads)
+        mean = fresh_sum / static_cast<double>(fresh_count);
     return {mean, mean * static_cast<double>(open_),
             median(std::move(first_tokens))};
 }
--- a/tools/standins/kv.cpp
+++ b/tools/standins/kv.cpp
@@ -3,6 +3,8 @@
 // Faults: POST /standin/faults {"outage", "delay_ms", "lost_answers"}.
 #include "standins.hpp"
 
+#include "baobabloft/net/base64.hpp"
+
 #include <list>
 #include <map>
 #include <random>
@@ -29,24 +31,6 @@
     std::string key;
 };
 
-std::string encode(const std::string& text)
-{
-    gchar* encoded = g_base64_encode(
-        reinterpret_cast<const guchar*>(text.data()), text.size());
-    std::string result{encoded};
-    g_free(encoded);
-    return result;
-}
-
-std::string decode(const std::string& text)
-{
-    gsize size = 0;
-    guchar* decoded = g_base64_decode(text.c_str(), &size);
-    std::string result{reinterpret_cast<char*>(decoded), size};
-    g_free(decoded);
-    return result;
-}
-
 std::int64_t number_at(const json& item, const char* key)
 {
     const auto found = item.find(key);
@@ -148,8 +132,8 @@
 
     static json to_json(const std::string& key, const stored& item)
     {
-        return {{"key", encode(key)},
-                {"value", encode(item.value)},
+        return {{"key", net::encode_base64(key)},
+                {"value", net::encode_base64(item.value)},
                 {"mod_revision", std::to_string(item.mod_revision)},
                 {"create_revision", std::to_string(item.create_revision)},
                 {"version", std::to_string(item.version)}};
@@ -157,8 +141,8 @@
 
     json range(const json& body)
     {
-        const auto first = decode(body.value("key", ""));
-        const auto end = decode(body.value("range_end", ""));
+        const auto first = net::decode_base64(body.value("key", ""));
+        const auto end = net::decode_base64(body.value("range_end", ""));
         const auto limit = number_at(body, "limit");
         json found = json::array();
         for (auto entry = data_.lower_bound(first); entry != data_.end();
@@ -177,7 +161,8 @@
 
     bool holds(const json& condition)
     {
-        const auto found = data_.find(decode(condition.value("key", "")));
+        const auto found =
+            data_.find(net::decode_base64(condition.value("key", "")));
         const stored item = found == data_.end() ? stored{} : found->second;
         const auto target = condition.value("target", "VERSION");
         std::int64_t known = item.version;
@@ -215,22 +200,22 @@
 
     void put(const json& body)
     {
-        const auto key = decode(body.value("key", ""));
+        const auto key = net::decode_base64(body.value("key", ""));
         auto& item = data_[key];
         ++revision_;
         if (item.version == 0)
             item.create_revision = revision_;
         item.mod_revision = revision_;
         ++item.version;
-        item.value = decode(body.value("value", ""));
+        item.value = net::decode_base64(body.value("value", ""));
         notify(key);
     }
 
     void erase(const json& body)
     {
         ++revision_;
-        const auto first = decode(body.value("key", ""));
-        const auto end = decode(body.value("range_end", ""));
+        const auto first = net::decode_base64(body.value("key", ""));
+        const auto end = net::decode_base64(body.value("range_end", ""));
         data_.erase(data_.lower_bound(first), end.empty()
                                                   ? data_.upper_bound(first)
                                                   : data_.lower_bound(end));
@@ -239,7 +224,7 @@
     void watch(const request& item, const json& body)
     {
         const auto create = body.value("create_request", json::object());
-        const auto key = decode(create.value("key", ""));
+        const auto key = net::decode_base64(create.value("key", ""));
         auto* message = item.message;
         soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
         soup_message_headers_set_encoding(
--- a/utils/demo.py
+++ b/utils/demo.py
@@ -80,14 +80,14 @@
         print("three routers ready, preset ordinary-day in force")
         good = send_chats(fleet) and send_bookings(fleet)
         print(fleet.ctl("upstream", "list").stdout, end="")
-        if keep:
+        if keep and good:
             with open(ADDRESSES, "w", encoding="utf-8") as file:
                 json.dump(fleet.addresses(), file, indent=2)
             print(f"left running; addresses in {ADDRESSES}")
+            fleet.processes = {}
         return 0 if good else 1
     finally:
-        if not keep:
-            fleet.stop()
+        fleet.stop()
 
 
 if __name__ == "__main__":
--- a/utils/fleet.py
+++ b/utils/fleet.py
@@ -247,9 +247,10 @@
         self.processes = {}
 
     def addresses(self):
-        def entry(name, port, **more):
+        def entry(process, port, **more):
             return {"url": f"http://127.0.0.1:{port}",
-                    "pid": self.processes[name].pid, **more}
+                    "pid": self.processes[process].pid, **more}
+
         return {
             "routers": [
                 entry(f"router-{i}", port, data_centre=DATA_CENTRES[i % 3])
