--- a/lib/operators/burn_report.cpp
+++ b/lib/operators/burn_report.cpp
@@ -25,7 +25,7 @@
 
 /// Bars end at this burn rate.
 constexpr double widest_rate = 20.0;
-constexpr double widest_bar_px = 220.0;
+constexpr double widest_bar_px = 110.0;
 
 using series_key = std::tuple<std::string, std::string, std::string>;
 
@@ -202,7 +202,8 @@
         "<title>Service-level burn</title><style>"
         "body{font:15px sans-serif;margin:2em;color:#222}"
         "table{border-collapse:collapse}"
-        "td,th{padding:4px 12px;text-align:left;border-bottom:1px solid #ddd}"
+        "td,th{padding:4px 10px;text-align:left;white-space:nowrap;"
+        "border-bottom:1px solid #ddd}"
         "tr.sum td{background:#f4f6f8;font-weight:600}"
         ".page{color:#c0392b}.ticket{color:#d68910}.ok{color:#2e7d52}"
         "</style><h1>Service-level burn</h1><p>Made at " +
