Make metric series under the lock; one shape for all measurements

Cause: on reading the change again. The cache of metric series handed out a reference to its slot, which workers and the control task then read and wrote without the lock: a data race. Four measurements built their world's size and two their shares each by itself; chat_memory::size and a tally were unused. Change: find_or_make holds the lock while a series is looked up and made; make_shape and share stand once; the unused code is gone.

--- a/benchmarks/churn.cpp
+++ b/benchmarks/churn.cpp
@@ -21,25 +21,11 @@
 constexpr double active_seconds = 180;
 constexpr double load_multiple = 1.25;
 
-world_options make_shape(const measure_options& options)
-{
-    world_options shape{.seed = options.seed};
-    shape.routers = options.routers != 0 ? options.routers : shape.routers;
-    shape.engines = options.engines != 0 ? options.engines : shape.engines;
-    return shape;
-}
-
 double rate_of(const world_options& shape)
 {
     return static_cast<double>(shape.engines) * mean_load / service_s;
 }
 
-double share(std::uint64_t part, std::uint64_t whole)
-{
-    return whole == 0 ? 0
-                      : static_cast<double>(part) / static_cast<double>(whole);
-}
-
 /// What an omniscient placement under the same cap would have reused: a chat is
 /// warm wherever it ran last, as long as that engine has not stopped since and
 /// carries less than the multiple of the mean. Otherwise it moves to the least
--- a/benchmarks/fairness.cpp
+++ b/benchmarks/fairness.cpp
@@ -17,22 +17,17 @@
 {
     std::uint64_t total = 0;
     std::uint64_t in_time = 0;
-    std::uint64_t answered = 0;
 
     [[nodiscard]] double share_in_time() const
     {
-        return total == 0
-                   ? 0
-                   : static_cast<double>(in_time) / static_cast<double>(total);
+        return share(in_time, total);
     }
 };
 
 /// Runs with a factor on one customer's load; returns what the others got.
 tally run(const measure_options& options, double factor, tally& surging)
 {
-    world_options shape{.seed = options.seed};
-    shape.routers = options.routers != 0 ? options.routers : shape.routers;
-    shape.engines = options.engines != 0 ? options.engines : shape.engines;
+    auto shape = make_shape(options);
     shape.capacity = 32;
     world world{shape};
     world.start();
@@ -52,7 +47,6 @@
             const bool granted =
                 answer.result == routing::permit_result::granted;
             ++own.total;
-            own.answered += granted ? 1 : 0;
             own.in_time += granted && answer.waited <= 5s ? 1 : 0;
         });
     world.run_for(90s);
--- a/benchmarks/measure.hpp
+++ b/benchmarks/measure.hpp
@@ -52,6 +52,12 @@
 figures measure_preset(const measure_options& options);
 figures measure_decisions(const measure_options& options);
 
+/// Returns a world of the size that `options` ask for.
+driver::world_options make_shape(const measure_options& options);
+
+/// Returns `part` of `whole`, 0 for an empty whole.
+double share(std::uint64_t part, std::uint64_t whole);
+
 /// Chats that return after pauses, and the customers they belong to.
 class workload
 {
--- a/benchmarks/policy.cpp
+++ b/benchmarks/policy.cpp
@@ -82,9 +82,7 @@
 void run_permits(const measure_options& options,
                  const permit_scenario& scenario, figures& all)
 {
-    world_options shape{.seed = options.seed};
-    shape.routers = options.routers != 0 ? options.routers : shape.routers;
-    shape.engines = options.engines != 0 ? options.engines : shape.engines;
+    auto shape = make_shape(options);
     shape.report_lag = scenario.lag;
     shape.loss = scenario.loss;
     shape.load_multiple = load_multiple;
@@ -139,13 +137,8 @@
     load.stop();
     const auto name = "policy.permits." + scenario.name;
     add_skew(all, name, meter, true);
-    all.push_back({name + ".first_choice",
-                   static_cast<double>(first) /
-                       static_cast<double>(std::max<std::uint64_t>(answers, 1)),
-                   "share"});
-    all.push_back({name + ".first_token_in_time",
-                   static_cast<double>(in_time) /
-                       static_cast<double>(std::max<std::uint64_t>(total, 1)),
+    all.push_back({name + ".first_choice", share(first, answers), "share"});
+    all.push_back({name + ".first_token_in_time", share(in_time, total),
                    "share", bound_kind::at_least,
                    scenario.lose_owner ? 0.9 : 0.95});
 }
@@ -232,9 +225,7 @@
 
 figures measure_cold(const measure_options& options)
 {
-    world_options shape{.seed = options.seed};
-    shape.routers = options.routers != 0 ? options.routers : shape.routers;
-    shape.engines = options.engines != 0 ? options.engines : shape.engines;
+    auto shape = make_shape(options);
     shape.cold_bearable = 4;
     world world{shape};
     world.start();
--- a/benchmarks/workload.cpp
+++ b/benchmarks/workload.cpp
@@ -18,6 +18,20 @@
 
 } // namespace
 
+driver::world_options make_shape(const measure_options& options)
+{
+    driver::world_options shape{.seed = options.seed};
+    shape.routers = options.routers != 0 ? options.routers : shape.routers;
+    shape.engines = options.engines != 0 ? options.engines : shape.engines;
+    return shape;
+}
+
+double share(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+}
+
 workload::workload(driver::world& world, double rate, std::size_t active_chats)
     : world_(world), rate_(rate), chats_(world.options().customers),
       weights_(world.options().customers)
--- a/include/baobabloft/router/metrics.hpp
+++ b/include/baobabloft/router/metrics.hpp
@@ -75,11 +75,11 @@
     template <typename Metric>
     using cache = std::map<std::string, series_by_label<Metric>, std::less<>>;
 
-    /// Returns the place of a series, null if it has to be made. Two threads
-    /// that make one at once get the same from the registry.
-    template <typename Metric>
-    Metric*& find(cache<Metric>& known, std::string_view name,
-                  std::string_view label);
+    /// Returns a known series, or the one that `make` registers. Workers and
+    /// the control task share the caches, so this holds the lock throughout.
+    template <typename Metric, typename Make>
+    Metric& find_or_make(cache<Metric>& known, std::string_view name,
+                         std::string_view label, Make make);
 
     prometheus::Counter& counter(std::string_view name, const label& label);
     prometheus::Histogram& histogram(std::string_view name,
--- a/include/baobabloft/routing/chat_memory.hpp
+++ b/include/baobabloft/routing/chat_memory.hpp
@@ -22,7 +22,6 @@
     void forget(chat_id chat);
     void clear();
     [[nodiscard]] bool contains(time_point now, chat_id chat) const;
-    [[nodiscard]] std::size_t size() const;
 
 private:
     struct item
--- a/lib/router/metrics.cpp
+++ b/lib/router/metrics.cpp
@@ -156,57 +156,58 @@
 
 prometheus::Counter& metrics::counter(std::string_view name, const label& label)
 {
-    auto& known = find(counters_, name, label.value);
-    if (known == nullptr)
-        known = &prometheus::BuildCounter()
-                     .Name(std::string{name})
-                     .Help(help_of(name))
-                     .Register(*registry_)
-                     .Add({{label.name, label.value}});
-    return *known;
+    return find_or_make(counters_, name, label.value,
+                        [&]() -> prometheus::Counter&
+                        {
+                            return prometheus::BuildCounter()
+                                .Name(std::string{name})
+                                .Help(help_of(name))
+                                .Register(*registry_)
+                                .Add({{label.name, label.value}});
+                        });
 }
 
 prometheus::Histogram& metrics::histogram(std::string_view name,
                                           const std::string& service)
 {
     const bool by_token = name != "baobab_answer_seconds";
-    auto& known = find(histograms_, name, service);
-    if (known == nullptr)
-        known = &prometheus::BuildHistogram()
-                     .Name(std::string{name})
-                     .Help(help_of(name))
-                     .Register(*registry_)
-                     .Add({{"service", service}},
-                          by_token ? token_buckets : answer_buckets);
-    return *known;
+    return find_or_make(histograms_, name, service,
+                        [&]() -> prometheus::Histogram&
+                        {
+                            return prometheus::BuildHistogram()
+                                .Name(std::string{name})
+                                .Help(help_of(name))
+                                .Register(*registry_)
+                                .Add({{"service", service}},
+                                     by_token ? token_buckets : answer_buckets);
+                        });
 }
 
 prometheus::Gauge& metrics::gauge(std::string_view name)
 {
-    auto& known = find(gauges_, name, {});
-    if (known == nullptr)
-        known = &prometheus::BuildGauge()
-                     .Name(std::string{name})
-                     .Help(help_of(name))
-                     .Register(*registry_)
-                     .Add({});
-    return *known;
+    return find_or_make(gauges_, name, {},
+                        [&]() -> prometheus::Gauge&
+                        {
+                            return prometheus::BuildGauge()
+                                .Name(std::string{name})
+                                .Help(help_of(name))
+                                .Register(*registry_)
+                                .Add({});
+                        });
 }
 
-template <typename Metric>
-Metric*& metrics::find(cache<Metric>& known, std::string_view name,
-                       std::string_view label)
+template <typename Metric, typename Make>
+Metric& metrics::find_or_make(cache<Metric>& known, std::string_view name,
+                              std::string_view label, Make make)
 {
     const std::scoped_lock lock{mutex_};
-    const auto by_name = known.find(name);
-    auto& series =
-        by_name != known.end()
-            ? by_name->second
-            : known.emplace(name, series_by_label<Metric>{}).first->second;
-    const auto found = series.find(label);
-    if (found != series.end())
-        return found->second;
-    return series.emplace(label, nullptr).first->second;
+    auto by_name = known.find(name);
+    if (by_name == known.end())
+        by_name = known.emplace(name, series_by_label<Metric>{}).first;
+    auto& series = by_name->second;
+    if (const auto found = series.find(label); found != series.end())
+        return *found->second;
+    return *series.emplace(label, &make()).first->second;
 }
 
 } // namespace baobabloft::router
--- a/lib/routing/chat_memory.cpp
+++ b/lib/routing/chat_memory.cpp
@@ -40,9 +40,4 @@
     return found != by_chat_.end() && now - found->second->at < lifetime_;
 }
 
-std::size_t chat_memory::size() const
-{
-    return by_chat_.size();
-}
-
 } // namespace baobabloft::routing
