--- /dev/null
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -0,0 +1,128 @@
+// What this router believes of the store's contents, kept up to date from
+// pages and changes. Never goes back to an older configuration.
+#pragma once
+
+#include "baobabloft/directory/records.hpp"
+
+#include <map>
+#include <set>
+
+namespace baobabloft::directory
+{
+
+/// An upstream and what is known about its entry.
+struct known_upstream
+{
+    upstream_record record;
+    revision changed = 0;
+    /// End of its cold start; in the past if it is warm.
+    time_point cold_until;
+    /// Its entry went while the store was away or just after; it may only have
+    /// lapsed, and is usable until this time.
+    std::optional<time_point> lapsed_until;
+};
+
+/// A change of belief, for logs.
+struct belief_change
+{
+    enum class what : std::uint8_t
+    {
+        config_adopted,
+        config_rejected,
+        upstream_added,
+        upstream_changed,
+        upstream_removed,
+        upstream_lapsed,
+        entry_unreadable,
+        data_centre_out,
+        data_centre_in,
+        router_added,
+        router_removed
+    };
+    what kind{};
+    std::string name;
+    std::string detail;
+    revision changed = 0;
+};
+
+inline constexpr std::array belief_change_names{
+    enum_name<belief_change::what>{belief_change::what::config_adopted,
+                                   "config_adopted"},
+    enum_name<belief_change::what>{belief_change::what::config_rejected,
+                                   "config_rejected"},
+    enum_name<belief_change::what>{belief_change::what::upstream_added,
+                                   "upstream_added"},
+    enum_name<belief_change::what>{belief_change::what::upstream_changed,
+                                   "upstream_changed"},
+    enum_name<belief_change::what>{belief_change::what::upstream_removed,
+                                   "upstream_removed"},
+    enum_name<belief_change::what>{belief_change::what::upstream_lapsed,
+                                   "upstream_lapsed"},
+    enum_name<belief_change::what>{belief_change::what::entry_unreadable,
+                                   "entry_unreadable"},
+    enum_name<belief_change::what>{belief_change::what::data_centre_out,
+                                   "data_centre_out"},
+    enum_name<belief_change::what>{belief_change::what::data_centre_in,
+                                   "data_centre_in"},
+    enum_name<belief_change::what>{belief_change::what::router_added,
+                                   "router_added"},
+    enum_name<belief_change::what>{belief_change::what::router_removed,
+                                   "router_removed"},
+};
+
+/// The store's contents as known here.
+class directory_state
+{
+public:
+    explicit directory_state(const record_codec& codec);
+
+    /// Takes in one entry or its removal. Removals before `lapse_until` may be
+    /// lapses: such upstreams stay usable up to then.
+    void apply(time_point now, const entry& item,
+               std::optional<time_point> lapse_until);
+
+    /// Removes what a whole read did not list, unless it changed behind
+    /// `as_of`.
+    void retain(time_point now, const std::set<std::string>& listed,
+                revision as_of, std::optional<time_point> lapse_until);
+
+    /// Drops upstreams whose lapse is over.
+    void tick(time_point now);
+
+    /// Notes that an upstream says of itself that it is cold.
+    void note_cold(const std::string& id, time_point until);
+
+    [[nodiscard]] const config_snapshot& config() const;
+    [[nodiscard]] const std::map<std::string, known_upstream>&
+    upstreams() const;
+    [[nodiscard]] bool is_out(const std::string& data_centre) const;
+    [[nodiscard]] const std::map<std::string, endpoint>& routers() const;
+
+    /// Grows with every change of upstreams or data centres.
+    [[nodiscard]] std::uint64_t generation() const;
+
+    /// Returns and clears the changes since the last call.
+    std::vector<belief_change> take_changes();
+
+private:
+    void adopt(const config_snapshot& config, const entry& item);
+    void adopt_upstream(time_point now, const upstream_record& record,
+                        const entry& item);
+    void remove(time_point now, const key_name& key, revision changed,
+                std::optional<time_point> lapse_until);
+    void note(belief_change::what kind, std::string name,
+              std::string detail = {}, revision changed = 0);
+
+    const record_codec& codec_;
+    config_snapshot config_;
+    revision config_changed_ = 0;
+    std::map<std::string, known_upstream> upstreams_;
+    std::map<std::string, revision> out_;
+    std::map<std::string, endpoint> routers_;
+    /// Latest revision seen of each key, so that nothing goes back.
+    std::map<std::string, revision> seen_;
+    std::uint64_t generation_ = 0;
+    std::vector<belief_change> changes_;
+};
+
+} // namespace baobabloft::directory
--- /dev/null
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -0,0 +1,157 @@
+// Chooses the upstream of each request at one router: keeps requests that
+// share a prompt prefix together, bounds load against the mean, spares cold
+// upstreams and avoids those that fail.
+#pragma once
+
+#include "baobabloft/directory/directory_state.hpp"
+#include "baobabloft/dispatch/sliding_count.hpp"
+
+#include <functional>
+#include <span>
+
+namespace baobabloft::dispatch
+{
+
+/// Bound on a cold upstream, over all routers.
+struct cold_bound
+{
+    /// Requests per second: the service's own rate times this, plus slack.
+    double overrun = 1.5;
+    double slack = 5;
+};
+
+/// Settings of the selector.
+struct selector_options
+{
+    /// This router's data centre; plain services are served from it first.
+    std::string data_centre;
+    std::string router;
+    cold_bound cold;
+    time_point started;
+};
+
+/// A request that needs an upstream.
+struct upstream_want
+{
+    const directory::routed_service* service = nullptr;
+    /// Hash of the shared prompt prefix; without it the least loaded is taken.
+    std::optional<std::uint64_t> affinity;
+    /// Upstreams that failed this request.
+    std::span<const std::string> avoid;
+    /// A request that may run again may try an upstream that failed lately.
+    bool is_repeatable = false;
+};
+
+/// Why an upstream was chosen or none was.
+enum class choice : std::uint8_t
+{
+    preferred,
+    other,
+    cold,
+    /// All have failed lately or are above the bound; the best of them.
+    last_resort,
+    no_upstream,
+    all_busy
+};
+
+inline constexpr std::array choice_names{
+    enum_name<choice>{choice::preferred, "preferred"},
+    enum_name<choice>{choice::other, "other"},
+    enum_name<choice>{choice::cold, "cold"},
+    enum_name<choice>{choice::last_resort, "last_resort"},
+    enum_name<choice>{choice::no_upstream, "no_upstream"},
+    enum_name<choice>{choice::all_busy, "all_busy"},
+};
+
+/// A chosen upstream, or why there is none.
+struct selection
+{
+    choice how = choice::no_upstream;
+    /// Null if there is none; valid until the directory changes.
+    const directory::known_upstream* upstream = nullptr;
+    /// Its load as estimated, and the mean of its service.
+    double load = 0;
+    double mean = 0;
+};
+
+/// Load that an upstream told with an answer.
+struct told_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+};
+
+/// The selector of one router.
+class upstream_selector
+{
+public:
+    /// Returns the connections that may still be opened to an upstream, or
+    /// that idle there.
+    using room_lookup = std::function<bool(const directory::known_upstream&,
+                                           const directory::routed_service&)>;
+
+    upstream_selector(const directory::directory_state& directory,
+                      selector_options options, room_lookup has_room);
+
+    /// Chooses an upstream. Every choice that is used needs count_sent().
+    selection choose(time_point now, const upstream_want& want);
+
+    /// A request left for `id`, or will at once.
+    void count_sent(time_point now, const std::string& id);
+    /// A request at `id` is over.
+    void count_done(const std::string& id);
+
+    /// How requests at `id` went.
+    void told(time_point now, const std::string& id, const told_load& load);
+    void succeeded(time_point now, const std::string& id);
+    void failed(time_point now, const std::string& id);
+    void declined(time_point now, const std::string& id);
+    void unreachable(time_point now, const std::string& id);
+
+    /// Forgets upstreams that are gone.
+    void forget_gone();
+
+    void set_cold_bound(const cold_bound& bound);
+
+    /// Returns true if `id` is avoided at present.
+    [[nodiscard]] bool is_avoided(time_point now, const std::string& id) const;
+
+private:
+    struct standing
+    {
+        std::uint32_t in_progress = 0;
+        std::optional<told_load> told;
+        time_point told_at;
+        std::uint32_t sent_since_told = 0;
+        /// Moving average of failures, 0 to 1.
+        double failure_share = 0;
+        std::uint32_t failures_in_row = 0;
+        time_point avoid_until;
+        duration backoff{0};
+        sliding_count cold_sends{1200ms};
+        std::uint32_t lifetimes = 0;
+    };
+
+    struct option
+    {
+        const directory::known_upstream* upstream;
+        standing* state;
+        std::uint64_t rank;
+        double load;
+    };
+
+    std::vector<option> usable(time_point now, const upstream_want& want);
+    [[nodiscard]] double load_of(time_point now, const standing& state) const;
+    [[nodiscard]] bool is_cold(time_point now, const upstream_want& want,
+                               const directory::known_upstream& item) const;
+    [[nodiscard]] bool cold_has_room(time_point now, const upstream_want& want,
+                                     const option& item) const;
+    void avoid(time_point now, standing& state, duration first, duration most);
+
+    const directory::directory_state& directory_;
+    selector_options options_;
+    room_lookup has_room_;
+    std::map<std::string, standing> standings_;
+};
+
+} // namespace baobabloft::dispatch
--- a/include/baobabloft/net/event_loop.hpp
+++ b/include/baobabloft/net/event_loop.hpp
@@ -103,4 +103,8 @@
 /// Returns the present by the monotonic clock.
 time_point monotonic_now();
 
+/// Returns the present by a clock that also counts while the host is
+/// suspended, for ages of beliefs and for deadlines.
+time_point boot_now();
+
 } // namespace baobabloft::net
--- /dev/null
+++ b/include/baobabloft/relay/relay.hpp
@@ -0,0 +1,110 @@
+// Routes requests of services that the directory lists: listeners, the
+// directory, the decisions and the sessions of one router, on one loop.
+#pragma once
+
+#include "baobabloft/directory/directory_follower.hpp"
+#include "baobabloft/dispatch/arrival_budget.hpp"
+#include "baobabloft/dispatch/freshness.hpp"
+#include "baobabloft/dispatch/upstream_selector.hpp"
+#include "baobabloft/http/caller_channel.hpp"
+#include "baobabloft/relay/channel_pool.hpp"
+#include "baobabloft/relay/ports.hpp"
+#include "baobabloft/router/metrics.hpp"
+#include "baobabloft/router/settings.hpp"
+
+#include <random>
+#include <unordered_set>
+
+namespace baobabloft::relay
+{
+
+class relay_session;
+
+/// The parts of a relay that its sessions use.
+struct relay_context
+{
+    net::event_loop& loop;
+    const header_dialect& dialect;
+    router::metrics& counters;
+    directory::directory_follower follower;
+    channel_pool pool;
+    dispatch::upstream_selector selector;
+    dispatch::arrival_budget budget;
+    dispatch::freshness_bounds freshness;
+    std::mt19937_64 random;
+    /// Shutting down: answers end their connections.
+    bool leaving = false;
+
+    /// Returns how far the configuration may be relied on now.
+    [[nodiscard]] dispatch::reliance reliance(time_point now) const;
+    /// Returns the age of the proof behind it, for logs.
+    [[nodiscard]] duration proof_age(time_point now) const;
+    [[nodiscard]] std::size_t routers() const;
+};
+
+/// One router.
+class relay
+{
+public:
+    relay(net::event_loop& loop, const router::settings& options,
+          const header_dialect& dialect, const directory::record_codec& codec,
+          directory_store& store, router::metrics& counters);
+    ~relay();
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+
+    /// Binds the listeners and starts to follow the store.
+    bool start(failure& reason);
+
+    /// Takes no new connections after the balancer had time to notice, ends
+    /// kept ones, and calls `done` when nothing is in progress; with false if
+    /// requests were cut when the shutdown timeout was near.
+    void shut_down(std::function<void(bool graceful)> done);
+
+    /// Applies changed settings; addresses of listeners need a restart.
+    void reload(const router::settings& options);
+
+private:
+    struct caller
+    {
+        std::shared_ptr<http::caller_channel> channel;
+    };
+
+    using caller_ptr = std::shared_ptr<http::caller_channel>;
+
+    void accept(std::shared_ptr<http::tcp_stream> stream);
+    void accept_page(std::shared_ptr<http::tcp_stream> stream);
+    void serve_page(const caller_ptr& channel, const http::request& message);
+    void begin_request(const caller_ptr& channel, http::request&& message);
+    void sweep();
+    void follow();
+    void call_store(const directory::read_page& call);
+    void call_store(const directory::watch_changes& call);
+    void note_call(std::string_view kind, bool answered, const failure& reason);
+    void report_changes();
+    void keep_registered();
+    void register_router();
+    void check_shutdown();
+    void note_readiness();
+    [[nodiscard]] bool is_ready(time_point now) const;
+    [[nodiscard]] http::caller_limits caller_limits() const;
+
+    net::event_loop& loop_;
+    router::settings options_;
+    directory_store& store_;
+    relay_context context_;
+    std::vector<std::unique_ptr<http::tcp_listener>> listeners_;
+    std::unordered_set<caller_ptr> callers_;
+    time_point started_;
+    time_point next_registration_;
+    std::optional<lease_id> lease_;
+    bool registering_ = false;
+    bool store_answers_ = false;
+    bool was_ready_ = false;
+    bool idle_closed_ = false;
+    std::uint64_t seen_generation_ = 0;
+    std::optional<time_point> leave_started_;
+    std::function<void(bool)> on_left_;
+};
+
+} // namespace baobabloft::relay
--- /dev/null
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -0,0 +1,117 @@
+// One caller's request: admission, attempts at upstreams, and the answer,
+// whole or event by event.
+#pragma once
+
+#include "baobabloft/dispatch/retry_rules.hpp"
+#include "baobabloft/relay/relay.hpp"
+#include "baobabloft/router/refusal.hpp"
+#include "baobabloft/router/sse.hpp"
+
+namespace baobabloft::relay
+{
+
+/// Keeps itself alive until the request is over.
+class relay_session : public std::enable_shared_from_this<relay_session>
+{
+public:
+    /// Serves `message`, which came on `caller`.
+    static std::shared_ptr<relay_session>
+    start(relay_context& context, std::shared_ptr<http::caller_channel> caller,
+          http::request&& message);
+
+    relay_session(relay_context& context,
+                  std::shared_ptr<http::caller_channel> caller,
+                  http::request&& message);
+    ~relay_session();
+    relay_session(const relay_session&) = delete;
+    relay_session& operator=(const relay_session&) = delete;
+
+    /// The caller went away.
+    void caller_gone();
+    /// Everything sent to the caller has left.
+    void caller_drained();
+
+private:
+    struct attempt
+    {
+        std::string upstream;
+        std::shared_ptr<http::upstream_channel> channel;
+        dispatch::selection chosen;
+        time_point started;
+        http::response_head head;
+        std::string body;
+        bool has_head = false;
+        bool is_stream = false;
+        bool over = false;
+    };
+
+    using attempt_ptr = std::shared_ptr<attempt>;
+
+    void begin();
+    [[nodiscard]] bool admit();
+    void read_deadline(time_point now);
+    void choose_service();
+
+    void dispatch();
+    void send(const directory::known_upstream& upstream,
+              const dispatch::selection& chosen);
+    http::request_head upstream_head(const directory::upstream_record& target,
+                                     time_point now) const;
+
+    void on_head(const attempt_ptr& at, const http::response_head& head);
+    void on_body(const attempt_ptr& at, std::string_view bytes);
+    void on_complete(const attempt_ptr& at);
+    void on_failure(const attempt_ptr& at, http::exchange_failure why);
+    void on_timeout(const attempt_ptr& at);
+
+    void deliver_events(const attempt_ptr& at);
+    /// Returns false if the event does not follow the last one.
+    bool deliver_event(const attempt_ptr& at, const router::sse_event& event,
+                       std::string& out);
+    void start_stream(const attempt_ptr& at);
+    void finish_stream(const attempt_ptr& at);
+    void finish_whole(const attempt_ptr& at);
+    [[nodiscard]] bool is_genuine(const attempt_ptr& at) const;
+    [[nodiscard]] bool says_not_run(const attempt_ptr& at) const;
+
+    void end_attempt(const attempt_ptr& at, dispatch::attempt_end how,
+                     std::string_view why);
+    void close_attempt(const attempt_ptr& at);
+    void forward(const attempt_ptr& at);
+
+    void refuse(router::refusal_kind kind, std::string_view why);
+    void fail(router::refusal_kind kind, std::string_view why);
+    void answer_problem(router::refusal_kind kind, router::executed ran,
+                        std::optional<duration> retry_after);
+    void finish(std::string_view outcome);
+
+    void arm(const attempt_ptr& at);
+    void disarm();
+    [[nodiscard]] duration patience(time_point now) const;
+    [[nodiscard]] std::uint32_t urgency() const;
+
+    relay_context& context_;
+    std::shared_ptr<http::caller_channel> caller_;
+    http::request message_;
+    std::string request_id_;
+    directory::config_snapshot config_;
+    const directory::route* route_ = nullptr;
+    const directory::routed_customer* customer_ = nullptr;
+    const directory::routed_service* service_ = nullptr;
+    std::optional<std::uint64_t> affinity_;
+    time_point arrived_;
+    time_point latest_;
+    dispatch::attempt_history history_;
+    std::uint32_t arrivals_ = 0;
+    std::vector<std::string> avoid_;
+    attempt_ptr current_;
+    guint timer_ = 0;
+    router::sse_splitter splitter_;
+    std::optional<std::uint64_t> last_event_;
+    time_point last_progress_;
+    bool stream_started_ = false;
+    bool over_ = false;
+    std::shared_ptr<relay_session> held_;
+};
+
+} // namespace baobabloft::relay
--- a/include/baobabloft/router/refusal.hpp
+++ b/include/baobabloft/router/refusal.hpp
@@ -18,6 +18,7 @@
     unknown_path,
     unknown_model,
     unknown_service,
+    unknown_key,
     body_too_large,
     key_required,
     key_invalid,
--- a/include/baobabloft/router/settings.hpp
+++ b/include/baobabloft/router/settings.hpp
@@ -3,6 +3,7 @@
 // flag's name in capitals with underscores.
 #pragma once
 
+#include "baobabloft/support/endpoint.hpp"
 #include "baobabloft/support/failure.hpp"
 #include "baobabloft/support/ids.hpp"
 #include "baobabloft/support/time.hpp"
@@ -16,13 +17,6 @@
 namespace baobabloft::router
 {
 
-/// An IPv4 address and port.
-struct endpoint
-{
-    std::string host;
-    std::uint16_t port = 0;
-};
-
 /// Everything that the daemon is told at start.
 struct settings
 {
@@ -47,6 +41,21 @@
     double ledger_writes_per_second = 200;
     duration ledger_retention = 600s;
     std::string log_level = "info";
+    /// The platform's store. If set, the daemon routes requests of the
+    /// services that the store lists, and reads no preset.
+    std::optional<endpoint> directory;
+    /// Name under which this router registers there.
+    std::string router_name;
+    /// Addresses for the balancer's questions and for metrics.
+    std::optional<endpoint> ready_listen;
+    std::optional<endpoint> metrics_listen;
+    duration key_revocation_bound = 5s;
+    duration in_force_bound = 2s;
+    double retry_ratio = 0.2;
+    double retry_slack = 58;
+    duration retry_window = 10s;
+    double cold_overrun = 1.5;
+    double cold_slack = 5;
 };
 
 /// One row of the table of settings.
@@ -63,6 +72,12 @@
     std::optional<std::string> (*apply)(settings&, const std::string& text);
 };
 
+/// The setting that makes those of the preset's fleet needless.
+inline constexpr std::string_view directory_flag = "directory";
+
+/// Name of the group that holds the settings in a settings file.
+inline constexpr const char* settings_group = "baobabd";
+
 /// Returns the table of settings.
 std::span<const setting_row> setting_table();
 
@@ -81,10 +96,11 @@
 std::optional<settings> make_settings(const std::vector<given_setting>& given,
                                       std::vector<failure>& mistakes);
 
-/// Parses "a.b.c.d:port".
-std::optional<endpoint> parse_endpoint(std::string_view text);
-
-/// Returns the IPv4 address of `host` in host order.
-std::optional<std::uint32_t> parse_ipv4(std::string_view host);
+/// Reads settings from a key file: "[baobabd]" and lines of FLAG=TEXT. Names
+/// that are no settings are appended to `unknown`. Returns nothing with the
+/// reason if the file cannot be read.
+std::optional<std::vector<given_setting>>
+read_settings_file(const std::string& path, std::vector<std::string>& unknown,
+                   failure& reason);
 
 } // namespace baobabloft::router
--- /dev/null
+++ b/lib/dispatch/retry_rules.cpp
@@ -0,0 +1,29 @@
+#include "baobabloft/dispatch/retry_rules.hpp"
+
+namespace baobabloft::dispatch
+{
+
+next_step step_after(const directory::route& route, attempt_end end,
+                     const attempt_history& history)
+{
+    const bool ran = end == attempt_end::broken ||
+                     end == attempt_end::silent || end == attempt_end::failed;
+    const bool may_repeat =
+        !ran || (route.is_repeatable() && history.runs < route.attempts);
+    if (may_repeat && history.has_time && history.attempts < max_attempts &&
+        (!history.answer_started || route.is_repeatable()))
+        return next_step::try_other;
+    return step_without_retry(end, history);
+}
+
+next_step step_without_retry(attempt_end end, const attempt_history& history)
+{
+    if (history.answer_started)
+        return next_step::break_off;
+    if (end == attempt_end::failed)
+        return next_step::forward;
+    return history.runs == 0 ? next_step::refuse_not_run
+                             : next_step::fail_unknown;
+}
+
+} // namespace baobabloft::dispatch
--- /dev/null
+++ b/lib/http/caller_channel.cpp
@@ -0,0 +1,272 @@
+#include "baobabloft/http/caller_channel.hpp"
+
+namespace baobabloft::http
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_headers_too_large = 431;
+constexpr unsigned http_1_1 = 11;
+/// Bytes of further requests kept while one is served; reading stops beyond.
+constexpr std::size_t max_pipelined_bytes = std::size_t{64} * 1024;
+
+/// Answers to errors of the parser; everything else is a 400.
+unsigned status_of(const beast::error_code& error)
+{
+    if (error == bhttp::error::header_limit)
+        return status_headers_too_large;
+    if (error == bhttp::error::body_limit)
+        return status_too_large;
+    return status_bad_request;
+}
+
+} // namespace
+
+caller_channel::caller_channel(std::shared_ptr<tcp_stream> stream,
+                               caller_limits limits, time_point now)
+    : stream_(std::move(stream)), limits_(limits), since_(now)
+{
+}
+
+caller_channel::~caller_channel() = default;
+
+void caller_channel::start(handlers callbacks)
+{
+    handlers_ = std::move(callbacks);
+    const std::weak_ptr<caller_channel> weak = weak_from_this();
+    stream_->set_handlers(
+        {.on_connected = nullptr,
+         .on_data =
+             [weak](std::string_view bytes)
+         {
+             if (const auto self = weak.lock())
+                 self->on_data(bytes);
+         },
+         .on_end =
+             [weak](stream_end)
+         {
+             if (const auto self = weak.lock(); self && self->handlers_.on_gone)
+                 self->handlers_.on_gone();
+         },
+         .on_drained =
+             [weak]
+         {
+             if (const auto self = weak.lock();
+                 self && self->handlers_.on_drained)
+                 self->handlers_.on_drained();
+         }});
+}
+
+void caller_channel::on_data(std::string_view bytes)
+{
+    input_ += bytes;
+    if (serving_)
+    {
+        if (input_.size() > max_pipelined_bytes)
+            stream_->set_reading(false);
+        return;
+    }
+    parse_input();
+}
+
+void caller_channel::parse_input()
+{
+    if (parsing_ || serving_ || input_.empty() || !stream_->is_open())
+        return;
+    if (!parser_)
+    {
+        parser_.emplace();
+        parser_->header_limit(limits_.header_bytes);
+        parser_->body_limit(limits_.body_bytes);
+        parser_->eager(true);
+        continue_sent_ = false;
+        // The idle time ends with the first byte.
+        since_ = net::boot_now();
+    }
+    beast::error_code error;
+    const auto used = parser_->put(
+        boost::asio::const_buffer{input_.data(), input_.size()}, error);
+    input_.erase(0, used);
+    if (error && error != bhttp::error::need_more)
+    {
+        reject(status_of(error), error.message());
+        return;
+    }
+    if (!parser_->is_done())
+    {
+        // An incomplete header stays in the input; the parser sees it again.
+        if (!parser_->is_header_done() &&
+            input_.size() > limits_.header_bytes)
+            reject(status_headers_too_large, "header limit exceeded");
+        else if (parser_->is_header_done() && !continue_sent_ &&
+                 beast::iequals(parser_->get()[bhttp::field::expect],
+                                "100-continue"))
+        {
+            continue_sent_ = true;
+            response_head head{bhttp::status::continue_, http_1_1};
+            stream_->send(head_bytes(head));
+        }
+        return;
+    }
+    auto message = parser_->release();
+    parser_.reset();
+    serving_ = true;
+    caller_keeps_ = message.keep_alive();
+    chunked_ = message.version() >= http_1_1;
+    is_head_ = message.method() == bhttp::verb::head;
+    const auto self = shared_from_this();
+    parsing_ = true;
+    if (handlers_.on_request)
+        handlers_.on_request(std::move(message));
+    parsing_ = false;
+    parse_input();
+}
+
+void caller_channel::reject(unsigned status, std::string_view why)
+{
+    const auto self = shared_from_this();
+    response message{static_cast<bhttp::status>(status), http_1_1};
+    message.set(bhttp::field::connection, "close");
+    message.prepare_payload();
+    stream_->send(whole_bytes(message));
+    // The rest of the input belongs to no request.
+    input_.clear();
+    stream_->set_reading(false);
+    stream_->close_when_drained();
+    const auto tell = handlers_.on_rejected;
+    if (tell)
+        tell(status, why);
+    if (handlers_.on_gone)
+        handlers_.on_gone();
+}
+
+void caller_channel::add_connection_fields(fields& all, bool keep) const
+{
+    if (!keep)
+    {
+        all.set(bhttp::field::connection, "close");
+        return;
+    }
+    all.set(bhttp::field::keep_alive,
+            "timeout=" + std::to_string(limits_.idle_timeout / 1s));
+}
+
+void caller_channel::respond(time_point now, response message, bool keep)
+{
+    keep_ = keep && caller_keeps_;
+    message.version(http_1_1);
+    add_connection_fields(message, keep_);
+    message.prepare_payload();
+    if (is_head_)
+        message.body().clear();
+    stream_->send(whole_bytes(message));
+    finish_answer(now);
+}
+
+void caller_channel::start_stream(response_head head, bool keep)
+{
+    // Without chunks only the connection's end can mark the answer's end.
+    keep_ = keep && caller_keeps_ && chunked_;
+    head.version(http_1_1);
+    add_connection_fields(head, keep_);
+    if (chunked_)
+        head.chunked(true);
+    stream_->send(head_bytes(head));
+}
+
+void caller_channel::send_part(std::string_view data)
+{
+    if (!data.empty())
+        stream_->send(chunked_ ? chunk_bytes(data) : std::string{data});
+}
+
+void caller_channel::end_stream(time_point now)
+{
+    if (chunked_)
+        stream_->send(last_chunk_bytes());
+    finish_answer(now);
+}
+
+void caller_channel::finish_answer(time_point now)
+{
+    const auto self = shared_from_this();
+    serving_ = false;
+    since_ = now;
+    if (!keep_)
+    {
+        close();
+        return;
+    }
+    stream_->set_reading(true);
+    if (!input_.empty())
+        parse_input();
+}
+
+void caller_channel::close()
+{
+    // Unread input would turn the close into a reset and could take the
+    // answer with it.
+    stream_->close_when_drained();
+    if (handlers_.on_gone)
+        handlers_.on_gone();
+}
+
+void caller_channel::abort()
+{
+    stream_->abort();
+}
+
+bool caller_channel::close_if_idle()
+{
+    if (serving_ || parser_ || !input_.empty())
+        return false;
+    stream_->close_when_drained();
+    return true;
+}
+
+bool caller_channel::check_timeouts(time_point now)
+{
+    if (!stream_->is_open())
+        return false;
+    if (serving_)
+        return true;
+    if (parser_)
+    {
+        if (!parser_->is_header_done() &&
+            now - since_ > limits_.header_timeout)
+            reject(status_request_timeout, "headers took too long");
+        return stream_->is_open();
+    }
+    if (now - since_ > limits_.idle_timeout + limits_.idle_grace)
+        stream_->close_when_drained();
+    return stream_->is_open();
+}
+
+bool caller_channel::is_open() const
+{
+    return stream_->is_open();
+}
+
+bool caller_channel::is_serving() const
+{
+    return serving_;
+}
+
+std::size_t caller_channel::unsent() const
+{
+    return stream_->unsent();
+}
+
+void caller_channel::set_limits(const caller_limits& limits)
+{
+    limits_ = limits;
+}
+
+} // namespace baobabloft::http
--- /dev/null
+++ b/lib/http/tcp_stream.cpp
@@ -0,0 +1,390 @@
+#include "baobabloft/http/tcp_stream.hpp"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace baobabloft::http
+{
+
+namespace
+{
+
+/// Bytes taken from the system in one call.
+constexpr std::size_t read_size = std::size_t{16} * 1024;
+/// Reads in one turn of the loop, so that one peer cannot starve the others.
+constexpr int reads_per_turn = 4;
+/// Connections accepted in one turn of the loop.
+constexpr int accepts_per_turn = 64;
+constexpr int listen_backlog = 1024;
+
+struct stream_source
+{
+    GSource base;
+    tcp_stream* stream;
+    gpointer tag;
+};
+
+sockaddr_in to_sockaddr(const endpoint& address)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address.port);
+    result.sin_addr.s_addr = htonl(parse_ipv4(address.host).value_or(0));
+    return result;
+}
+
+void set_option(int fd, int level, int name, int value)
+{
+    // A missing option costs latency or detection time, never correctness.
+    [[maybe_unused]] const int ignored =
+        setsockopt(fd, level, name, &value, sizeof value);
+}
+
+void apply_options(int fd, const stream_options& options)
+{
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<int>(options.unacknowledged_timeout / 1ms));
+}
+
+int open_socket()
+{
+    return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+bool would_block(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+gboolean dispatch_stream(GSource* source, GSourceFunc /*callback*/,
+                         gpointer /*data*/)
+{
+    auto* own = reinterpret_cast<stream_source*>(source);
+    own->stream->on_ready(g_source_query_unix_fd(source, own->tag));
+    return G_SOURCE_CONTINUE;
+}
+
+namespace
+{
+
+GSourceFuncs stream_functions{.prepare = nullptr,
+                              .check = nullptr,
+                              .dispatch = dispatch_stream,
+                              .finalize = nullptr,
+                              .closure_callback = nullptr,
+                              .closure_marshal = nullptr};
+
+} // namespace
+
+std::shared_ptr<tcp_stream> tcp_stream::connect(net::event_loop& loop,
+                                                const endpoint& peer,
+                                                const stream_options& options)
+{
+    const int fd = open_socket();
+    if (fd < 0)
+        return nullptr;
+    apply_options(fd, options);
+    const auto address = to_sockaddr(peer);
+    const int result = ::connect(
+        fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    if (result != 0 && errno != EINPROGRESS)
+    {
+        ::close(fd);
+        return nullptr;
+    }
+    return std::make_shared<tcp_stream>(loop, fd, false);
+}
+
+std::shared_ptr<tcp_stream> tcp_stream::adopt(net::event_loop& loop, int fd,
+                                              const stream_options& options)
+{
+    apply_options(fd, options);
+    return std::make_shared<tcp_stream>(loop, fd, true);
+}
+
+tcp_stream::tcp_stream(net::event_loop& loop, int fd, bool connected)
+    : loop_(loop), fd_(fd), connected_(connected)
+{
+    source_ = g_source_new(&stream_functions, sizeof(stream_source));
+    auto* own = reinterpret_cast<stream_source*>(source_);
+    own->stream = this;
+    own->tag = g_source_add_unix_fd(source_, fd_, connected ? G_IO_IN
+                                                            : G_IO_OUT);
+    tag_ = own->tag;
+    g_source_attach(source_, loop_.context());
+}
+
+tcp_stream::~tcp_stream()
+{
+    close();
+}
+
+void tcp_stream::set_handlers(handlers callbacks)
+{
+    handlers_ = std::move(callbacks);
+}
+
+void tcp_stream::send(std::string bytes)
+{
+    if (fd_ < 0 || bytes.empty())
+        return;
+    if (queue_.empty())
+        queue_ = std::move(bytes);
+    else
+        queue_ += bytes;
+    if (connected_)
+        write_queued();
+}
+
+void tcp_stream::set_reading(bool enabled)
+{
+    if (reading_ == enabled)
+        return;
+    reading_ = enabled;
+    update_interest();
+}
+
+void tcp_stream::close_when_drained()
+{
+    if (unsent() == 0)
+    {
+        close();
+        return;
+    }
+    closing_ = true;
+}
+
+void tcp_stream::close()
+{
+    if (fd_ < 0)
+        return;
+    g_source_destroy(source_);
+    g_source_unref(source_);
+    source_ = nullptr;
+    ::close(fd_);
+    fd_ = -1;
+    queue_.clear();
+    queue_start_ = 0;
+}
+
+void tcp_stream::abort()
+{
+    if (fd_ < 0)
+        return;
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    [[maybe_unused]] const int ignored =
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close();
+}
+
+bool tcp_stream::is_open() const
+{
+    return fd_ >= 0;
+}
+
+std::size_t tcp_stream::unsent() const
+{
+    return queue_.size() - queue_start_;
+}
+
+std::uint64_t tcp_stream::sent() const
+{
+    return sent_;
+}
+
+void tcp_stream::on_ready(GIOCondition ready)
+{
+    const auto self = shared_from_this();
+    if (!connected_)
+    {
+        finish_connect();
+        return;
+    }
+    if (!broken_ && (ready & (G_IO_OUT | G_IO_ERR)) != 0)
+        write_queued();
+    if (broken_)
+    {
+        end(stream_end::reset);
+        return;
+    }
+    if (fd_ >= 0 && (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0)
+        read_available();
+}
+
+void tcp_stream::finish_connect()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)
+    {
+        end(stream_end::connect_failed);
+        return;
+    }
+    connected_ = true;
+    update_interest();
+    if (handlers_.on_connected)
+        handlers_.on_connected();
+    if (fd_ >= 0)
+        write_queued();
+}
+
+void tcp_stream::read_available()
+{
+    static thread_local std::array<char, read_size> buffer;
+    for (int turn = 0; turn < reads_per_turn && fd_ >= 0 && reading_; ++turn)
+    {
+        const auto size = recv(fd_, buffer.data(), buffer.size(), 0);
+        if (size > 0)
+        {
+            const auto count = static_cast<std::size_t>(size);
+            if (handlers_.on_data)
+                handlers_.on_data({buffer.data(), count});
+            if (count < buffer.size())
+                return;
+            continue;
+        }
+        if (size == 0)
+        {
+            end(stream_end::peer_closed);
+            return;
+        }
+        if (!would_block(errno))
+            end(stream_end::reset);
+        return;
+    }
+}
+
+void tcp_stream::write_queued()
+{
+    bool wrote = false;
+    while (fd_ >= 0 && unsent() > 0)
+    {
+        const auto size = ::send(fd_, queue_.data() + queue_start_, unsent(),
+                                 MSG_NOSIGNAL);
+        if (size < 0)
+        {
+            if (would_block(errno))
+                break;
+            // Reported from the loop, never from inside the owner's call.
+            broken_ = true;
+            queue_.clear();
+            queue_start_ = 0;
+            update_interest();
+            return;
+        }
+        wrote = true;
+        sent_ += static_cast<std::uint64_t>(size);
+        queue_start_ += static_cast<std::size_t>(size);
+    }
+    if (fd_ < 0)
+        return;
+    if (unsent() == 0)
+    {
+        queue_.clear();
+        queue_start_ = 0;
+        if (closing_)
+        {
+            close();
+            return;
+        }
+    }
+    update_interest();
+    if (wrote && unsent() == 0 && handlers_.on_drained)
+    {
+        const auto self = weak_from_this().lock();
+        handlers_.on_drained();
+    }
+}
+
+void tcp_stream::update_interest()
+{
+    if (fd_ < 0)
+        return;
+    unsigned wanted = 0;
+    if (!connected_ || broken_ || unsent() > 0)
+        wanted |= G_IO_OUT;
+    if (connected_ && reading_)
+        wanted |= G_IO_IN;
+    g_source_modify_unix_fd(source_, tag_, static_cast<GIOCondition>(wanted));
+}
+
+void tcp_stream::end(stream_end how)
+{
+    const auto self = shared_from_this();
+    close();
+    const auto on_end = std::move(handlers_.on_end);
+    handlers_ = {};
+    if (on_end)
+        on_end(how);
+}
+
+std::unique_ptr<tcp_listener>
+tcp_listener::open(net::event_loop& loop, const endpoint& address,
+                   const stream_options& options, accept_callback on_accept,
+                   failure& reason)
+{
+    const int fd = open_socket();
+    const auto bound = to_sockaddr(address);
+    if (fd >= 0)
+        set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (fd >= 0 &&
+        bind(fd, reinterpret_cast<const sockaddr*>(&bound), sizeof bound) ==
+            0 &&
+        listen(fd, listen_backlog) == 0)
+        return std::make_unique<tcp_listener>(loop, fd, options,
+                                              std::move(on_accept));
+    reason = {failure_kind::io,
+              "cannot listen on " + to_string(address) + ": " +
+                  std::strerror(errno),
+              "choose a free listen address of this host"};
+    if (fd >= 0)
+        ::close(fd);
+    return nullptr;
+}
+
+tcp_listener::tcp_listener(net::event_loop& loop, int fd,
+                           stream_options options, accept_callback on_accept)
+    : loop_(loop), fd_(fd), options_(options), on_accept_(std::move(on_accept))
+{
+    source_ = g_unix_fd_source_new(fd_, G_IO_IN);
+    // The cast is how GLib hands typed callbacks over.
+    g_source_set_callback(source_, G_SOURCE_FUNC(on_ready), this, nullptr);
+    g_source_attach(source_, loop_.context());
+}
+
+tcp_listener::~tcp_listener()
+{
+    g_source_destroy(source_);
+    g_source_unref(source_);
+    ::close(fd_);
+}
+
+gboolean tcp_listener::on_ready(gint /*fd*/, GIOCondition /*condition*/,
+                                gpointer data)
+{
+    static_cast<tcp_listener*>(data)->accept_waiting();
+    return G_SOURCE_CONTINUE;
+}
+
+void tcp_listener::accept_waiting()
+{
+    for (int turn = 0; turn < accepts_per_turn; ++turn)
+    {
+        const int fd =
+            accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0)
+            return;
+        on_accept_(tcp_stream::adopt(loop_, fd, options_));
+    }
+}
+
+} // namespace baobabloft::http
--- a/lib/net/event_loop.cpp
+++ b/lib/net/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "baobabloft/net/event_loop.hpp"
 
 #include <algorithm>
+#include <ctime>
 
 namespace baobabloft::net
 {
@@ -112,4 +113,13 @@
     return time_point{duration{g_get_monotonic_time()}};
 }
 
+time_point boot_now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point{std::chrono::duration_cast<duration>(
+        std::chrono::seconds{now.tv_sec} +
+        std::chrono::nanoseconds{now.tv_nsec})};
+}
+
 } // namespace baobabloft::net
--- /dev/null
+++ b/lib/relay/relay.cpp
@@ -0,0 +1,462 @@
+#include "baobabloft/relay/relay.hpp"
+
+#include "baobabloft/relay/relay_session.hpp"
+#include "baobabloft/router/log.hpp"
+
+#include <sodium.h>
+
+namespace baobabloft::relay
+{
+
+namespace
+{
+
+namespace bhttp = boost::beast::http;
+using router::log_event;
+using router::log_level;
+
+constexpr duration sweep_period = 50ms;
+constexpr duration follow_period = 10ms;
+/// Answers of the store take milliseconds; a slow store takes a few hundred.
+constexpr duration store_timeout = 700ms;
+/// Lifetime of this router's entry; others count it until then.
+constexpr duration registration_lifetime = 10s;
+constexpr duration registration_period = 3s;
+constexpr duration registration_retry = 500ms;
+constexpr duration registration_spread = 500ms;
+/// A silent caller's connection is found out after this.
+constexpr duration caller_unacknowledged = 10s;
+/// The balancer asks once a second and takes a router out after two misses.
+constexpr duration balancer_notice = 2600ms;
+/// Time before the shutdown timeout at which the rest is given up.
+constexpr duration shutdown_reserve = 500ms;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+std::uint64_t random_seed()
+{
+    std::uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof seed);
+    return seed;
+}
+
+dispatch::freshness_bounds freshness_of(const router::settings& options)
+{
+    return {.key_revocation = options.key_revocation_bound,
+            .in_force = options.in_force_bound};
+}
+
+dispatch::arrival_bound arrival_bound_of(const router::settings& options)
+{
+    return {.ratio = options.retry_ratio,
+            .slack = options.retry_slack,
+            .window = options.retry_window};
+}
+
+} // namespace
+
+dispatch::reliance relay_context::reliance(time_point now) const
+{
+    return dispatch::reliance_at(now, follower.proven_at(), freshness);
+}
+
+duration relay_context::proof_age(time_point now) const
+{
+    const auto proven = follower.proven_at();
+    return proven ? now - *proven : duration{-1000};
+}
+
+std::size_t relay_context::routers() const
+{
+    return std::max<std::size_t>(follower.state().routers().size(), 1);
+}
+
+relay::relay(net::event_loop& loop, const router::settings& options,
+             const header_dialect& dialect,
+             const directory::record_codec& codec, directory_store& store,
+             router::metrics& counters)
+    : loop_(loop), options_(options), store_(store),
+      context_{
+          .loop = loop,
+          .dialect = dialect,
+          .counters = counters,
+          .follower = {codec, {}},
+          .pool = channel_pool{loop},
+          .selector = {context_.follower.state(),
+                       {.data_centre = options.data_centre,
+                        .router = options.router_name,
+                        .cold = {.overrun = options.cold_overrun,
+                                 .slack = options.cold_slack},
+                        .started = net::boot_now()},
+                       [this](const directory::known_upstream& upstream,
+                              const directory::routed_service& service)
+                       {
+                           return context_.pool.has_room(
+                               upstream.record, service.max_connections,
+                               context_.routers());
+                       }},
+          .budget = {arrival_bound_of(options), net::boot_now()},
+          .freshness = freshness_of(options),
+          .random = std::mt19937_64{random_seed()}},
+      started_(net::boot_now())
+{
+}
+
+relay::~relay() = default;
+
+bool relay::start(failure& reason)
+{
+    const http::stream_options to_callers{.unacknowledged_timeout =
+                                              caller_unacknowledged};
+    const auto listen = [&](const endpoint& address, auto on_accept)
+    {
+        auto listener = http::tcp_listener::open(loop_, address, to_callers,
+                                                 on_accept, reason);
+        if (!listener)
+            return false;
+        listeners_.push_back(std::move(listener));
+        return true;
+    };
+    const auto pages = [this](std::shared_ptr<http::tcp_stream> stream)
+    { accept_page(std::move(stream)); };
+    if (!listen(options_.listen, [this](std::shared_ptr<http::tcp_stream> stream)
+                { accept(std::move(stream)); }))
+        return false;
+    if (options_.ready_listen && !listen(*options_.ready_listen, pages))
+        return false;
+    if (options_.metrics_listen && !listen(*options_.metrics_listen, pages))
+        return false;
+    loop_.every(sweep_period, [this] { sweep(); });
+    loop_.every(follow_period, [this] { follow(); });
+    follow();
+    return true;
+}
+
+http::caller_limits relay::caller_limits() const
+{
+    http::caller_limits limits;
+    if (const auto& config = context_.follower.state().config())
+    {
+        limits.header_bytes = config->bounds.header_bytes;
+        limits.body_bytes = config->bounds.body_bytes;
+        limits.header_timeout = config->bounds.header_timeout;
+        limits.idle_timeout = config->bounds.idle_timeout;
+    }
+    return limits;
+}
+
+void relay::accept(std::shared_ptr<http::tcp_stream> stream)
+{
+    const auto channel = std::make_shared<http::caller_channel>(
+        std::move(stream), caller_limits(), net::boot_now());
+    callers_.insert(channel);
+    const std::weak_ptr<http::caller_channel> weak = channel;
+    // The session of the request in progress, shared by the callbacks.
+    const auto session = std::make_shared<std::weak_ptr<relay_session>>();
+    channel->start(
+        {.on_request =
+             [this, weak, session](http::request&& message)
+         {
+             if (const auto held = weak.lock())
+                 *session =
+                     relay_session::start(context_, held, std::move(message));
+         },
+         .on_gone =
+             [this, weak, session]
+         {
+             if (const auto active = session->lock())
+                 active->caller_gone();
+             callers_.erase(weak.lock());
+         },
+         .on_drained =
+             [session]
+         {
+             if (const auto active = session->lock())
+                 active->caller_drained();
+         },
+         .on_rejected =
+             [](unsigned status, std::string_view why)
+         {
+             log_event(log_level::info, "unreadable_request",
+                       {{"status", std::to_string(status)},
+                        {"why", std::string{why}}});
+         }});
+}
+
+void relay::accept_page(std::shared_ptr<http::tcp_stream> stream)
+{
+    const auto channel = std::make_shared<http::caller_channel>(
+        std::move(stream), http::caller_limits{}, net::boot_now());
+    callers_.insert(channel);
+    const std::weak_ptr<http::caller_channel> weak = channel;
+    channel->start({.on_request =
+                        [this, weak](http::request&& message)
+                    {
+                        if (const auto held = weak.lock())
+                            serve_page(held, message);
+                    },
+                    .on_gone = [this, weak] { callers_.erase(weak.lock()); },
+                    .on_drained = nullptr,
+                    .on_rejected = nullptr});
+}
+
+void relay::serve_page(const caller_ptr& channel, const http::request& message)
+{
+    const auto path = http::view_of(message.target());
+    http::response out;
+    out.set(bhttp::field::content_type, "text/plain; version=0.0.4");
+    if (path == context_.dialect.readiness_path || path == "/readyz")
+    {
+        const bool ready = is_ready(net::boot_now());
+        out.result(ready ? status_ok : status_unavailable);
+        out.body() = ready ? "ready\n" : "not ready\n";
+    }
+    else if (path == "/metrics")
+    {
+        out.result(status_ok);
+        out.body() = context_.counters.text();
+    }
+    else
+        out.result(status_not_found);
+    channel->respond(net::boot_now(), std::move(out), true);
+}
+
+bool relay::is_ready(time_point now) const
+{
+    return !context_.leaving &&
+           dispatch::is_fresh_enough_to_attract(
+               now, context_.follower.proven_at(), context_.freshness) &&
+           context_.follower.state().config() != nullptr;
+}
+
+void relay::note_readiness()
+{
+    const auto now = net::boot_now();
+    const bool ready = is_ready(now);
+    if (ready == was_ready_)
+        return;
+    was_ready_ = ready;
+    context_.counters.set("baobab_ready", ready ? 1 : 0);
+    log_event(log_level::info, "readiness_changed",
+              {{"ready", ready ? "yes" : "no"},
+               {"leaving", context_.leaving ? "yes" : "no"},
+               {"proof_age_ms",
+                std::to_string(context_.proof_age(now) / 1ms)}});
+}
+
+void relay::sweep()
+{
+    const auto now = net::boot_now();
+    std::vector<caller_ptr> closed;
+    for (const auto& channel : callers_)
+        closed.push_back(channel);
+    std::erase_if(closed, [now](const caller_ptr& channel)
+                  { return channel->check_timeouts(now); });
+    for (const auto& channel : closed)
+        callers_.erase(channel);
+    const auto& state = context_.follower.state();
+    context_.pool.sweep(now, state);
+    if (state.generation() != seen_generation_)
+    {
+        seen_generation_ = state.generation();
+        context_.selector.forget_gone();
+    }
+    note_readiness();
+    keep_registered();
+    check_shutdown();
+}
+
+void relay::follow()
+{
+    if (const auto call = context_.follower.next(net::boot_now()))
+        std::visit([this](const auto& part) { call_store(part); }, *call);
+    report_changes();
+}
+
+void relay::note_call(std::string_view kind, bool answered,
+                      const failure& reason)
+{
+    context_.counters.platform_call(kind, answered);
+    if (answered == store_answers_)
+        return;
+    store_answers_ = answered;
+    log_event(answered ? log_level::info : log_level::warning,
+              answered ? "store_regained" : "store_lost",
+              {{"call", std::string{kind}},
+               {"proof_age_ms",
+                std::to_string(context_.proof_age(net::boot_now()) / 1ms)},
+               {"reason", reason.message}});
+}
+
+void relay::call_store(const directory::read_page& call)
+{
+    store_.read_page(
+        call.after, store_timeout,
+        [this](const std::optional<directory::entry_page>& page,
+               const failure& reason)
+        {
+            const auto now = net::boot_now();
+            if (page)
+                context_.follower.page_arrived(now, *page);
+            else
+                context_.follower.call_failed(now);
+            note_call("directory_read", page.has_value(), reason);
+            follow();
+        });
+}
+
+void relay::call_store(const directory::watch_changes& call)
+{
+    store_.watch(call, call.wait + store_timeout,
+                 [this](const watch_result& result, const failure& reason)
+                 {
+                     const auto now = net::boot_now();
+                     auto& follower = context_.follower;
+                     if (result.changes)
+                         follower.changes_arrived(now, *result.changes);
+                     else if (result.history_lost)
+                     {
+                         log_event(log_level::info, "store_history_lost");
+                         follower.history_lost(now);
+                     }
+                     else
+                         follower.call_failed(now);
+                     note_call("directory_watch",
+                               result.changes || result.history_lost, reason);
+                     follow();
+                 });
+}
+
+void relay::report_changes()
+{
+    for (const auto& change : context_.follower.state().take_changes())
+        log_event(log_level::info,
+                  name_in(directory::belief_change_names, change.kind),
+                  {{"name", change.name},
+                   {"detail", change.detail},
+                   {"revision", std::to_string(change.changed)}});
+}
+
+void relay::keep_registered()
+{
+    const auto now = net::boot_now();
+    if (registering_ || now < next_registration_ || context_.leaving)
+        return;
+    if (!context_.follower.is_complete())
+        return;
+    registering_ = true;
+    if (lease_)
+    {
+        store_.renew_lease(
+            *lease_, store_timeout,
+            [this](lease_renewal renewal, const failure& reason)
+            {
+                registering_ = false;
+                if (renewal == lease_renewal::ended)
+                {
+                    log_event(log_level::info, "registration_lost");
+                    lease_.reset();
+                    return;
+                }
+                const bool renewed = renewal == lease_renewal::renewed;
+                context_.counters.platform_call("lease_renewal", renewed);
+                if (!renewed)
+                    log_event(log_level::debug, "registration_not_renewed",
+                              {{"reason", reason.message}});
+                next_registration_ =
+                    net::boot_now() +
+                    (renewed ? registration_period : registration_retry);
+            });
+        return;
+    }
+    store_.grant_lease(
+        registration_lifetime, store_timeout,
+        [this](const std::optional<lease_id>& lease, const failure&)
+        {
+            context_.counters.platform_call("lease_grant", lease.has_value());
+            lease_ = lease;
+            if (lease)
+            {
+                register_router();
+                return;
+            }
+            registering_ = false;
+            next_registration_ = net::boot_now() + registration_retry;
+        });
+}
+
+void relay::register_router()
+{
+    store_.write_router(
+        {options_.router_name, options_.control_listen}, *lease_,
+        store_timeout,
+        [this](bool written, const failure& reason)
+        {
+            registering_ = false;
+            context_.counters.platform_call("registration", written);
+            log_event(log_level::info,
+                      written ? "registered" : "registration_failed",
+                      {{"reason", reason.message}});
+            if (!written)
+                lease_.reset();
+            next_registration_ =
+                net::boot_now() +
+                (written ? registration_period : registration_retry);
+        });
+}
+
+void relay::reload(const router::settings& options)
+{
+    if (options.directory)
+        store_.set_address(*options.directory);
+    context_.freshness = freshness_of(options);
+    context_.budget.set_bound(arrival_bound_of(options));
+    context_.selector.set_cold_bound(
+        {.overrun = options.cold_overrun, .slack = options.cold_slack});
+    const bool moved = options.listen != options_.listen ||
+                       options.ready_listen != options_.ready_listen ||
+                       options.metrics_listen != options_.metrics_listen;
+    log_event(moved ? log_level::warning : log_level::info, "settings_applied",
+              {{"listeners", moved ? "unchanged until a restart" : "same"}});
+    const auto listen = options_.listen;
+    const auto ready = options_.ready_listen;
+    const auto pages = options_.metrics_listen;
+    options_ = options;
+    options_.listen = listen;
+    options_.ready_listen = ready;
+    options_.metrics_listen = pages;
+}
+
+void relay::shut_down(std::function<void(bool)> done)
+{
+    if (context_.leaving)
+        return;
+    context_.leaving = true;
+    leave_started_ = net::boot_now();
+    on_left_ = std::move(done);
+    note_readiness();
+}
+
+void relay::check_shutdown()
+{
+    if (!leave_started_ || !on_left_)
+        return;
+    const auto waited = net::boot_now() - *leave_started_;
+    if (waited < balancer_notice)
+        return;
+    for (const auto& channel : std::vector(callers_.begin(), callers_.end()))
+        if (channel->close_if_idle())
+            callers_.erase(channel);
+    const bool too_long =
+        waited >= options_.shutdown_timeout - shutdown_reserve;
+    if (!callers_.empty() && !too_long)
+        return;
+    const bool graceful = callers_.empty();
+    if (lease_)
+        store_.end_lease(*lease_, store_timeout);
+    const auto done = std::exchange(on_left_, nullptr);
+    done(graceful);
+}
+
+} // namespace baobabloft::relay
--- /dev/null
+++ b/lib/relay/relay_session.cpp
@@ -0,0 +1,802 @@
+#include "baobabloft/relay/relay_session.hpp"
+
+#include "baobabloft/router/log.hpp"
+#include "baobabloft/support/hash.hpp"
+#include "baobabloft/support/numbers.hpp"
+
+#include <algorithm>
+
+namespace baobabloft::relay
+{
+
+namespace
+{
+
+namespace bhttp = boost::beast::http;
+using dispatch::attempt_end;
+using dispatch::next_step;
+using router::log_event;
+using router::log_level;
+using router::refusal_kind;
+
+constexpr unsigned http_1_1 = 11;
+constexpr unsigned status_ok = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_server_error = 500;
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+
+/// Longest time to open a connection to an upstream; a lost opening packet is
+/// repeated only after a second, so another upstream is faster.
+constexpr duration connect_timeout = 120ms;
+/// Idle time up to which a kept connection carries a request that cannot be
+/// repeated if the connection turns out dead.
+constexpr duration unrepeatable_idle = 1500ms;
+constexpr duration repeatable_idle = 8s;
+/// Time below which another attempt cannot succeed.
+constexpr duration least_attempt_time = 30ms;
+/// A repeatable request moves on if its upstream is silent for this multiple
+/// of the time in which it should have answered.
+constexpr int plain_patience = 2;
+constexpr duration least_patience = 150ms;
+constexpr double first_event_patience = 1.5;
+constexpr int gap_patience = 3;
+/// Bytes for one caller that may wait here before reading stops.
+constexpr std::size_t max_caller_backlog = std::size_t{256} * 1024;
+constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
+/// Retry-After of refusals that another router may not have to make.
+constexpr duration elsewhere_pause = 20ms;
+constexpr duration elsewhere_spread = 60ms;
+/// Retry-After of other refusals, in parts of the time left.
+constexpr double wait_part = 0.12;
+constexpr double wait_spread = 0.15;
+constexpr std::uint32_t max_urgency = 9;
+
+bool promises_not_run(unsigned status)
+{
+    return status == status_request_timeout || status == status_misdirected ||
+           status == status_too_many || status == status_unavailable;
+}
+
+std::string in_ms(duration value)
+{
+    return std::to_string(value / 1ms);
+}
+
+std::string rounded(double value)
+{
+    constexpr double tenth = 10;
+    const auto scaled = static_cast<std::int64_t>(value * tenth);
+    return std::to_string(scaled / 10) + "." + std::to_string(scaled % 10);
+}
+
+/// Copies what a header set forwards, without headers of one connection.
+template <typename Skip>
+void copy_fields(const http::fields& from, http::fields& to, Skip skip)
+{
+    for (const auto& field : from)
+    {
+        const auto name = http::view_of(field.name_string());
+        if (!http::is_hop_by_hop(from, name) && !skip(name))
+            to.insert(field.name_string(), field.value());
+    }
+}
+
+bool contains_name(const std::vector<std::string>& names,
+                   std::string_view wanted)
+{
+    return std::any_of(names.begin(), names.end(),
+                       [wanted](const std::string& name)
+                       {
+                           return boost::beast::iequals(
+                               http::beast_view(name),
+                               http::beast_view(wanted));
+                       });
+}
+
+} // namespace
+
+std::shared_ptr<relay_session>
+relay_session::start(relay_context& context,
+                     std::shared_ptr<http::caller_channel> caller,
+                     http::request&& message)
+{
+    const auto session = std::make_shared<relay_session>(
+        context, std::move(caller), std::move(message));
+    session->held_ = session;
+    session->begin();
+    return session;
+}
+
+relay_session::relay_session(relay_context& context,
+                             std::shared_ptr<http::caller_channel> caller,
+                             http::request&& message)
+    : context_(context), caller_(std::move(caller)),
+      message_(std::move(message))
+{
+    context_.counters.requests_in_progress(1);
+}
+
+relay_session::~relay_session()
+{
+    disarm();
+    context_.counters.requests_in_progress(-1);
+}
+
+void relay_session::begin()
+{
+    arrived_ = net::boot_now();
+    request_id_ = http::field_of(message_, context_.dialect.request_id);
+    config_ = context_.follower.state().config();
+    if (!admit())
+        return;
+    read_deadline(arrived_);
+    choose_service();
+    if (service_ == nullptr)
+    {
+        refuse(refusal_kind::no_upstream, "service is not configured");
+        return;
+    }
+    dispatch();
+}
+
+bool relay_session::admit()
+{
+    const auto reliance = context_.reliance(arrived_);
+    if (!config_ || reliance == dispatch::reliance::none)
+    {
+        refuse(refusal_kind::not_ready, "no configuration yet");
+        return false;
+    }
+    // Only a fresh configuration tells what does not exist.
+    const bool may_deny = reliance == dispatch::reliance::full;
+    route_ = config_->find_route(
+        http::view_of(message_[bhttp::field::host]),
+        http::view_of(message_.target()));
+    if (route_ == nullptr)
+    {
+        refuse(may_deny ? refusal_kind::unknown_path : refusal_kind::isolated,
+               "no route matches");
+        return false;
+    }
+    if (route_->is_public || !config_->needs_keys)
+        return true;
+    if (reliance == dispatch::reliance::routes_only)
+    {
+        refuse(refusal_kind::isolated,
+               "configuration is too old to accept a key");
+        return false;
+    }
+    customer_ = config_->find_customer(
+        http::field_of(message_, context_.dialect.key));
+    if (customer_ != nullptr)
+        return true;
+    refuse(may_deny ? refusal_kind::unknown_key : refusal_kind::isolated,
+           "no customer holds this key");
+    return false;
+}
+
+void relay_session::read_deadline(time_point now)
+{
+    auto allowed = route_->timeout;
+    const auto given = parse_number<std::uint64_t>(
+        http::field_of(message_, context_.dialect.time_left_ms));
+    if (given)
+        allowed = std::min<duration>(
+            allowed, std::min<std::uint64_t>(*given, 86'400'000) * 1ms);
+    latest_ = now + allowed;
+}
+
+void relay_session::choose_service()
+{
+    const auto text = http::field_of(message_, context_.dialect.prompt_parts);
+    if (route_->has_affinity && !text.empty())
+    {
+        const auto parts = context_.dialect.read_prompt_parts(text);
+        // The last part is the request's own; the one before is the longest
+        // prefix that other requests share.
+        if (!parts.empty())
+            affinity_ = parts.size() > 1 ? parts[parts.size() - 2].id
+                                         : parts.front().id;
+    }
+    std::uint64_t total = 0;
+    for (const auto& item : route_->services)
+        total += item.weight;
+    if (total == 0)
+        return;
+    auto point = affinity_ ? hash_combine(*affinity_, hash_bytes(route_->name))
+                           : context_.random();
+    point %= total;
+    for (const auto& item : route_->services)
+    {
+        if (point < item.weight)
+        {
+            const auto found = config_->services.find(item.service);
+            service_ = found == config_->services.end() ? nullptr
+                                                        : &found->second;
+            return;
+        }
+        point -= item.weight;
+    }
+}
+
+std::uint32_t relay_session::urgency() const
+{
+    const auto rank = customer_ != nullptr && customer_->priority
+                          ? *customer_->priority
+                          : route_->priority;
+    return std::min(max_urgency, 1 + 2 * rank);
+}
+
+void relay_session::dispatch()
+{
+    const auto now = net::boot_now();
+    if (now + least_attempt_time >= latest_ && history_.attempts > 0)
+    {
+        if (history_.runs == 0)
+            refuse(refusal_kind::deadline_passed, "no time for an attempt");
+        else
+            fail(refusal_kind::upstream_silent, "no time for an attempt");
+        return;
+    }
+    const auto chosen = context_.selector.choose(
+        now, {.service = service_,
+              .affinity = affinity_,
+              .avoid = avoid_,
+              .is_repeatable = route_->is_repeatable()});
+    if (chosen.upstream == nullptr)
+    {
+        if (stream_started_)
+        {
+            finish("broken_off");
+            return;
+        }
+        if (history_.runs > 0)
+            fail(refusal_kind::upstream_failed, "no other upstream");
+        else
+            refuse(chosen.how == dispatch::choice::all_busy
+                       ? refusal_kind::overloaded
+                       : refusal_kind::no_upstream,
+                   name_in(dispatch::choice_names, chosen.how));
+        return;
+    }
+    if (arrivals_ > 0 && !context_.budget.take_further(now, service_->name,
+                                                       context_.routers()))
+    {
+        if (stream_started_)
+            finish("broken_off");
+        else if (history_.runs > 0)
+            fail(refusal_kind::retries_spent, "retry budget is used up");
+        else
+            refuse(refusal_kind::overloaded, "retry budget is used up");
+        return;
+    }
+    if (history_.attempts == 0)
+        context_.budget.count_first(now, service_->name);
+    send(*chosen.upstream, chosen);
+}
+
+http::request_head
+relay_session::upstream_head(const directory::upstream_record& target,
+                             time_point now) const
+{
+    const auto& names = context_.dialect;
+    http::request_head head;
+    head.method_string(message_.method_string());
+    head.target(message_.target());
+    head.version(http_1_1);
+    copy_fields(message_, head,
+                [&names](std::string_view name)
+                { return contains_name(names.reserved, name); });
+    const auto set = [&head](const std::string& name, const std::string& value)
+    { head.set(http::beast_view(name), value); };
+    set(names.time_left_ms, in_ms(latest_ - now));
+    set(names.expected_upstream, target.id);
+    if (customer_ != nullptr)
+        set(names.customer, customer_->name);
+    if (affinity_)
+        set(names.urgency, std::to_string(urgency()));
+    if (stream_started_ && last_event_)
+        set(names.resume_after, std::to_string(*last_event_));
+    const bool had_body = message_.has_content_length() || message_.chunked();
+    if (had_body || !message_.body().empty())
+        head.content_length(message_.body().size());
+    return head;
+}
+
+void relay_session::send(const directory::known_upstream& upstream,
+                         const dispatch::selection& chosen)
+{
+    const auto now = net::boot_now();
+    const auto at = std::make_shared<attempt>();
+    at->upstream = upstream.record.id;
+    at->chosen = chosen;
+    at->chosen.upstream = nullptr;
+    at->started = now;
+    ++history_.attempts;
+    current_ = at;
+    splitter_ = {};
+    const bool is_repeatable = route_->is_repeatable();
+    at->channel = context_.pool.acquire(
+        now, upstream.record,
+        is_repeatable ? repeatable_idle : unrepeatable_idle);
+    context_.selector.count_sent(now, at->upstream);
+    if (!at->channel)
+    {
+        end_attempt(at, attempt_end::not_sent, "no socket");
+        return;
+    }
+    http::outgoing_request out;
+    out.head = upstream_head(upstream.record, now);
+    out.body = message_.body();
+    out.id_header = context_.dialect.request_id;
+    out.id = request_id_;
+    out.connect_timeout = connect_timeout;
+    const std::weak_ptr<relay_session> weak = weak_from_this();
+    const auto with = [weak, at](auto step)
+    {
+        return [weak, at, step](auto&&... arguments)
+        {
+            const auto self = weak.lock();
+            if (self && !at->over)
+                ((*self).*step)(at, arguments...);
+        };
+    };
+    at->channel->exchange(std::move(out),
+                          {.on_head = with(&relay_session::on_head),
+                           .on_body = with(&relay_session::on_body),
+                           .on_complete = with(&relay_session::on_complete),
+                           .on_failure = with(&relay_session::on_failure)});
+    if (!at->over)
+        arm(at);
+}
+
+duration relay_session::patience(time_point now) const
+{
+    const auto left = latest_ - now;
+    const bool may_move = route_->is_repeatable() &&
+                          history_.runs + 1 < route_->attempts;
+    if (!may_move)
+        return left;
+    if (route_->kind == directory::request_kind::safe)
+        return std::min(left, std::max<duration>(least_patience,
+                                                 plain_patience * route_->goal));
+    if (last_event_ && stream_started_)
+        return std::min(left, gap_patience * route_->gap_goal);
+    return std::min(left, duration{static_cast<duration::rep>(
+                              first_event_patience *
+                              static_cast<double>(route_->goal.count()))});
+}
+
+void relay_session::arm(const attempt_ptr& at)
+{
+    disarm();
+    const auto now = net::boot_now();
+    const std::weak_ptr<relay_session> weak = weak_from_this();
+    timer_ = context_.loop.after(std::max<duration>(patience(now), 1ms),
+                                 [weak, at]
+                                 {
+                                     const auto self = weak.lock();
+                                     if (!self)
+                                         return;
+                                     self->timer_ = 0;
+                                     if (!at->over)
+                                         self->on_timeout(at);
+                                 });
+}
+
+void relay_session::disarm()
+{
+    if (timer_ != 0)
+        context_.loop.cancel(timer_);
+    timer_ = 0;
+}
+
+bool relay_session::is_genuine(const attempt_ptr& at) const
+{
+    const auto& names = context_.dialect;
+    const bool is_success = at->head.result_int() < first_redirect;
+    const bool is_signed =
+        !http::field_of(at->head, names.signature).empty();
+    const bool is_ours =
+        http::field_of(at->head, names.request_id) == request_id_;
+    // An encoded body is not what the upstream was asked for.
+    const bool is_plain =
+        at->head[bhttp::field::content_encoding].empty();
+    return !is_success || (is_signed && is_ours && is_plain);
+}
+
+bool relay_session::says_not_run(const attempt_ptr& at) const
+{
+    return at->head.result_int() == status_misdirected ||
+           !http::field_of(at->head, context_.dialect.not_run).empty();
+}
+
+void relay_session::on_head(const attempt_ptr& at,
+                            const http::response_head& head)
+{
+    const auto now = net::boot_now();
+    at->head = head;
+    at->has_head = true;
+    const auto& names = context_.dialect;
+    if (const auto load =
+            names.read_load(http::field_of(head, names.load)))
+        context_.selector.told(now, at->upstream, *load);
+    if (const auto cold = parse_number<std::uint32_t>(
+            http::field_of(head, names.cold_left_ms)))
+        context_.follower.state().note_cold(at->upstream, now + *cold * 1ms);
+    if (!is_genuine(at))
+    {
+        end_attempt(at, attempt_end::broken, "answer is not the upstream's");
+        return;
+    }
+    at->is_stream = route_->kind == directory::request_kind::streaming &&
+                    head.result_int() == status_ok;
+}
+
+void relay_session::on_body(const attempt_ptr& at, std::string_view bytes)
+{
+    if (!at->is_stream)
+    {
+        at->body += bytes;
+        if (at->body.size() > max_answer_bytes)
+            end_attempt(at, attempt_end::broken, "answer is too large");
+        return;
+    }
+    splitter_.add(bytes);
+    if (splitter_.buffered() > max_event_bytes)
+    {
+        end_attempt(at, attempt_end::broken, "event is too large");
+        return;
+    }
+    deliver_events(at);
+}
+
+void relay_session::deliver_events(const attempt_ptr& at)
+{
+    std::string out;
+    while (const auto event = splitter_.next())
+        if (!deliver_event(at, *event, out))
+        {
+            if (!out.empty())
+                caller_->send_part(out);
+            end_attempt(at, attempt_end::broken, "event out of order");
+            return;
+        }
+    if (out.empty())
+        return;
+    caller_->send_part(out);
+    if (caller_->unsent() > max_caller_backlog)
+        at->channel->set_reading(false);
+    arm(at);
+}
+
+bool relay_session::deliver_event(const attempt_ptr& at,
+                                  const router::sse_event& event,
+                                  std::string& out)
+{
+    if (event.id && last_event_)
+    {
+        // A resumed stream may repeat what the caller has.
+        if (*event.id <= *last_event_)
+            return true;
+        if (*event.id != *last_event_ + 1)
+            return false;
+    }
+    const auto now = net::boot_now();
+    if (!stream_started_)
+    {
+        start_stream(at);
+        context_.counters.first_token(service_->name, now - arrived_);
+    }
+    else
+        context_.counters.between_tokens(service_->name, now - last_progress_);
+    last_progress_ = now;
+    if (event.id)
+        last_event_ = event.id;
+    out += event.bytes;
+    return true;
+}
+
+void relay_session::start_stream(const attempt_ptr& at)
+{
+    stream_started_ = true;
+    history_.answer_started = true;
+    http::response_head head;
+    head.result(at->head.result_int());
+    copy_fields(at->head, head,
+                [this](std::string_view name)
+                { return contains_name(context_.dialect.internal, name); });
+    caller_->start_stream(std::move(head), !context_.leaving);
+}
+
+void relay_session::on_complete(const attempt_ptr& at)
+{
+    if (at->is_stream)
+        finish_stream(at);
+    else
+        finish_whole(at);
+}
+
+void relay_session::finish_stream(const attempt_ptr& at)
+{
+    if (splitter_.buffered() > 0)
+    {
+        end_attempt(at, attempt_end::broken, "stream ended inside an event");
+        return;
+    }
+    context_.selector.succeeded(net::boot_now(), at->upstream);
+    close_attempt(at);
+    if (!stream_started_)
+        start_stream(at);
+    caller_->end_stream(net::boot_now());
+    finish("answered");
+}
+
+void relay_session::finish_whole(const attempt_ptr& at)
+{
+    const auto status = at->head.result_int();
+    if (says_not_run(at))
+    {
+        end_attempt(at, attempt_end::declined,
+                    status == status_misdirected ? "another server's address"
+                                                 : "upstream is full");
+        return;
+    }
+    if (stream_started_)
+    {
+        end_attempt(at, attempt_end::failed, "resumed stream was refused");
+        return;
+    }
+    if (status >= first_server_error || promises_not_run(status))
+    {
+        end_attempt(at, attempt_end::failed, std::to_string(status));
+        return;
+    }
+    context_.selector.succeeded(net::boot_now(), at->upstream);
+    close_attempt(at);
+    forward(at);
+}
+
+void relay_session::forward(const attempt_ptr& at)
+{
+    const auto status = at->head.result_int();
+    if (promises_not_run(status))
+    {
+        // Without its mark the promise is not the upstream's to make.
+        fail(refusal_kind::upstream_failed, "unmarked refusal");
+        return;
+    }
+    http::response out;
+    out.result(status);
+    copy_fields(at->head, out,
+                [this](std::string_view name)
+                { return contains_name(context_.dialect.internal, name); });
+    out.body() = std::move(at->body);
+    context_.counters.answered(service_->name, net::boot_now() - arrived_);
+    caller_->respond(net::boot_now(), std::move(out), !context_.leaving);
+    finish("answered");
+}
+
+void relay_session::on_failure(const attempt_ptr& at,
+                               http::exchange_failure why)
+{
+    const bool sent = at->channel->has_sent();
+    const bool connecting = why == http::exchange_failure::connect_failed ||
+                            why == http::exchange_failure::connect_timed_out;
+    end_attempt(at,
+                sent && !connecting ? attempt_end::broken
+                                    : attempt_end::not_sent,
+                name_in(http::exchange_failure_names, why));
+}
+
+void relay_session::on_timeout(const attempt_ptr& at)
+{
+    const bool sent = at->channel->has_sent();
+    end_attempt(at, sent ? attempt_end::silent : attempt_end::not_sent,
+                "no answer in time");
+}
+
+void relay_session::close_attempt(const attempt_ptr& at)
+{
+    if (at->over)
+        return;
+    at->over = true;
+    disarm();
+    context_.selector.count_done(at->upstream);
+    if (!at->channel)
+        return;
+    if (at->channel->is_reusable())
+        context_.pool.release(net::boot_now(), at->upstream, at->channel);
+    else
+        at->channel->abandon();
+    at->channel.reset();
+}
+
+void relay_session::end_attempt(const attempt_ptr& at, attempt_end how,
+                                std::string_view why)
+{
+    const auto self = shared_from_this();
+    const auto now = net::boot_now();
+    const bool reused = at->channel && at->channel->was_reused();
+    close_attempt(at);
+    auto& selector = context_.selector;
+    switch (how)
+    {
+    case attempt_end::not_sent:
+        selector.unreachable(now, at->upstream);
+        break;
+    case attempt_end::declined:
+        selector.declined(now, at->upstream);
+        ++arrivals_;
+        break;
+    case attempt_end::broken:
+    case attempt_end::silent:
+        // A kept connection may be at fault rather than its upstream.
+        if (!reused)
+            selector.failed(now, at->upstream);
+        ++arrivals_;
+        ++history_.runs;
+        break;
+    case attempt_end::failed:
+        selector.failed(now, at->upstream);
+        ++arrivals_;
+        ++history_.runs;
+        break;
+    }
+    avoid_.push_back(at->upstream);
+    history_.has_time = now + least_attempt_time < latest_;
+    const auto step = step_after(*route_, how, history_);
+    log_event(log_level::info, "attempt_failed",
+              {{"request", request_id_},
+               {"upstream", at->upstream},
+               {"end", std::string{name_in(dispatch::attempt_end_names, how)}},
+               {"why", std::string{why}},
+               {"after_ms", in_ms(now - at->started)},
+               {"choice",
+                std::string{name_in(dispatch::choice_names, at->chosen.how)}},
+               {"load", rounded(at->chosen.load)},
+               {"mean", rounded(at->chosen.mean)},
+               {"runs", std::to_string(history_.runs)},
+               {"left_ms", in_ms(latest_ - now)},
+               {"next", std::string{name_in(dispatch::next_step_names, step)}}});
+    switch (step)
+    {
+    case next_step::try_other:
+        context_.counters.retried(name_in(dispatch::attempt_end_names, how));
+        dispatch();
+        return;
+    case next_step::forward:
+        forward(at);
+        return;
+    case next_step::refuse_not_run:
+        refuse(how == attempt_end::declined ? refusal_kind::overloaded
+                                            : refusal_kind::no_upstream,
+               why);
+        return;
+    case next_step::fail_unknown:
+        fail(how == attempt_end::silent ? refusal_kind::upstream_silent
+                                        : refusal_kind::upstream_failed,
+             why);
+        return;
+    case next_step::break_off:
+        finish("broken_off");
+        return;
+    }
+}
+
+void relay_session::refuse(refusal_kind kind, std::string_view why)
+{
+    const auto now = net::boot_now();
+    const bool elsewhere = kind == refusal_kind::isolated ||
+                           kind == refusal_kind::not_ready ||
+                           kind == refusal_kind::leaving;
+    std::uniform_real_distribution<double> spread{0, 1};
+    duration pause{};
+    if (elsewhere)
+        pause = elsewhere_pause +
+                from_seconds(spread(context_.random) *
+                             to_seconds(elsewhere_spread));
+    else if (route_ != nullptr)
+        pause = from_seconds((wait_part + wait_spread * spread(context_.random)) *
+                             to_seconds(std::max<duration>(latest_ - now, 0ms)));
+    log_event(log_level::info, "refused",
+              {{"request", request_id_},
+               {"kind", std::string{router::row_of(kind).name}},
+               {"why", std::string{why}},
+               {"route", route_ != nullptr ? route_->name : ""},
+               {"customer", customer_ != nullptr ? customer_->name : ""},
+               {"config", config_ ? std::to_string(config_->version) : "none"},
+               {"proof_age_ms", in_ms(context_.proof_age(now))},
+               {"attempts", std::to_string(history_.attempts)},
+               {"after_ms", in_ms(now - arrived_)},
+               {"executed", "no"}});
+    answer_problem(kind, router::executed::no,
+                   router::row_of(kind).retry_after_s > 0
+                       ? std::optional{pause}
+                       : std::nullopt);
+    finish("refused");
+}
+
+void relay_session::fail(refusal_kind kind, std::string_view why)
+{
+    const auto now = net::boot_now();
+    log_event(log_level::info, "failed",
+              {{"request", request_id_},
+               {"kind", std::string{router::row_of(kind).name}},
+               {"why", std::string{why}},
+               {"route", route_->name},
+               {"attempts", std::to_string(history_.attempts)},
+               {"runs", std::to_string(history_.runs)},
+               {"after_ms", in_ms(now - arrived_)},
+               {"executed", "unknown"}});
+    answer_problem(kind, router::executed::unknown, std::nullopt);
+    finish("failed");
+}
+
+void relay_session::answer_problem(refusal_kind kind, router::executed ran,
+                                   std::optional<duration> retry_after)
+{
+    context_.counters.refused(kind);
+    auto status = router::row_of(kind).status;
+    // Statuses are promises here: 503 that the request did not run.
+    if (ran == router::executed::no && status >= first_server_error)
+        status = status_unavailable;
+    http::response out;
+    out.result(status);
+    out.set(http::beast_view(context_.dialect.request_id), request_id_);
+    out.set(bhttp::field::content_type, "application/problem+json");
+    if (retry_after)
+    {
+        constexpr int thousand = 1000;
+        const auto ms = std::max<std::int64_t>(*retry_after / 1ms, 1);
+        auto fraction = std::to_string(ms % thousand);
+        fraction.insert(0, 3 - fraction.size(), '0');
+        out.set(bhttp::field::retry_after,
+                std::to_string(ms / thousand) + "." + fraction);
+    }
+    out.body() = router::problem_json(kind, ran, request_id_);
+    const bool elsewhere = kind == refusal_kind::isolated ||
+                           kind == refusal_kind::not_ready;
+    caller_->respond(net::boot_now(), std::move(out),
+                     !context_.leaving && !elsewhere);
+}
+
+void relay_session::finish(std::string_view outcome)
+{
+    if (over_)
+        return;
+    over_ = true;
+    disarm();
+    const auto now = net::boot_now();
+    if (outcome == "broken_off")
+        caller_->abort();
+    log_event(log_level::debug, "request_over",
+              {{"request", request_id_},
+               {"outcome", std::string{outcome}},
+               {"route", route_ != nullptr ? route_->name : ""},
+               {"upstream", current_ ? current_->upstream : ""},
+               {"after_ms", in_ms(now - arrived_)}});
+    const auto self = std::move(held_);
+}
+
+void relay_session::caller_gone()
+{
+    if (over_)
+        return;
+    const auto self = shared_from_this();
+    if (current_)
+        close_attempt(current_);
+    finish("caller_gone");
+}
+
+void relay_session::caller_drained()
+{
+    if (current_ && !current_->over && current_->channel)
+        current_->channel->set_reading(true);
+}
+
+} // namespace baobabloft::relay
--- a/lib/router/refusal.cpp
+++ b/lib/router/refusal.cpp
@@ -20,6 +20,8 @@
      "name a model that the preset in force lists", 0},
     {refusal_kind::unknown_service, "unknown_service", 404, "No such service",
      "name a service that the preset in force lists", 0},
+    {refusal_kind::unknown_key, "unknown_key", 401,
+     "No customer holds this key", "send a key that is in force", 0},
     {refusal_kind::body_too_large, "body_too_large", 413,
      "Request body too large", "send a smaller body", 0},
     {refusal_kind::key_required, "key_required", 400,
--- a/lib/router/settings.cpp
+++ b/lib/router/settings.cpp
@@ -1,9 +1,12 @@
 #include "baobabloft/router/settings.hpp"
 
+#include "baobabloft/support/numbers.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
+#include <glib.h>
+#include <memory>
 
 namespace baobabloft::router
 {
@@ -27,17 +30,6 @@
     return parts;
 }
 
-template <typename Number>
-std::optional<Number> parse_number(std::string_view text)
-{
-    Number value{};
-    const auto* end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, value);
-    if (error != std::errc{} || last != end)
-        return std::nullopt;
-    return value;
-}
-
 mistake apply_endpoint(endpoint& target, const std::string& text)
 {
     if (const auto parsed = parse_endpoint(text))
@@ -48,6 +40,12 @@
     return "expected an IPv4 address and port such as 127.0.0.1:8080";
 }
 
+mistake apply_optional_endpoint(std::optional<endpoint>& target,
+                                const std::string& text)
+{
+    return apply_endpoint(target.emplace(), text);
+}
+
 template <typename Number>
 mistake apply_number(Number& target, const std::string& text, Number low,
                      Number high)
@@ -243,6 +241,79 @@
                 {
                     return apply_seconds(all.ledger_retention, text);
                 }},
+    setting_row{"directory", "IP:PORT", "", false,
+                "the platform's store, if routes and upstreams come from it; "
+                "data-centre, kv-url and fleet-secrets are then not needed",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_optional_endpoint(all.directory, text);
+                }},
+    setting_row{"router-name", "NAME", "router", false,
+                "name under which this router registers in the directory",
+                [](settings& all, const std::string& text) -> mistake
+                {
+                    all.router_name = text;
+                    return std::nullopt;
+                }},
+    setting_row{"ready-listen", "IP:PORT", "", false,
+                "address at which the balancer asks for readiness, with a "
+                "directory",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_optional_endpoint(all.ready_listen, text);
+                }},
+    setting_row{"metrics-listen", "IP:PORT", "", false,
+                "address of /metrics, with a directory",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_optional_endpoint(all.metrics_listen, text);
+                }},
+    setting_row{"key-revocation-bound", "SECONDS", "5", false,
+                "time after which a key that was taken away is refused "
+                "everywhere",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.key_revocation_bound, text);
+                }},
+    setting_row{"in-force-bound", "SECONDS", "2", false,
+                "time after which a configuration is in force everywhere",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.in_force_bound, text);
+                }},
+    setting_row{"retry-ratio", "SHARE", "0.2", false,
+                "repeats per request that the fleet may send to a service",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<double>(all.retry_ratio, text, 0, 10);
+                }},
+    setting_row{"retry-slack", "COUNT", "58", false,
+                "repeats beyond that share in one window, over the fleet",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<double>(all.retry_slack, text, 0,
+                                                1'000'000);
+                }},
+    setting_row{"retry-window", "SECONDS", "10", false,
+                "window in which repeats are counted",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_seconds(all.retry_window, text);
+                }},
+    setting_row{"cold-overrun", "MULTIPLE", "1.5", false,
+                "multiple of a service's cold rate that a cold upstream bears",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<double>(all.cold_overrun, text, 0,
+                                                100);
+                }},
+    setting_row{"cold-slack", "COUNT", "5", false,
+                "requests in one second beyond that rate",
+                [](settings& all, const std::string& text)
+                {
+                    return apply_number<double>(all.cold_slack, text, 0,
+                                                10000);
+                }},
     setting_row{"log-level", "LEVEL", "info", false,
                 "debug, info, warning or error", apply_log_level},
 };
@@ -287,12 +358,18 @@
 {
     const auto known = mistakes.size();
     settings result;
+    // With a directory nothing is read from a preset or said to its fleet.
+    const bool with_directory = std::any_of(
+        given.begin(), given.end(), [](const auto& item)
+        { return item.flag == directory_flag && !item.text.empty(); });
     for (const auto& row : table)
     {
         const auto found = std::find_if(given.begin(), given.end(),
                                         [&row](const auto& item)
                                         { return item.flag == row.flag; });
         const bool is_given = found != given.end() && !found->text.empty();
+        if (!is_given && row.required && with_directory)
+            continue;
         if (!is_given && row.required)
         {
             mistakes.push_back({failure_kind::invalid_setting,
@@ -315,37 +392,42 @@
     return result;
 }
 
-std::optional<endpoint> parse_endpoint(std::string_view text)
+std::optional<std::vector<given_setting>>
+read_settings_file(const std::string& path, std::vector<std::string>& unknown,
+                   failure& reason)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    const auto host = text.substr(0, colon);
-    const auto port = parse_number<std::uint16_t>(text.substr(colon + 1));
-    if (!port || !parse_ipv4(host))
+    const std::unique_ptr<GKeyFile, decltype(&g_key_file_unref)> file{
+        g_key_file_new(), g_key_file_unref};
+    GError* raw_error = nullptr;
+    if (g_key_file_load_from_file(file.get(), path.c_str(), G_KEY_FILE_NONE,
+                                  &raw_error) == FALSE)
+    {
+        reason = {failure_kind::invalid_setting,
+                  path + ": " + raw_error->message,
+                  "write [baobabd] and lines of FLAG=TEXT"};
+        g_error_free(raw_error);
         return std::nullopt;
-    return endpoint{std::string{host}, *port};
-}
-
-std::optional<std::uint32_t> parse_ipv4(std::string_view host)
-{
-    constexpr unsigned max_part = 255;
-    std::uint32_t address = 0;
-    std::size_t start = 0;
-    for (int part = 0; part < 4; ++part)
+    }
+    std::vector<given_setting> given;
+    const std::unique_ptr<gchar*, decltype(&g_strfreev)> names{
+        g_key_file_get_keys(file.get(), settings_group, nullptr, nullptr),
+        g_strfreev};
+    for (auto* name = names.get(); name != nullptr && *name != nullptr; ++name)
     {
-        const bool last = part == 3;
-        const auto end = last ? host.size() : host.find('.', start);
-        if (end == std::string_view::npos)
-            return std::nullopt;
-        const auto value =
-            parse_number<unsigned>(host.substr(start, end - start));
-        if (!value || *value > max_part)
-            return std::nullopt;
-        address = (address << 8U) | *value;
-        start = end + 1;
+        const bool is_known =
+            std::any_of(table.begin(), table.end(),
+                        [name](const auto& row) { return row.flag == *name; });
+        if (!is_known)
+        {
+            unknown.emplace_back(*name);
+            continue;
+        }
+        const std::unique_ptr<gchar, decltype(&g_free)> text{
+            g_key_file_get_value(file.get(), settings_group, *name, nullptr),
+            g_free};
+        given.push_back({*name, text ? text.get() : ""});
     }
-    return address;
+    return given;
 }
 
 } // namespace baobabloft::router
--- a/tools/baobabd/main.cpp
+++ b/tools/baobabd/main.cpp
@@ -3,8 +3,11 @@
 #include "baobabloft/router/daemon.hpp"
 #include "baobabloft/router/log.hpp"
 
+#include "platform/adapter.hpp"
+
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 
@@ -17,6 +20,9 @@
 constexpr int exit_usage = 2;
 constexpr int exit_start = 3;
 
+constexpr const char* file_flag = "settings-file";
+constexpr const char* file_variable = "BAOBAB_SETTINGS_FILE";
+
 cxxopts::Options make_options()
 {
     cxxopts::Options options{
@@ -36,32 +42,74 @@
         add(std::string{row.flag}, help, cxxopts::value<std::string>(),
             std::string{row.value});
     }
+    add(file_flag,
+        "file with settings, which is read again on SIGHUP and on change "
+        "[BAOBAB_SETTINGS_FILE]",
+        cxxopts::value<std::string>(), "FILE");
     add("check-config", "check the settings and exit");
     add("version", "print the version and exit");
     add("help", "print this help and exit");
     return options;
 }
 
+/// Settings as given by flags, else variables, else the file.
 std::vector<router::given_setting>
-collect_settings(const cxxopts::ParseResult& parsed)
+collect_settings(const cxxopts::ParseResult& parsed,
+                 const std::vector<router::given_setting>& in_file)
 {
     std::vector<router::given_setting> given;
     for (const auto& row : router::setting_table())
     {
         const std::string flag{row.flag};
         const char* variable = std::getenv(router::variable_of(row).c_str());
+        const auto found = std::find_if(in_file.begin(), in_file.end(),
+                                        [&flag](const auto& item)
+                                        { return item.flag == flag; });
         if (parsed.count(flag) != 0)
             given.push_back({flag, parsed[flag].as<std::string>()});
         else if (variable != nullptr)
             given.push_back({flag, variable});
+        else if (found != in_file.end())
+            given.push_back(*found);
     }
     return given;
 }
 
-int run(const router::settings& settings)
+std::string file_of(const cxxopts::ParseResult& parsed)
+{
+    if (parsed.count(file_flag) != 0)
+        return parsed[file_flag].as<std::string>();
+    const char* variable = std::getenv(file_variable);
+    return variable != nullptr ? variable : "";
+}
+
+/// Reads and checks the settings; every mistake goes to `mistakes`.
+std::optional<router::settings>
+read_settings(const cxxopts::ParseResult& parsed,
+              std::vector<failure>& mistakes)
+{
+    std::vector<router::given_setting> in_file;
+    if (const auto path = file_of(parsed); !path.empty())
+    {
+        failure reason;
+        std::vector<std::string> unknown;
+        auto read = router::read_settings_file(path, unknown, reason);
+        if (!read)
+        {
+            mistakes.push_back(reason);
+            return std::nullopt;
+        }
+        in_file = std::move(*read);
+        for (const auto& name : unknown)
+            std::cerr << "baobabd: " << path << ": " << name
+                      << " is no setting and is ignored\n";
+    }
+    return router::make_settings(collect_settings(parsed, in_file), mistakes);
+}
+
+template <typename Daemon>
+int run_daemon(Daemon& daemon)
 {
-    router::start_logging(settings.log_level);
-    router::daemon daemon{settings};
     failure reason;
     if (!daemon.start(reason))
     {
@@ -71,6 +119,28 @@
     return daemon.run() ? EXIT_SUCCESS : exit_cut;
 }
 
+int run(const router::settings& settings, const cxxopts::ParseResult& parsed)
+{
+    router::start_logging(settings.log_level);
+    if (!settings.directory)
+    {
+        router::daemon daemon{settings};
+        return run_daemon(daemon);
+    }
+    const auto again = [&parsed]
+    {
+        std::vector<failure> mistakes;
+        const auto options = read_settings(parsed, mistakes);
+        for (const auto& mistake : mistakes)
+            router::log_event(router::log_level::error, "setting_rejected",
+                              {{"reason", mistake.text()}});
+        return options;
+    };
+    relay::relay_daemon daemon{settings, platform::make_adapter(),
+                               file_of(parsed), again};
+    return run_daemon(daemon);
+}
+
 int run_with(const cxxopts::Options& options,
              const cxxopts::ParseResult& parsed)
 {
@@ -85,8 +155,7 @@
         return EXIT_SUCCESS;
     }
     std::vector<failure> mistakes;
-    const auto settings =
-        router::make_settings(collect_settings(parsed), mistakes);
+    const auto settings = read_settings(parsed, mistakes);
     for (const auto& mistake : mistakes)
         std::cerr << "baobabd: " << mistake.text() << '\n';
     if (!settings)
@@ -96,7 +165,7 @@
         std::cout << "settings are valid\n";
         return EXIT_SUCCESS;
     }
-    return run(*settings);
+    return run(*settings, parsed);
 }
 
 } // namespace
