--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -17,6 +17,8 @@
     revision changed = 0;
     /// End of its cold start; in the past if it is warm.
     time_point cold_until;
+    /// When it came up; long ago if the first whole read listed it.
+    time_point appeared;
     /// Its entry went while the store was away or just after; it may only have
     /// lapsed, and is usable until this time.
     std::optional<time_point> lapsed_until;
@@ -86,6 +88,10 @@
     void retain(time_point now, const std::set<std::string>& listed,
                 revision as_of, std::optional<time_point> lapse_until);
 
+    /// Notes that the first whole read is over: what appears from now on is
+    /// new.
+    void note_complete();
+
     /// Drops upstreams whose lapse is over.
     void tick(time_point now);
 
@@ -122,6 +128,7 @@
     /// Latest revision seen of each key, so that nothing goes back.
     std::map<std::string, revision> seen_;
     std::uint64_t generation_ = 0;
+    bool complete_ = false;
     std::vector<belief_change> changes_;
 };
 
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -136,11 +136,16 @@
     {
         const directory::known_upstream* upstream;
         standing* state;
-        std::uint64_t rank;
         double load;
+        double preference = 0;
     };
 
     std::vector<option> usable(time_point now, const upstream_want& want);
+    /// Orders by the affinity's preference, best first.
+    static void rank_by_affinity(time_point now, std::uint64_t affinity,
+                                 std::vector<option>& options);
+    /// Orders by load and distance, best first.
+    void rank_by_cost(std::vector<option>& options) const;
     [[nodiscard]] double load_of(time_point now, const standing& state) const;
     [[nodiscard]] bool is_cold(time_point now, const upstream_want& want,
                                const directory::known_upstream& item) const;
--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -78,8 +78,8 @@
     void set_limits(const caller_limits& limits);
 
 private:
-    using parser_type = boost::beast::http::request_parser<
-        boost::beast::http::string_body>;
+    using parser_type =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void on_data(std::string_view bytes);
     void parse_input();
--- a/include/baobabloft/http/tcp_stream.hpp
+++ b/include/baobabloft/http/tcp_stream.hpp
@@ -47,9 +47,9 @@
     };
 
     /// Starts to connect. Returns null if the system gives no socket.
-    static std::shared_ptr<tcp_stream>
-    connect(net::event_loop& loop, const endpoint& peer,
-            const stream_options& options);
+    static std::shared_ptr<tcp_stream> connect(net::event_loop& loop,
+                                               const endpoint& peer,
+                                               const stream_options& options);
 
     /// Takes over an accepted socket.
     static std::shared_ptr<tcp_stream> adopt(net::event_loop& loop, int fd,
@@ -115,10 +115,11 @@
     using accept_callback = std::function<void(std::shared_ptr<tcp_stream>)>;
 
     /// Returns null with the reason if the address cannot be bound.
-    static std::unique_ptr<tcp_listener>
-    open(net::event_loop& loop, const endpoint& address,
-         const stream_options& options, accept_callback on_accept,
-         failure& reason);
+    static std::unique_ptr<tcp_listener> open(net::event_loop& loop,
+                                              const endpoint& address,
+                                              const stream_options& options,
+                                              accept_callback on_accept,
+                                              failure& reason);
 
     tcp_listener(net::event_loop& loop, int fd, stream_options options,
                  accept_callback on_accept);
--- a/include/baobabloft/http/upstream_channel.hpp
+++ b/include/baobabloft/http/upstream_channel.hpp
@@ -91,8 +91,8 @@
     [[nodiscard]] bool was_reused() const;
 
 private:
-    using parser_type = boost::beast::http::response_parser<
-        boost::beast::http::string_body>;
+    using parser_type =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void attach();
     void on_data(std::string_view bytes);
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -5,6 +5,7 @@
 #include "baobabloft/directory/directory_follower.hpp"
 #include "baobabloft/dispatch/arrival_budget.hpp"
 #include "baobabloft/dispatch/freshness.hpp"
+#include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
 #include "baobabloft/http/caller_channel.hpp"
 #include "baobabloft/relay/channel_pool.hpp"
@@ -32,8 +33,14 @@
     dispatch::arrival_budget budget;
     dispatch::freshness_bounds freshness;
     std::mt19937_64 random;
-    /// Shutting down: answers end their connections.
-    bool leaving = false;
+    dispatch::shutdown_times shutdown;
+    /// Start of the shutdown; answers end their connections from then on.
+    std::optional<time_point> leaving_since;
+
+    [[nodiscard]] bool leaving() const
+    {
+        return leaving_since.has_value();
+    }
 
     /// Returns how far the configuration may be relied on now.
     [[nodiscard]] dispatch::reliance reliance(time_point now) const;
@@ -65,11 +72,6 @@
     void reload(const router::settings& options);
 
 private:
-    struct caller
-    {
-        std::shared_ptr<http::caller_channel> channel;
-    };
-
     using caller_ptr = std::shared_ptr<http::caller_channel>;
 
     void accept(std::shared_ptr<http::tcp_stream> stream);
@@ -101,9 +103,7 @@
     bool registering_ = false;
     bool store_answers_ = false;
     bool was_ready_ = false;
-    bool idle_closed_ = false;
     std::uint64_t seen_generation_ = 0;
-    std::optional<time_point> leave_started_;
     std::function<void(bool)> on_left_;
 };
 
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -33,8 +33,7 @@
     pause_ = duration{0};
 }
 
-std::optional<time_point>
-directory_follower::lapse_end(time_point now) const
+std::optional<time_point> directory_follower::lapse_end(time_point now) const
 {
     if (!returned_ || now - *returned_ > options_.lapse_grace)
         return std::nullopt;
@@ -63,6 +62,7 @@
     watched_ = *read_as_of_;
     proven_ = read_started_;
     complete_ = true;
+    state_.note_complete();
     page_after_.clear();
     listed_.clear();
     read_as_of_.reset();
@@ -93,8 +93,8 @@
 void directory_follower::call_failed(time_point now)
 {
     out_ = false;
-    pause_ = std::clamp(pause_ * 2, options_.retry_pause,
-                        options_.max_retry_pause);
+    pause_ =
+        std::clamp(pause_ * 2, options_.retry_pause, options_.max_retry_pause);
     due_ = now + pause_;
 }
 
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -82,12 +82,14 @@
     auto [found, added] = upstreams_.try_emplace(record.id);
     auto& known = found->second;
     const bool reborn = !added && known.record.started_ms != record.started_ms;
-    const bool changed =
-        added || reborn || known.record.draining != record.draining ||
-        known.record.address != record.address ||
-        known.record.service != record.service ||
-        known.record.data_centre != record.data_centre;
+    const bool changed = added || reborn ||
+                         known.record.draining != record.draining ||
+                         known.record.address != record.address ||
+                         known.record.service != record.service ||
+                         known.record.data_centre != record.data_centre;
     const auto cold_until = now + record.cold_left;
+    if (complete_ && (added || reborn))
+        known.appeared = now;
     if (added || reborn || record.cold_left > duration{0})
         known.cold_until = cold_until;
     const bool was_lapsed = known.lapsed_until.has_value();
@@ -159,6 +161,11 @@
     }
 }
 
+void directory_state::note_complete()
+{
+    complete_ = true;
+}
+
 void directory_state::tick(time_point now)
 {
     for (auto item = upstreams_.begin(); item != upstreams_.end();)
--- a/lib/directory/route_config.cpp
+++ b/lib/directory/route_config.cpp
@@ -28,8 +28,7 @@
         by_host_[normalized_host(routes[index].host)].push_back(index);
     for (auto& [host, indices] : by_host_)
         std::stable_sort(indices.begin(), indices.end(),
-                         [this](std::size_t left, std::size_t right)
-                         {
+                         [this](std::size_t left, std::size_t right) {
                              return routes[left].prefix.size() >
                                     routes[right].prefix.size();
                          });
--- a/lib/dispatch/arrival_budget.cpp
+++ b/lib/dispatch/arrival_budget.cpp
@@ -44,9 +44,8 @@
     // over one window.
     const double age = std::clamp(
         to_seconds(now - started_) / to_seconds(bound_.window), 0.0, 1.0);
-    const double share =
-        bound_.slack * age / static_cast<double>(std::max<std::size_t>(
-                                 routers, 1));
+    const double share = bound_.slack * age /
+                         static_cast<double>(std::max<std::size_t>(routers, 1));
     const double allowed =
         used_part * (bound_.ratio * known.first.total(now) + share);
     if (known.further.total(now) + 1.0 > allowed)
--- a/lib/dispatch/retry_rules.cpp
+++ b/lib/dispatch/retry_rules.cpp
@@ -6,8 +6,8 @@
 next_step step_after(const directory::route& route, attempt_end end,
                      const attempt_history& history)
 {
-    const bool ran = end == attempt_end::broken ||
-                     end == attempt_end::silent || end == attempt_end::failed;
+    const bool ran = end == attempt_end::broken || end == attempt_end::silent ||
+                     end == attempt_end::failed;
     const bool may_repeat =
         !ran || (route.is_repeatable() && history.runs < route.attempts);
     if (may_repeat && history.has_time && history.attempts < max_attempts &&
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -14,13 +14,19 @@
 /// An upstream above this multiple of the mean plus `load_slack` gets nothing
 /// while others have room. Below the users' bound of twice the mean plus 3,
 /// since other routers' requests are known late.
-constexpr double load_multiple = 1.4;
-constexpr double load_slack = 2;
+constexpr double load_multiple = 1.6;
+constexpr double load_slack = 3;
 /// A load that was told longer ago than this says little.
 constexpr duration told_lifetime = 1500ms;
 /// Load that one hop to another data centre is worth for plain services.
 constexpr double distance_cost = 2.5;
 
+/// An upstream that has just appeared has read no prefix. Its share of the
+/// prefixes grows from this to a full one over the ramp, since each prefix that
+/// moves is read again.
+constexpr double first_weight = 0.1;
+constexpr duration weight_ramp = 40s;
+
 /// Pauses before an upstream is tried again, first and at most.
 constexpr duration unreachable_pause = 400ms;
 constexpr duration max_unreachable_pause = 3s;
@@ -41,6 +47,12 @@
 /// Before this age the number of routers is not known well.
 constexpr duration fleet_known_after = 4s;
 
+double weight_of(duration age)
+{
+    const double part = to_seconds(age) / to_seconds(weight_ramp);
+    return std::clamp(part, first_weight, 1.0);
+}
+
 } // namespace
 
 upstream_selector::upstream_selector(
@@ -73,28 +85,22 @@
     std::vector<option> result;
     for (const auto& [id, item] : directory_.upstreams())
     {
-        if (item.record.service != want.service->name ||
-            item.record.draining ||
+        if (item.record.service != want.service->name || item.record.draining ||
             directory_.is_out(item.record.data_centre))
             continue;
         auto& state = standings_[id];
-        const auto rank =
-            want.affinity ? rendezvous_score(*want.affinity, hash_bytes(id))
-                          : 0;
-        result.push_back({&item, &state, rank, load_of(now, state)});
+        result.push_back({&item, &state, load_of(now, state)});
     }
     return result;
 }
 
-bool upstream_selector::cold_has_room(time_point now,
-                                      const upstream_want& want,
+bool upstream_selector::cold_has_room(time_point now, const upstream_want& want,
                                       const option& item) const
 {
     const auto routers = std::max<std::size_t>(directory_.routers().size(), 1);
-    const double bound = cold_used_part *
-                         (want.service->cold_per_second *
-                              options_.cold.overrun +
-                          options_.cold.slack);
+    const double bound = cold_used_part * (want.service->cold_per_second *
+                                               options_.cold.overrun +
+                                           options_.cold.slack);
     const bool fleet_known = now - options_.started > fleet_known_after;
     double share = fleet_known ? bound / static_cast<double>(routers) : 1;
     if (fleet_known && share < cold_router_rate)
@@ -102,8 +108,7 @@
         // Too many routers to give each a share: a few are chosen.
         const auto chosen = static_cast<std::size_t>(bound / cold_router_rate);
         const auto key = hash_bytes(item.upstream->record.id);
-        const auto own =
-            rendezvous_score(key, hash_bytes(options_.router));
+        const auto own = rendezvous_score(key, hash_bytes(options_.router));
         std::size_t before = 0;
         for (const auto& [name, address] : directory_.routers())
             if (rendezvous_score(key, hash_bytes(name)) > own)
@@ -115,6 +120,33 @@
     return item.state->cold_sends.total(now) + 1 <= std::floor(share);
 }
 
+void upstream_selector::rank_by_affinity(time_point now, std::uint64_t affinity,
+                                         std::vector<option>& options)
+{
+    for (auto& item : options)
+    {
+        const auto hash = hash_bytes(item.upstream->record.id);
+        item.preference = weighted_rendezvous_score(
+            affinity, hash, weight_of(now - item.upstream->appeared));
+    }
+    std::sort(options.begin(), options.end(),
+              [](const option& left, const option& right)
+              { return left.preference > right.preference; });
+}
+
+void upstream_selector::rank_by_cost(std::vector<option>& options) const
+{
+    const auto cost = [this](const option& item)
+    {
+        const bool here =
+            item.upstream->record.data_centre == options_.data_centre;
+        return item.load + (here ? 0 : distance_cost);
+    };
+    std::sort(options.begin(), options.end(),
+              [&](const option& left, const option& right)
+              { return cost(left) < cost(right); });
+}
+
 selection upstream_selector::choose(time_point now, const upstream_want& want)
 {
     auto options = usable(now, want);
@@ -127,19 +159,10 @@
     const double limit = load_multiple * mean + load_slack;
 
     const bool spread = !want.affinity.has_value();
-    const auto cost = [&](const option& item)
-    {
-        const bool here =
-            item.upstream->record.data_centre == options_.data_centre;
-        return item.load + (here ? 0 : distance_cost);
-    };
-    std::sort(options.begin(), options.end(),
-              [&](const option& left, const option& right)
-              {
-                  if (!spread)
-                      return left.rank > right.rank;
-                  return cost(left) < cost(right);
-              });
+    if (spread)
+        rank_by_cost(options);
+    else
+        rank_by_affinity(now, *want.affinity, options);
 
     const auto tried = [&](const option& item)
     {
@@ -147,7 +170,9 @@
                          item.upstream->record.id) != want.avoid.end();
     };
     const auto pick = [&](const option& item, choice how)
-    { return selection{how, item.upstream, item.load, mean}; };
+    {
+        return selection{how, item.upstream, item.load, mean};
+    };
 
     const option* cold = nullptr;
     const option* over = nullptr;
@@ -192,9 +217,8 @@
         return pick(*over, choice::last_resort);
     if (cold != nullptr)
         return pick(*cold, choice::cold);
-    if (failing != nullptr &&
-        (!is_cold(now, want, *failing->upstream) ||
-         cold_has_room(now, want, *failing)))
+    if (failing != nullptr && (!is_cold(now, want, *failing->upstream) ||
+                               cold_has_room(now, want, *failing)))
         return pick(*failing, choice::last_resort);
     // Every upstream was tried, is full of connections, or is cold.
     return {any_room ? choice::all_busy : choice::no_upstream, nullptr, 0,
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -41,27 +41,27 @@
 {
     handlers_ = std::move(callbacks);
     const std::weak_ptr<caller_channel> weak = weak_from_this();
-    stream_->set_handlers(
-        {.on_connected = nullptr,
-         .on_data =
-             [weak](std::string_view bytes)
-         {
-             if (const auto self = weak.lock())
-                 self->on_data(bytes);
-         },
-         .on_end =
-             [weak](stream_end)
-         {
-             if (const auto self = weak.lock(); self && self->handlers_.on_gone)
-                 self->handlers_.on_gone();
-         },
-         .on_drained =
-             [weak]
-         {
-             if (const auto self = weak.lock();
-                 self && self->handlers_.on_drained)
-                 self->handlers_.on_drained();
-         }});
+    stream_->set_handlers({.on_connected = nullptr,
+                           .on_data =
+                               [weak](std::string_view bytes)
+                           {
+                               if (const auto self = weak.lock())
+                                   self->on_data(bytes);
+                           },
+                           .on_end =
+                               [weak](stream_end)
+                           {
+                               if (const auto self = weak.lock();
+                                   self && self->handlers_.on_gone)
+                                   self->handlers_.on_gone();
+                           },
+                           .on_drained =
+                               [weak]
+                           {
+                               if (const auto self = weak.lock();
+                                   self && self->handlers_.on_drained)
+                                   self->handlers_.on_drained();
+                           }});
 }
 
 void caller_channel::on_data(std::string_view bytes)
@@ -102,8 +102,7 @@
     if (!parser_->is_done())
     {
         // An incomplete header stays in the input; the parser sees it again.
-        if (!parser_->is_header_done() &&
-            input_.size() > limits_.header_bytes)
+        if (!parser_->is_header_done() && input_.size() > limits_.header_bytes)
             reject(status_headers_too_large, "header limit exceeded");
         else if (parser_->is_header_done() && !continue_sent_ &&
                  beast::iequals(parser_->get()[bhttp::field::expect],
@@ -239,8 +238,7 @@
         return true;
     if (parser_)
     {
-        if (!parser_->is_header_done() &&
-            now - since_ > limits_.header_timeout)
+        if (!parser_->is_header_done() && now - since_ > limits_.header_timeout)
             reject(status_request_timeout, "headers took too long");
         return stream_->is_open();
     }
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -17,13 +17,17 @@
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
 
-constexpr std::array hop_by_hop{
-    bhttp::field::connection,          bhttp::field::keep_alive,
-    bhttp::field::proxy_connection,    bhttp::field::te,
-    bhttp::field::trailer,             bhttp::field::transfer_encoding,
-    bhttp::field::upgrade,             bhttp::field::proxy_authenticate,
-    bhttp::field::proxy_authorization, bhttp::field::content_length,
-    bhttp::field::expect};
+constexpr std::array hop_by_hop{bhttp::field::connection,
+                                bhttp::field::keep_alive,
+                                bhttp::field::proxy_connection,
+                                bhttp::field::te,
+                                bhttp::field::trailer,
+                                bhttp::field::transfer_encoding,
+                                bhttp::field::upgrade,
+                                bhttp::field::proxy_authenticate,
+                                bhttp::field::proxy_authorization,
+                                bhttp::field::content_length,
+                                bhttp::field::expect};
 
 /// Runs a serializer to the end of the header or of the message.
 template <typename Serializer>
@@ -69,8 +73,7 @@
         if (item == known)
             return true;
     const auto named = all[bhttp::field::connection];
-    return !named.empty() &&
-           bhttp::token_list{named}.exists(beast_view(name));
+    return !named.empty() && bhttp::token_list{named}.exists(beast_view(name));
 }
 
 std::string head_bytes(request_head& head)
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -117,8 +117,8 @@
     source_ = g_source_new(&stream_functions, sizeof(stream_source));
     auto* own = reinterpret_cast<stream_source*>(source_);
     own->stream = this;
-    own->tag = g_source_add_unix_fd(source_, fd_, connected ? G_IO_IN
-                                                            : G_IO_OUT);
+    own->tag =
+        g_source_add_unix_fd(source_, fd_, connected ? G_IO_IN : G_IO_OUT);
     tag_ = own->tag;
     g_source_attach(source_, loop_.context());
 }
@@ -268,8 +268,8 @@
     bool wrote = false;
     while (fd_ >= 0 && unsent() > 0)
     {
-        const auto size = ::send(fd_, queue_.data() + queue_start_, unsent(),
-                                 MSG_NOSIGNAL);
+        const auto size =
+            ::send(fd_, queue_.data() + queue_start_, unsent(), MSG_NOSIGNAL);
         if (size < 0)
         {
             if (would_block(errno))
@@ -327,10 +327,11 @@
         on_end(how);
 }
 
-std::unique_ptr<tcp_listener>
-tcp_listener::open(net::event_loop& loop, const endpoint& address,
-                   const stream_options& options, accept_callback on_accept,
-                   failure& reason)
+std::unique_ptr<tcp_listener> tcp_listener::open(net::event_loop& loop,
+                                                 const endpoint& address,
+                                                 const stream_options& options,
+                                                 accept_callback on_accept,
+                                                 failure& reason)
 {
     const int fd = open_socket();
     const auto bound = to_sockaddr(address);
--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -39,8 +39,7 @@
     auto stream = tcp_stream::connect(loop, peer, options);
     if (!stream)
         return nullptr;
-    auto channel =
-        std::make_shared<upstream_channel>(loop, std::move(stream));
+    auto channel = std::make_shared<upstream_channel>(loop, std::move(stream));
     channel->attach();
     return channel;
 }
@@ -66,29 +65,28 @@
 void upstream_channel::attach()
 {
     const std::weak_ptr<upstream_channel> weak = weak_from_this();
-    stream_->set_handlers(
-        {.on_connected =
-             [weak]
-         {
-             if (const auto self = weak.lock())
-             {
-                 self->connected_ = true;
-                 self->stop_connect_timer();
-             }
-         },
-         .on_data =
-             [weak](std::string_view bytes)
-         {
-             if (const auto self = weak.lock())
-                 self->on_data(bytes);
-         },
-         .on_end =
-             [weak](stream_end how)
-         {
-             if (const auto self = weak.lock())
-                 self->on_end(how);
-         },
-         .on_drained = nullptr});
+    stream_->set_handlers({.on_connected =
+                               [weak]
+                           {
+                               if (const auto self = weak.lock())
+                               {
+                                   self->connected_ = true;
+                                   self->stop_connect_timer();
+                               }
+                           },
+                           .on_data =
+                               [weak](std::string_view bytes)
+                           {
+                               if (const auto self = weak.lock())
+                                   self->on_data(bytes);
+                           },
+                           .on_end =
+                               [weak](stream_end how)
+                           {
+                               if (const auto self = weak.lock())
+                                   self->on_end(how);
+                           },
+                           .on_drained = nullptr});
 }
 
 void upstream_channel::reset_parser()
@@ -118,16 +116,16 @@
     if (!connected_)
     {
         const std::weak_ptr<upstream_channel> weak = weak_from_this();
-        connect_timer_ = loop_.after(
-            message.connect_timeout,
-            [weak]
-            {
-                const auto self = weak.lock();
-                if (!self)
-                    return;
-                self->connect_timer_ = 0;
-                self->fail(exchange_failure::connect_timed_out);
-            });
+        connect_timer_ =
+            loop_.after(message.connect_timeout,
+                        [weak]
+                        {
+                            const auto self = weak.lock();
+                            if (!self)
+                                return;
+                            self->connect_timer_ = 0;
+                            self->fail(exchange_failure::connect_timed_out);
+                        });
     }
     stream_->send(std::move(bytes));
 }
--- a/lib/relay/channel_pool.cpp
+++ b/lib/relay/channel_pool.cpp
@@ -67,15 +67,15 @@
         {.unacknowledged_timeout = unacknowledged_timeout});
     if (!channel)
         return nullptr;
-    std::erase_if(known.open,
-                  [](const auto& item) { return !is_open(item); });
+    std::erase_if(known.open, [](const auto& item) { return !is_open(item); });
     known.open.push_back(channel);
     ++opened_;
     return channel;
 }
 
-void channel_pool::release(time_point now, const std::string& id,
-                           const std::shared_ptr<http::upstream_channel>& channel)
+void channel_pool::release(
+    time_point now, const std::string& id,
+    const std::shared_ptr<http::upstream_channel>& channel)
 {
     if (!channel->is_reusable())
         return;
@@ -91,11 +91,11 @@
     if (found == upstreams_.end() || !found->second.idle.empty() ||
         max_connections == 0)
         return true;
-    const auto share = std::max(
-        least_share,
-        static_cast<std::size_t>(used_part * max_connections /
-                                 static_cast<double>(
-                                     std::max<std::size_t>(routers, 1))));
+    const auto share =
+        std::max(least_share,
+                 static_cast<std::size_t>(
+                     used_part * max_connections /
+                     static_cast<double>(std::max<std::size_t>(routers, 1))));
     const auto open = std::count_if(found->second.open.begin(),
                                     found->second.open.end(), is_open);
     return static_cast<std::size_t>(open) < share;
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -26,10 +26,6 @@
 constexpr duration registration_spread = 500ms;
 /// A silent caller's connection is found out after this.
 constexpr duration caller_unacknowledged = 10s;
-/// The balancer asks once a second and takes a router out after two misses.
-constexpr duration balancer_notice = 2600ms;
-/// Time before the shutdown timeout at which the rest is given up.
-constexpr duration shutdown_reserve = 500ms;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -77,28 +73,29 @@
              const directory::record_codec& codec, directory_store& store,
              router::metrics& counters)
     : loop_(loop), options_(options), store_(store),
-      context_{
-          .loop = loop,
-          .dialect = dialect,
-          .counters = counters,
-          .follower = {codec, {}},
-          .pool = channel_pool{loop},
-          .selector = {context_.follower.state(),
-                       {.data_centre = options.data_centre,
-                        .router = options.router_name,
-                        .cold = {.overrun = options.cold_overrun,
-                                 .slack = options.cold_slack},
-                        .started = net::boot_now()},
-                       [this](const directory::known_upstream& upstream,
-                              const directory::routed_service& service)
-                       {
-                           return context_.pool.has_room(
-                               upstream.record, service.max_connections,
-                               context_.routers());
-                       }},
-          .budget = {arrival_bound_of(options), net::boot_now()},
-          .freshness = freshness_of(options),
-          .random = std::mt19937_64{random_seed()}},
+      context_{.loop = loop,
+               .dialect = dialect,
+               .counters = counters,
+               .follower = {codec, {}},
+               .pool = channel_pool{loop},
+               .selector = {context_.follower.state(),
+                            {.data_centre = options.data_centre,
+                             .router = options.router_name,
+                             .cold = {.overrun = options.cold_overrun,
+                                      .slack = options.cold_slack},
+                             .started = net::boot_now()},
+                            [this](const directory::known_upstream& upstream,
+                                   const directory::routed_service& service)
+                            {
+                                return context_.pool.has_room(
+                                    upstream.record, service.max_connections,
+                                    context_.routers());
+                            }},
+               .budget = {arrival_bound_of(options), net::boot_now()},
+               .freshness = freshness_of(options),
+               .random = std::mt19937_64{random_seed()},
+               .shutdown = {.limit = options.shutdown_timeout},
+               .leaving_since = std::nullopt},
       started_(net::boot_now())
 {
 }
@@ -119,8 +116,11 @@
         return true;
     };
     const auto pages = [this](std::shared_ptr<http::tcp_stream> stream)
-    { accept_page(std::move(stream)); };
-    if (!listen(options_.listen, [this](std::shared_ptr<http::tcp_stream> stream)
+    {
+        accept_page(std::move(stream));
+    };
+    if (!listen(options_.listen,
+                [this](std::shared_ptr<http::tcp_stream> stream)
                 { accept(std::move(stream)); }))
         return false;
     if (options_.ready_listen && !listen(*options_.ready_listen, pages))
@@ -154,34 +154,33 @@
     const std::weak_ptr<http::caller_channel> weak = channel;
     // The session of the request in progress, shared by the callbacks.
     const auto session = std::make_shared<std::weak_ptr<relay_session>>();
-    channel->start(
-        {.on_request =
-             [this, weak, session](http::request&& message)
-         {
-             if (const auto held = weak.lock())
-                 *session =
-                     relay_session::start(context_, held, std::move(message));
-         },
-         .on_gone =
-             [this, weak, session]
-         {
-             if (const auto active = session->lock())
-                 active->caller_gone();
-             callers_.erase(weak.lock());
-         },
-         .on_drained =
-             [session]
-         {
-             if (const auto active = session->lock())
-                 active->caller_drained();
-         },
-         .on_rejected =
-             [](unsigned status, std::string_view why)
-         {
-             log_event(log_level::info, "unreadable_request",
-                       {{"status", std::to_string(status)},
-                        {"why", std::string{why}}});
-         }});
+    channel->start({.on_request =
+                        [this, weak, session](http::request&& message)
+                    {
+                        if (const auto held = weak.lock())
+                            *session = relay_session::start(context_, held,
+                                                            std::move(message));
+                    },
+                    .on_gone =
+                        [this, weak, session]
+                    {
+                        if (const auto active = session->lock())
+                            active->caller_gone();
+                        callers_.erase(weak.lock());
+                    },
+                    .on_drained =
+                        [session]
+                    {
+                        if (const auto active = session->lock())
+                            active->caller_drained();
+                    },
+                    .on_rejected =
+                        [](unsigned status, std::string_view why)
+                    {
+                        log_event(log_level::info, "unreadable_request",
+                                  {{"status", std::to_string(status)},
+                                   {"why", std::string{why}}});
+                    }});
 }
 
 void relay::accept_page(std::shared_ptr<http::tcp_stream> stream)
@@ -224,7 +223,7 @@
 
 bool relay::is_ready(time_point now) const
 {
-    return !context_.leaving &&
+    return !context_.leaving() &&
            dispatch::is_fresh_enough_to_attract(
                now, context_.follower.proven_at(), context_.freshness) &&
            context_.follower.state().config() != nullptr;
@@ -238,11 +237,11 @@
         return;
     was_ready_ = ready;
     context_.counters.set("baobab_ready", ready ? 1 : 0);
-    log_event(log_level::info, "readiness_changed",
-              {{"ready", ready ? "yes" : "no"},
-               {"leaving", context_.leaving ? "yes" : "no"},
-               {"proof_age_ms",
-                std::to_string(context_.proof_age(now) / 1ms)}});
+    log_event(
+        log_level::info, "readiness_changed",
+        {{"ready", ready ? "yes" : "no"},
+         {"leaving", context_.leaving() ? "yes" : "no"},
+         {"proof_age_ms", std::to_string(context_.proof_age(now) / 1ms)}});
 }
 
 void relay::sweep()
@@ -291,19 +290,18 @@
 
 void relay::call_store(const directory::read_page& call)
 {
-    store_.read_page(
-        call.after, store_timeout,
-        [this](const std::optional<directory::entry_page>& page,
-               const failure& reason)
-        {
-            const auto now = net::boot_now();
-            if (page)
-                context_.follower.page_arrived(now, *page);
-            else
-                context_.follower.call_failed(now);
-            note_call("directory_read", page.has_value(), reason);
-            follow();
-        });
+    store_.read_page(call.after, store_timeout,
+                     [this](const std::optional<directory::entry_page>& page,
+                            const failure& reason)
+                     {
+                         const auto now = net::boot_now();
+                         if (page)
+                             context_.follower.page_arrived(now, *page);
+                         else
+                             context_.follower.call_failed(now);
+                         note_call("directory_read", page.has_value(), reason);
+                         follow();
+                     });
 }
 
 void relay::call_store(const directory::watch_changes& call)
@@ -341,7 +339,7 @@
 void relay::keep_registered()
 {
     const auto now = net::boot_now();
-    if (registering_ || now < next_registration_ || context_.leaving)
+    if (registering_ || now < next_registration_ || context_.leaving())
         return;
     if (!context_.follower.is_complete())
         return;
@@ -389,8 +387,7 @@
 void relay::register_router()
 {
     store_.write_router(
-        {options_.router_name, options_.control_listen}, *lease_,
-        store_timeout,
+        {options_.router_name, options_.control_listen}, *lease_, store_timeout,
         [this](bool written, const failure& reason)
         {
             registering_ = false;
@@ -411,6 +408,7 @@
     if (options.directory)
         store_.set_address(*options.directory);
     context_.freshness = freshness_of(options);
+    context_.shutdown.limit = options.shutdown_timeout;
     context_.budget.set_bound(arrival_bound_of(options));
     context_.selector.set_cold_bound(
         {.overrun = options.cold_overrun, .slack = options.cold_slack});
@@ -430,26 +428,25 @@
 
 void relay::shut_down(std::function<void(bool)> done)
 {
-    if (context_.leaving)
+    if (context_.leaving())
         return;
-    context_.leaving = true;
-    leave_started_ = net::boot_now();
+    context_.leaving_since = net::boot_now();
     on_left_ = std::move(done);
     note_readiness();
 }
 
 void relay::check_shutdown()
 {
-    if (!leave_started_ || !on_left_)
+    if (!context_.leaving() || !on_left_)
         return;
-    const auto waited = net::boot_now() - *leave_started_;
-    if (waited < balancer_notice)
+    const auto waited = net::boot_now() - *context_.leaving_since;
+    if (waited < context_.shutdown.notice)
         return;
     for (const auto& channel : std::vector(callers_.begin(), callers_.end()))
         if (channel->close_if_idle())
             callers_.erase(channel);
     const bool too_long =
-        waited >= options_.shutdown_timeout - shutdown_reserve;
+        waited >= context_.shutdown.limit - context_.shutdown.reserve;
     if (!callers_.empty() && !too_long)
         return;
     const bool graceful = callers_.empty();
--- a/lib/relay/relay_daemon.cpp
+++ b/lib/relay/relay_daemon.cpp
@@ -21,7 +21,9 @@
 /// which counts as a change once it can be again.
 std::int64_t changed_at(const std::string& path)
 {
-    struct stat found{};
+    struct stat found
+    {
+    };
     if (path.empty() || stat(path.c_str(), &found) != 0)
         return 0;
     constexpr std::int64_t ns_per_s = 1'000'000'000;
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -153,15 +153,21 @@
     }
     // Only a fresh configuration tells what does not exist.
     const bool may_deny = reliance == dispatch::reliance::full;
-    route_ = config_->find_route(
-        http::view_of(message_[bhttp::field::host]),
-        http::view_of(message_.target()));
+    route_ = config_->find_route(http::view_of(message_[bhttp::field::host]),
+                                 http::view_of(message_.target()));
     if (route_ == nullptr)
     {
         refuse(may_deny ? refusal_kind::unknown_path : refusal_kind::isolated,
                "no route matches");
         return false;
     }
+    if (context_.leaving() &&
+        !dispatch::takes_request(arrived_ - *context_.leaving_since,
+                                 route_->timeout, context_.shutdown))
+    {
+        refuse(refusal_kind::leaving, "may outlast the shutdown");
+        return false;
+    }
     if (route_->is_public || !config_->needs_keys)
         return true;
     if (reliance == dispatch::reliance::routes_only)
@@ -170,8 +176,8 @@
                "configuration is too old to accept a key");
         return false;
     }
-    customer_ = config_->find_customer(
-        http::field_of(message_, context_.dialect.key));
+    customer_ =
+        config_->find_customer(http::field_of(message_, context_.dialect.key));
     if (customer_ != nullptr)
         return true;
     refuse(may_deny ? refusal_kind::unknown_key : refusal_kind::isolated,
@@ -215,8 +221,8 @@
         if (point < item.weight)
         {
             const auto found = config_->services.find(item.service);
-            service_ = found == config_->services.end() ? nullptr
-                                                        : &found->second;
+            service_ =
+                found == config_->services.end() ? nullptr : &found->second;
             return;
         }
         point -= item.weight;
@@ -263,8 +269,8 @@
                    name_in(dispatch::choice_names, chosen.how));
         return;
     }
-    if (arrivals_ > 0 && !context_.budget.take_further(now, service_->name,
-                                                       context_.routers()))
+    if (arrivals_ > 0 &&
+        !context_.budget.take_further(now, service_->name, context_.routers()))
     {
         if (stream_started_)
             finish("broken_off");
@@ -292,7 +298,9 @@
                 [&names](std::string_view name)
                 { return contains_name(names.reserved, name); });
     const auto set = [&head](const std::string& name, const std::string& value)
-    { head.set(http::beast_view(name), value); };
+    {
+        head.set(http::beast_view(name), value);
+    };
     set(names.time_left_ms, in_ms(latest_ - now));
     set(names.expected_upstream, target.id);
     if (customer_ != nullptr)
@@ -320,9 +328,9 @@
     current_ = at;
     splitter_ = {};
     const bool is_repeatable = route_->is_repeatable();
-    at->channel = context_.pool.acquire(
-        now, upstream.record,
-        is_repeatable ? repeatable_idle : unrepeatable_idle);
+    at->channel = context_.pool.acquire(now, upstream.record,
+                                        is_repeatable ? repeatable_idle
+                                                      : unrepeatable_idle);
     context_.selector.count_sent(now, at->upstream);
     if (!at->channel)
     {
@@ -357,13 +365,14 @@
 duration relay_session::patience(time_point now) const
 {
     const auto left = latest_ - now;
-    const bool may_move = route_->is_repeatable() &&
-                          history_.runs + 1 < route_->attempts;
+    const bool may_move =
+        route_->is_repeatable() && history_.runs + 1 < route_->attempts;
     if (!may_move)
         return left;
     if (route_->kind == directory::request_kind::safe)
-        return std::min(left, std::max<duration>(least_patience,
-                                                 plain_patience * route_->goal));
+        return std::min(
+            left,
+            std::max<duration>(least_patience, plain_patience * route_->goal));
     if (last_event_ && stream_started_)
         return std::min(left, gap_patience * route_->gap_goal);
     return std::min(left, duration{static_cast<duration::rep>(
@@ -399,13 +408,11 @@
 {
     const auto& names = context_.dialect;
     const bool is_success = at->head.result_int() < first_redirect;
-    const bool is_signed =
-        !http::field_of(at->head, names.signature).empty();
+    const bool is_signed = !http::field_of(at->head, names.signature).empty();
     const bool is_ours =
         http::field_of(at->head, names.request_id) == request_id_;
     // An encoded body is not what the upstream was asked for.
-    const bool is_plain =
-        at->head[bhttp::field::content_encoding].empty();
+    const bool is_plain = at->head[bhttp::field::content_encoding].empty();
     return !is_success || (is_signed && is_ours && is_plain);
 }
 
@@ -422,8 +429,7 @@
     at->head = head;
     at->has_head = true;
     const auto& names = context_.dialect;
-    if (const auto load =
-            names.read_load(http::field_of(head, names.load)))
+    if (const auto load = names.read_load(http::field_of(head, names.load)))
         context_.selector.told(now, at->upstream, *load);
     if (const auto cold = parse_number<std::uint32_t>(
             http::field_of(head, names.cold_left_ms)))
@@ -510,7 +516,7 @@
     copy_fields(at->head, head,
                 [this](std::string_view name)
                 { return contains_name(context_.dialect.internal, name); });
-    caller_->start_stream(std::move(head), !context_.leaving);
+    caller_->start_stream(std::move(head), !context_.leaving());
 }
 
 void relay_session::on_complete(const attempt_ptr& at)
@@ -577,7 +583,7 @@
                 { return contains_name(context_.dialect.internal, name); });
     out.body() = std::move(at->body);
     context_.counters.answered(service_->name, net::boot_now() - arrived_);
-    caller_->respond(net::boot_now(), std::move(out), !context_.leaving);
+    caller_->respond(net::boot_now(), std::move(out), !context_.leaving());
     finish("answered");
 }
 
@@ -587,10 +593,9 @@
     const bool sent = at->channel->has_sent();
     const bool connecting = why == http::exchange_failure::connect_failed ||
                             why == http::exchange_failure::connect_timed_out;
-    end_attempt(at,
-                sent && !connecting ? attempt_end::broken
-                                    : attempt_end::not_sent,
-                name_in(http::exchange_failure_names, why));
+    end_attempt(
+        at, sent && !connecting ? attempt_end::broken : attempt_end::not_sent,
+        name_in(http::exchange_failure_names, why));
 }
 
 void relay_session::on_timeout(const attempt_ptr& at)
@@ -650,19 +655,20 @@
     avoid_.push_back(at->upstream);
     history_.has_time = now + least_attempt_time < latest_;
     const auto step = step_after(*route_, how, history_);
-    log_event(log_level::info, "attempt_failed",
-              {{"request", request_id_},
-               {"upstream", at->upstream},
-               {"end", std::string{name_in(dispatch::attempt_end_names, how)}},
-               {"why", std::string{why}},
-               {"after_ms", in_ms(now - at->started)},
-               {"choice",
-                std::string{name_in(dispatch::choice_names, at->chosen.how)}},
-               {"load", rounded(at->chosen.load)},
-               {"mean", rounded(at->chosen.mean)},
-               {"runs", std::to_string(history_.runs)},
-               {"left_ms", in_ms(latest_ - now)},
-               {"next", std::string{name_in(dispatch::next_step_names, step)}}});
+    log_event(
+        log_level::info, "attempt_failed",
+        {{"request", request_id_},
+         {"upstream", at->upstream},
+         {"end", std::string{name_in(dispatch::attempt_end_names, how)}},
+         {"why", std::string{why}},
+         {"after_ms", in_ms(now - at->started)},
+         {"choice",
+          std::string{name_in(dispatch::choice_names, at->chosen.how)}},
+         {"load", rounded(at->chosen.load)},
+         {"mean", rounded(at->chosen.mean)},
+         {"runs", std::to_string(history_.runs)},
+         {"left_ms", in_ms(latest_ - now)},
+         {"next", std::string{name_in(dispatch::next_step_names, step)}}});
     switch (step)
     {
     case next_step::try_other:
@@ -697,12 +703,12 @@
     std::uniform_real_distribution<double> spread{0, 1};
     duration pause{};
     if (elsewhere)
-        pause = elsewhere_pause +
-                from_seconds(spread(context_.random) *
-                             to_seconds(elsewhere_spread));
+        pause = elsewhere_pause + from_seconds(spread(context_.random) *
+                                               to_seconds(elsewhere_spread));
     else if (route_ != nullptr)
-        pause = from_seconds((wait_part + wait_spread * spread(context_.random)) *
-                             to_seconds(std::max<duration>(latest_ - now, 0ms)));
+        pause =
+            from_seconds((wait_part + wait_spread * spread(context_.random)) *
+                         to_seconds(std::max<duration>(latest_ - now, 0ms)));
     log_event(log_level::info, "refused",
               {{"request", request_id_},
                {"kind", std::string{router::row_of(kind).name}},
@@ -715,9 +721,8 @@
                {"after_ms", in_ms(now - arrived_)},
                {"executed", "no"}});
     answer_problem(kind, router::executed::no,
-                   router::row_of(kind).retry_after_s > 0
-                       ? std::optional{pause}
-                       : std::nullopt);
+                   router::row_of(kind).retry_after_s > 0 ? std::optional{pause}
+                                                          : std::nullopt);
     finish("refused");
 }
 
@@ -759,10 +764,10 @@
                 std::to_string(ms / thousand) + "." + fraction);
     }
     out.body() = router::problem_json(kind, ran, request_id_);
-    const bool elsewhere = kind == refusal_kind::isolated ||
-                           kind == refusal_kind::not_ready;
+    const bool elsewhere =
+        kind == refusal_kind::isolated || kind == refusal_kind::not_ready;
     caller_->respond(net::boot_now(), std::move(out),
-                     !context_.leaving && !elsewhere);
+                     !context_.leaving() && !elsewhere);
 }
 
 void relay_session::finish(std::string_view outcome)
--- a/lib/router/settings.cpp
+++ b/lib/router/settings.cpp
@@ -304,15 +304,13 @@
                 "multiple of a service's cold rate that a cold upstream bears",
                 [](settings& all, const std::string& text)
                 {
-                    return apply_number<double>(all.cold_overrun, text, 0,
-                                                100);
+                    return apply_number<double>(all.cold_overrun, text, 0, 100);
                 }},
     setting_row{"cold-slack", "COUNT", "5", false,
                 "requests in one second beyond that rate",
                 [](settings& all, const std::string& text)
                 {
-                    return apply_number<double>(all.cold_slack, text, 0,
-                                                10000);
+                    return apply_number<double>(all.cold_slack, text, 0, 10000);
                 }},
     setting_row{"log-level", "LEVEL", "info", false,
                 "debug, info, warning or error", apply_log_level},
@@ -360,7 +358,8 @@
     settings result;
     // With a directory nothing is read from a preset or said to its fleet.
     const bool with_directory = std::any_of(
-        given.begin(), given.end(), [](const auto& item)
+        given.begin(), given.end(),
+        [](const auto& item)
         { return item.flag == directory_flag && !item.text.empty(); });
     for (const auto& row : table)
     {
