Let one router of each data centre watch the store and the others ask it

Ruled out: longer pauses between watches (the in-force bound), pushing changes without an ask (a datagram that waited in a suspended host's buffer would prove freshness falsely; the age in an answer counts from the ask).

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -1,6 +1,8 @@
 // Keeps the directory state true to the store: a whole read first, then paced
-// watches; a whole read again whenever the history was lost. Does no I/O: it
-// says which call to make next and takes in how the call ended.
+// watches; a whole read again whenever the history was lost. In each data
+// centre one router watches the store and the others ask it; who gets no fresh
+// answer calls the store itself. Does no I/O: it says which call to make next
+// and takes in how the call ended.
 #pragma once
 
 #include "baobabloft/directory/directory_state.hpp"
@@ -23,11 +25,35 @@
     duration wait{0};
 };
 
-using store_call = std::variant<read_page, watch_changes>;
+/// Read one entry whose value another router could not tell.
+struct read_entry
+{
+    std::string key;
+};
+
+/// Ask another router.
+struct ask_router
+{
+    std::string router;
+    endpoint control;
+    change_ask message;
+};
+
+using store_call =
+    std::variant<read_page, watch_changes, read_entry, ask_router>;
 
 /// Times of the follower.
 struct follower_options
 {
+    /// This router's name and data centre.
+    std::string router;
+    std::string data_centre;
+    /// From one answer of a router to the next ask.
+    duration ask_pause = 500ms;
+    /// An answer with an older proof is not taken.
+    duration max_told_age = 1300ms;
+    /// Pause before a router that did not answer is asked again.
+    duration silent_router_pause = 3s;
     /// From one answer to the next watch. Bounds calls to the store while
     /// entries change all the time, and how old a belief gets on a calm day.
     duration watch_pause = 700ms;
@@ -58,9 +84,21 @@
     void changes_arrived(time_point now, const entry_changes& changes);
     void history_lost(time_point now);
     void call_failed(time_point now);
-
-    /// Makes the next call due at once, unless one is out.
-    void hurry(time_point now);
+    /// The entry that was read, or nothing if there is none.
+    void entry_arrived(time_point now, const std::optional<entry>& item);
+    /// Returns false if the answer belongs to no ask in progress.
+    bool router_answered(time_point now, const change_answer& answer);
+    void router_silent(time_point now);
+
+    /// Answers another router.
+    [[nodiscard]] change_answer answer(time_point now,
+                                       const change_ask& ask) const;
+    /// Takes in another router's notice.
+    void notice_arrived(time_point now, const change_notice& notice);
+    /// Returns true while this router watches the store for others.
+    [[nodiscard]] bool is_watching(time_point now) const;
+    /// Returns the revision up to which everything is known.
+    [[nodiscard]] revision known_revision() const;
 
     /// Returns when the read that last proved the state was sent, or nothing
     /// before the first whole read.
@@ -73,12 +111,17 @@
     [[nodiscard]] const directory_state& state() const;
 
 private:
-    void proved(time_point now);
+    /// Notes the store's return if the last proof is old.
+    void note_return(time_point now, time_point as_of);
+    void proved(time_point as_of);
+    void forget_read();
+    [[nodiscard]] const router_record* router_to_ask(time_point now) const;
     [[nodiscard]] std::optional<time_point> lapse_end(time_point now) const;
 
     follower_options options_;
     directory_state state_;
     bool complete_ = false;
+    bool complete_once_ = false;
     bool out_ = false;
     time_point sent_;
     time_point due_;
@@ -90,6 +133,14 @@
     time_point read_started_;
     std::set<std::string> listed_;
     std::optional<time_point> proven_;
+    /// Of an ask in progress, and routers that did not answer lately.
+    std::uint32_t sequence_ = 0;
+    std::string asked_;
+    std::map<std::string, time_point> silent_until_;
+    /// The next call goes to the store.
+    bool go_direct_ = false;
+    /// An entry to read before asking on.
+    std::optional<told_entry> long_entry_;
     /// Latest return of the store after an absence.
     std::optional<time_point> returned_;
 };
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -2,6 +2,7 @@
 // pages and changes. Never goes back to an older configuration.
 #pragma once
 
+#include "baobabloft/directory/change_log.hpp"
 #include "baobabloft/directory/records.hpp"
 
 #include <map>
@@ -88,9 +89,13 @@
     void retain(time_point now, const std::set<std::string>& listed,
                 revision as_of, std::optional<time_point> lapse_until);
 
-    /// Notes that the first whole read is over: what appears from now on is
-    /// new.
-    void note_complete();
+    /// The first whole read is over: what appears from now on is new, and
+    /// changes behind `as_of` are kept for other routers.
+    void begin_changes(revision as_of);
+
+    /// Returns changes for another router, up to `as_of`.
+    [[nodiscard]] change_answer changes_behind(revision after,
+                                               revision as_of) const;
 
     /// Drops upstreams whose lapse is over.
     void tick(time_point now);
@@ -102,7 +107,9 @@
     [[nodiscard]] const std::map<std::string, known_upstream>&
     upstreams() const;
     [[nodiscard]] bool is_out(const std::string& data_centre) const;
-    [[nodiscard]] const std::map<std::string, endpoint>& routers() const;
+    [[nodiscard]] const std::map<std::string, router_record>& routers() const;
+    /// Empty before it is known.
+    [[nodiscard]] const std::string& secret() const;
 
     /// Grows with every change of upstreams or data centres.
     [[nodiscard]] std::uint64_t generation() const;
@@ -111,9 +118,12 @@
     std::vector<belief_change> take_changes();
 
 private:
-    void adopt(const config_snapshot& config, const entry& item);
-    void adopt_upstream(time_point now, const upstream_record& record,
+    /// These return true if other routers need to know.
+    bool adopt(const config_snapshot& config, const entry& item);
+    bool adopt_upstream(time_point now, const upstream_record& record,
                         const entry& item);
+    bool adopt_record(time_point now, const key_name& key,
+                      const record& content, const entry& item);
     void remove(time_point now, const key_name& key, revision changed,
                 std::optional<time_point> lapse_until);
     void note(belief_change::what kind, std::string name,
@@ -124,7 +134,9 @@
     revision config_changed_ = 0;
     std::map<std::string, known_upstream> upstreams_;
     std::map<std::string, revision> out_;
-    std::map<std::string, endpoint> routers_;
+    std::map<std::string, router_record> routers_;
+    std::string secret_;
+    change_log log_;
     /// Latest revision seen of each key, so that nothing goes back.
     std::map<std::string, revision> seen_;
     std::uint64_t generation_ = 0;
--- /dev/null
+++ b/include/baobabloft/directory/messages.hpp
@@ -0,0 +1,52 @@
+// What routers tell each other about the store's contents, so that only a few
+// of them call the store all the time.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace baobabloft::directory
+{
+
+/// Asks what changed behind a revision.
+struct change_ask
+{
+    /// Pairs the answer with the ask.
+    std::uint32_t sequence = 0;
+    std::uint64_t after = 0;
+};
+
+/// An entry as it travels between routers.
+struct told_entry
+{
+    std::string key;
+    std::string value;
+    std::uint64_t changed = 0;
+    bool removed = false;
+    /// The value is too long for a datagram and is to be read from the store.
+    bool is_long = false;
+};
+
+/// Answers change_ask.
+struct change_answer
+{
+    std::uint32_t sequence = 0;
+    /// False if the changes behind the asked revision are not known here.
+    bool known = false;
+    /// There are more behind the last entry.
+    bool more = false;
+    /// The entries are complete up to this revision.
+    std::uint64_t as_of = 0;
+    /// Age of the proof behind them when the answer left, ms.
+    std::uint32_t proof_age_ms = 0;
+    std::vector<told_entry> entries;
+};
+
+/// Says that something changed, so that the receiver asks at once.
+struct change_notice
+{
+    std::uint64_t revision = 0;
+};
+
+} // namespace baobabloft::directory
--- a/include/baobabloft/directory/records.hpp
+++ b/include/baobabloft/directory/records.hpp
@@ -44,6 +44,17 @@
     std::string name;
     /// Where it takes datagrams of other routers.
     endpoint control;
+    std::string data_centre;
+
+    friend bool operator==(const router_record&,
+                           const router_record&) = default;
+};
+
+/// The secret that signs datagrams between routers; the first router of a new
+/// fleet creates it.
+struct fleet_secret
+{
+    std::string text;
 };
 
 /// An entry that names nothing usable, and why.
@@ -58,7 +69,8 @@
 };
 
 using record = std::variant<config_snapshot, upstream_record, data_centre_out,
-                            router_record, unreadable_record, unrelated_record>;
+                            router_record, fleet_secret, unreadable_record,
+                            unrelated_record>;
 
 /// What a key is about.
 enum class key_kind : std::uint8_t
@@ -67,6 +79,7 @@
     upstream,
     data_centre_out,
     router,
+    fleet_secret,
     other
 };
 
--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -2,6 +2,7 @@
 // the wire format: new kinds go to the end.
 #pragma once
 
+#include "baobabloft/directory/messages.hpp"
 #include "baobabloft/ledger/messages.hpp"
 #include "baobabloft/membership/records.hpp"
 #include "baobabloft/routing/messages.hpp"
@@ -23,14 +24,16 @@
     routing::permit_answer, routing::permit_release, routing::permit_hold,
     routing::permit_cancel, routing::suspect_cleared, routing::slow_first_token,
     ledger::append_request, ledger::append_reply, preset_notice,
-    routing::load_digest>;
+    routing::load_digest, directory::change_ask, directory::change_answer,
+    directory::change_notice>;
 
 /// Names of the message kinds, in the order of the variant, for metrics.
 inline constexpr std::array message_names{
     "ping",           "ping_ack",      "indirect_ping",   "join_request",
     "member_list",    "permit_ask",    "permit_answer",   "permit_release",
     "permit_hold",    "permit_cancel", "suspect_cleared", "slow_first_token",
-    "append_request", "append_reply",  "preset_notice",   "load_digest"};
+    "append_request", "append_reply",  "preset_notice",   "load_digest",
+    "change_ask",     "change_answer", "change_notice"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "each message kind needs a name");
--- a/include/baobabloft/relay/ports.hpp
+++ b/include/baobabloft/relay/ports.hpp
@@ -51,6 +51,11 @@
     read_page(const std::string& after, duration timeout,
               callback<std::optional<directory::entry_page>> done) = 0;
 
+    /// Reads one entry; nothing inside the result if there is none.
+    virtual void read_entry(
+        const std::string& key, duration timeout,
+        callback<std::optional<std::optional<directory::entry>>> done) = 0;
+
     /// Waits for changes behind `call.after`.
     virtual void watch(const directory::watch_changes& call, duration timeout,
                        callback<watch_result> done) = 0;
@@ -67,6 +72,10 @@
                               lease_id lease, duration timeout,
                               callback<bool> done) = 0;
 
+    /// Writes the fleet's secret unless there is one. Nobody waits for the
+    /// answer: the directory shows which secret it became.
+    virtual void create_secret(const std::string& text, duration timeout) = 0;
+
     /// Goes to another address from now on.
     virtual void set_address(const endpoint& address) = 0;
 };
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -8,6 +8,8 @@
 #include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
 #include "baobabloft/http/caller_channel.hpp"
+#include "baobabloft/net/codec.hpp"
+#include "baobabloft/net/datagram_socket.hpp"
 #include "baobabloft/relay/channel_pool.hpp"
 #include "baobabloft/relay/ports.hpp"
 #include "baobabloft/router/metrics.hpp"
@@ -82,6 +84,16 @@
     void follow();
     void call_store(const directory::read_page& call);
     void call_store(const directory::watch_changes& call);
+    void call_store(const directory::read_entry& call);
+    void call_store(const directory::ask_router& call);
+    /// Opens the socket towards other routers once their secret is known.
+    void keep_linked();
+    void receive(router_id from, std::string_view bytes);
+    void handle(router_id from, const directory::change_ask& message);
+    void handle(router_id from, const directory::change_answer& message);
+    void handle(router_id from, const directory::change_notice& message);
+    void send(router_id to, const fleet::message& message);
+    void notify_routers();
     void note_call(std::string_view kind, bool answered, const failure& reason);
     void report_changes();
     void keep_registered();
@@ -97,6 +109,11 @@
     relay_context context_;
     std::vector<std::unique_ptr<http::tcp_listener>> listeners_;
     std::unordered_set<caller_ptr> callers_;
+    std::optional<net::datagram_keys> keys_;
+    std::string linked_secret_;
+    std::unique_ptr<net::datagram_socket> socket_;
+    bool secret_offered_ = false;
+    guint ask_timer_ = 0;
     time_point started_;
     time_point next_registration_;
     std::optional<lease_id> lease_;
--- /dev/null
+++ b/lib/directory/change_log.cpp
@@ -0,0 +1,80 @@
+#include "baobabloft/directory/change_log.hpp"
+
+#include <algorithm>
+
+namespace baobabloft::directory
+{
+
+namespace
+{
+
+constexpr std::size_t max_entries = 512;
+/// Room for entries in one answer; the rest of a datagram is for headers.
+constexpr std::size_t answer_bytes = 1100;
+/// A longer value is read from the store.
+constexpr std::size_t max_value_bytes = 700;
+/// Bytes of an entry beside its key and value.
+constexpr std::size_t entry_overhead = 14;
+
+std::size_t size_of(const told_entry& item)
+{
+    return item.key.size() + item.value.size() + entry_overhead;
+}
+
+} // namespace
+
+void change_log::add(const entry& item)
+{
+    const bool is_long = item.value.size() > max_value_bytes;
+    entries_.push_back({.key = item.key,
+                        .value = is_long ? std::string{} : item.value,
+                        .changed = item.changed,
+                        .removed = item.removed,
+                        .is_long = is_long});
+    if (entries_.size() <= max_entries)
+        return;
+    floor_ = std::max(floor_, entries_.front().changed);
+    entries_.pop_front();
+}
+
+void change_log::set_floor(revision floor)
+{
+    floor_ = std::max(floor_, floor);
+}
+
+change_answer change_log::answer(revision after, revision as_of) const
+{
+    change_answer result;
+    result.as_of = as_of;
+    if (after < floor_)
+        return result;
+    std::vector<const told_entry*> newer;
+    for (const auto& item : entries_)
+        if (item.changed > after && item.changed <= as_of)
+            newer.push_back(&item);
+    std::stable_sort(newer.begin(), newer.end(),
+                     [](const auto* left, const auto* right)
+                     { return left->changed < right->changed; });
+    result.known = true;
+    std::size_t bytes = 0;
+    for (const auto* item : newer)
+    {
+        bytes += size_of(*item);
+        if (bytes <= answer_bytes)
+        {
+            result.entries.push_back(*item);
+            continue;
+        }
+        // Changes of one revision belong together.
+        result.more = true;
+        while (!result.entries.empty() &&
+               result.entries.back().changed == item->changed)
+            result.entries.pop_back();
+        result.known = !result.entries.empty();
+        result.as_of = result.known ? result.entries.back().changed : after;
+        break;
+    }
+    return result;
+}
+
+} // namespace baobabloft::directory
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -1,10 +1,20 @@
 #include "baobabloft/directory/directory_follower.hpp"
 
+#include "baobabloft/support/hash.hpp"
+
 #include <algorithm>
 
 namespace baobabloft::directory
 {
 
+namespace
+{
+
+/// Largest proof age that is told; older ones are of no use to anybody.
+constexpr std::int64_t max_age_ms = 1'000'000;
+
+} // namespace
+
 directory_follower::directory_follower(const record_codec& codec,
                                        const follower_options& options)
     : options_(options), state_(codec)
@@ -18,18 +28,57 @@
         return std::nullopt;
     out_ = true;
     sent_ = now;
-    if (complete_)
+    if (!complete_)
+    {
+        if (page_after_.empty())
+            read_started_ = now;
+        return read_page{page_after_};
+    }
+    if (long_entry_)
+        return read_entry{long_entry_->key};
+    const auto* router = go_direct_ ? nullptr : router_to_ask(now);
+    go_direct_ = false;
+    if (router == nullptr)
         return watch_changes{watched_, options_.watch_wait};
-    if (page_after_.empty())
-        read_started_ = now;
-    return read_page{page_after_};
+    asked_ = router->name;
+    return ask_router{router->name, router->control, {++sequence_, watched_}};
 }
 
-void directory_follower::proved(time_point now)
+const router_record* directory_follower::router_to_ask(time_point now) const
 {
-    const bool was_away = proven_ && now - *proven_ > options_.away_after;
-    if (was_away)
+    // Without a secret nothing that a router says can be trusted.
+    if (state_.secret().empty() || options_.router.empty())
+        return nullptr;
+    const auto key = hash_bytes(options_.data_centre);
+    auto best = rendezvous_score(key, hash_bytes(options_.router));
+    const router_record* chosen = nullptr;
+    for (const auto& [name, router] : state_.routers())
+    {
+        if (name == options_.router ||
+            router.data_centre != options_.data_centre)
+            continue;
+        const auto silent = silent_until_.find(name);
+        if (silent != silent_until_.end() && silent->second > now)
+            continue;
+        const auto score = rendezvous_score(key, hash_bytes(name));
+        if (score <= best)
+            continue;
+        best = score;
+        chosen = &router;
+    }
+    return chosen;
+}
+
+void directory_follower::note_return(time_point now, time_point as_of)
+{
+    if (proven_ && as_of - *proven_ > options_.away_after)
         returned_ = now;
+}
+
+void directory_follower::proved(time_point as_of)
+{
+    if (!proven_ || as_of > *proven_)
+        proven_ = as_of;
     pause_ = duration{0};
 }
 
@@ -43,7 +92,8 @@
 void directory_follower::page_arrived(time_point now, const entry_page& page)
 {
     out_ = false;
-    proved(now);
+    due_ = now;
+    note_return(now, read_started_);
     if (!read_as_of_)
         read_as_of_ = page.as_of;
     for (const auto& item : page.entries)
@@ -51,7 +101,6 @@
         listed_.insert(item.key);
         state_.apply(now, item, lapse_end(now));
     }
-    due_ = now;
     if (page.more && !page.entries.empty())
     {
         page_after_ = page.entries.back().key;
@@ -59,10 +108,17 @@
     }
     state_.retain(now, listed_, *read_as_of_, lapse_end(now));
     // Pages are no snapshot: changes behind the first page's revision follow.
-    watched_ = *read_as_of_;
-    proven_ = read_started_;
+    watched_ = std::max(watched_, *read_as_of_);
+    if (!complete_once_)
+        state_.begin_changes(watched_);
+    complete_once_ = true;
     complete_ = true;
-    state_.note_complete();
+    proved(read_started_);
+    forget_read();
+}
+
+void directory_follower::forget_read()
+{
     page_after_.clear();
     listed_.clear();
     read_as_of_.reset();
@@ -72,11 +128,11 @@
                                          const entry_changes& changes)
 {
     out_ = false;
-    proved(now);
+    note_return(now, sent_);
     for (const auto& item : changes.entries)
         state_.apply(now, item, lapse_end(now));
     watched_ = std::max(watched_, changes.as_of);
-    proven_ = sent_;
+    proved(sent_);
     due_ = now + options_.watch_pause;
 }
 
@@ -84,9 +140,7 @@
 {
     out_ = false;
     complete_ = false;
-    page_after_.clear();
-    listed_.clear();
-    read_as_of_.reset();
+    forget_read();
     due_ = now;
 }
 
@@ -98,9 +152,96 @@
     due_ = now + pause_;
 }
 
-void directory_follower::hurry(time_point now)
+void directory_follower::entry_arrived(time_point now,
+                                       const std::optional<entry>& item)
+{
+    out_ = false;
+    due_ = now;
+    if (!long_entry_)
+        return;
+    // If it is gone again, a later change tells so.
+    if (item)
+        state_.apply(now, *item, lapse_end(now));
+    watched_ = std::max(watched_, long_entry_->changed);
+    long_entry_.reset();
+}
+
+bool directory_follower::router_answered(time_point now,
+                                         const change_answer& answer)
+{
+    if (!out_ || asked_.empty() || answer.sequence != sequence_)
+        return false;
+    out_ = false;
+    asked_.clear();
+    due_ = now;
+    const duration told_age = answer.proof_age_ms * 1ms;
+    if (!answer.known || told_age > options_.max_told_age)
+    {
+        go_direct_ = true;
+        return true;
+    }
+    // The answer was made after the ask left, so its proof is at least as
+    // young as this, however long the datagrams took.
+    const auto as_of = sent_ - told_age;
+    note_return(now, as_of);
+    for (const auto& item : answer.entries)
+    {
+        if (item.is_long)
+        {
+            long_entry_ = item;
+            return true;
+        }
+        state_.apply(now, {item.key, item.value, item.changed, item.removed},
+                     lapse_end(now));
+    }
+    watched_ = std::max(watched_, answer.as_of);
+    if (answer.more)
+        return true;
+    proved(as_of);
+    due_ = now + options_.ask_pause;
+    return true;
+}
+
+void directory_follower::router_silent(time_point now)
+{
+    if (!out_ || asked_.empty())
+        return;
+    out_ = false;
+    silent_until_[asked_] = now + options_.silent_router_pause;
+    asked_.clear();
+    due_ = now;
+}
+
+change_answer directory_follower::answer(time_point now,
+                                         const change_ask& ask) const
+{
+    change_answer result;
+    if (complete_once_ && proven_)
+    {
+        result = state_.changes_behind(ask.after, watched_);
+        // Rounded up: a proof may count as older, never as younger.
+        result.proof_age_ms = static_cast<std::uint32_t>(
+            std::min<std::int64_t>((now - *proven_) / 1ms + 1, max_age_ms));
+    }
+    result.sequence = ask.sequence;
+    return result;
+}
+
+void directory_follower::notice_arrived(time_point now,
+                                        const change_notice& notice)
+{
+    if (notice.revision > watched_)
+        due_ = std::min(due_, now);
+}
+
+bool directory_follower::is_watching(time_point now) const
+{
+    return router_to_ask(now) == nullptr;
+}
+
+revision directory_follower::known_revision() const
 {
-    due_ = std::min(due_, now);
+    return watched_;
 }
 
 std::optional<time_point> directory_follower::proven_at() const
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -28,28 +28,40 @@
     {
         remove(now, key, item.changed, lapse_until);
         seen_.erase(item.key);
+        log_.add(item);
         return;
     }
-    const auto content = codec_.read(key, item.value);
+    if (adopt_record(now, key, codec_.read(key, item.value), item))
+        log_.add(item);
+}
+
+bool directory_state::adopt_record(time_point now, const key_name& key,
+                                   const record& content, const entry& item)
+{
     if (const auto* config = std::get_if<config_snapshot>(&content))
-        adopt(*config, item);
-    else if (const auto* upstream = std::get_if<upstream_record>(&content))
-        adopt_upstream(now, *upstream, item);
-    else if (std::holds_alternative<data_centre_out>(content))
+        return adopt(*config, item);
+    if (const auto* upstream = std::get_if<upstream_record>(&content))
+        return adopt_upstream(now, *upstream, item);
+    if (std::holds_alternative<data_centre_out>(content))
     {
-        if (out_.emplace(key.name, item.changed).second)
-        {
-            ++generation_;
-            note(belief_change::what::data_centre_out, key.name, {},
-                 item.changed);
-        }
+        if (!out_.emplace(key.name, item.changed).second)
+            return false;
+        ++generation_;
+        note(belief_change::what::data_centre_out, key.name, {}, item.changed);
+        return true;
     }
-    else if (const auto* router = std::get_if<router_record>(&content))
+    if (const auto* router = std::get_if<router_record>(&content))
     {
-        if (routers_.insert_or_assign(key.name, router->control).second)
+        if (routers_.insert_or_assign(key.name, *router).second)
             note(belief_change::what::router_added, key.name, {}, item.changed);
+        return true;
+    }
+    if (const auto* secret = std::get_if<fleet_secret>(&content))
+    {
+        secret_ = secret->text;
+        return false;
     }
-    else if (const auto* bad = std::get_if<unreadable_record>(&content))
+    if (const auto* bad = std::get_if<unreadable_record>(&content))
     {
         note(belief_change::what::entry_unreadable, item.key, bad->reason,
              item.changed);
@@ -57,25 +69,28 @@
         // that cannot be read changes nothing.
         if (key.kind == key_kind::upstream && upstreams_.erase(key.name) != 0)
             ++generation_;
+        return true;
     }
+    return false;
 }
 
-void directory_state::adopt(const config_snapshot& config, const entry& item)
+bool directory_state::adopt(const config_snapshot& config, const entry& item)
 {
     if (config_ && config->version < config_->version)
     {
         note(belief_change::what::config_rejected,
              std::to_string(config->version), "older than the one in force",
              item.changed);
-        return;
+        return false;
     }
     config_ = config;
     config_changed_ = item.changed;
     note(belief_change::what::config_adopted, std::to_string(config->version),
          {}, item.changed);
+    return true;
 }
 
-void directory_state::adopt_upstream(time_point now,
+bool directory_state::adopt_upstream(time_point now,
                                      const upstream_record& record,
                                      const entry& item)
 {
@@ -97,13 +112,14 @@
     known.changed = item.changed;
     known.lapsed_until.reset();
     if (!changed && !was_lapsed)
-        return;
+        return record.cold_left > duration{0};
     ++generation_;
     note(added ? belief_change::what::upstream_added
                : belief_change::what::upstream_changed,
          record.id,
          record.draining ? "draining" : (reborn ? "new lifetime" : "ready"),
          item.changed);
+    return true;
 }
 
 void directory_state::remove(time_point now, const key_name& key,
@@ -140,6 +156,7 @@
             note(belief_change::what::router_removed, key.name, {}, changed);
         return;
     case key_kind::config:
+    case key_kind::fleet_secret:
     case key_kind::other:
         return;
     }
@@ -157,13 +174,21 @@
     for (const auto& key : gone)
     {
         remove(now, codec_.read_key(key), as_of, lapse_until);
+        log_.add({.key = key, .value = {}, .changed = as_of, .removed = true});
         seen_.erase(key);
     }
 }
 
-void directory_state::note_complete()
+void directory_state::begin_changes(revision as_of)
 {
     complete_ = true;
+    log_.set_floor(as_of);
+}
+
+change_answer directory_state::changes_behind(revision after,
+                                              revision as_of) const
+{
+    return log_.answer(after, as_of);
 }
 
 void directory_state::tick(time_point now)
@@ -203,11 +228,16 @@
     return out_.contains(data_centre);
 }
 
-const std::map<std::string, endpoint>& directory_state::routers() const
+const std::map<std::string, router_record>& directory_state::routers() const
 {
     return routers_;
 }
 
+const std::string& directory_state::secret() const
+{
+    return secret_;
+}
+
 std::uint64_t directory_state::generation() const
 {
     return generation_;
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -117,6 +117,12 @@
         follower_.peer_has(from, part.generation);
         follow_preset(now);
     }
+    else if constexpr (is_one_of<Part, directory::change_ask,
+                                 directory::change_answer,
+                                 directory::change_notice>)
+    {
+        // Only routers that follow a directory exchange these.
+    }
     else
         owner_.handle(now, from, part);
 }
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -52,6 +52,38 @@
 
 } // namespace
 
+namespace directory
+{
+
+template <typename Archive>
+void serialize(Archive& archive, change_ask& it)
+{
+    archive(it.sequence, it.after);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, told_entry& it)
+{
+    short_text(archive, it.key);
+    short_text(archive, it.value);
+    archive(it.changed, it.removed, it.is_long);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, change_answer& it)
+{
+    archive(it.sequence, it.known, it.more, it.as_of, it.proof_age_ms);
+    short_list(archive, it.entries);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, change_notice& it)
+{
+    archive(it.revision);
+}
+
+} // namespace directory
+
 namespace membership
 {
 
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -19,6 +19,10 @@
 constexpr duration follow_period = 10ms;
 /// Answers of the store take milliseconds; a slow store takes a few hundred.
 constexpr duration store_timeout = 700ms;
+/// Another router answers within a few milliseconds unless the datagram or the
+/// router is lost.
+constexpr duration ask_timeout = 120ms;
+constexpr std::size_t secret_bytes = 32;
 /// Lifetime of this router's entry; others count it until then.
 constexpr duration registration_lifetime = 10s;
 constexpr duration registration_period = 3s;
@@ -76,7 +80,9 @@
       context_{.loop = loop,
                .dialect = dialect,
                .counters = counters,
-               .follower = {codec, {}},
+               .follower = {codec,
+                            {.router = options.router_name,
+                             .data_centre = options.data_centre}},
                .pool = channel_pool{loop},
                .selector = {context_.follower.state(),
                             {.data_centre = options.data_centre,
@@ -263,6 +269,7 @@
     }
     note_readiness();
     keep_registered();
+    keep_linked();
     check_shutdown();
 }
 
@@ -326,9 +333,151 @@
                  });
 }
 
+void relay::call_store(const directory::read_entry& call)
+{
+    store_.read_entry(
+        call.key, store_timeout,
+        [this](const std::optional<std::optional<directory::entry>>& result,
+               const failure& reason)
+        {
+            const auto now = net::boot_now();
+            if (result)
+                context_.follower.entry_arrived(now, *result);
+            else
+                context_.follower.call_failed(now);
+            note_call("directory_entry", result.has_value(), reason);
+            follow();
+        });
+}
+
+void relay::call_store(const directory::ask_router& call)
+{
+    const auto host = parse_ipv4(call.control.host);
+    if (!socket_ || !host)
+    {
+        context_.follower.router_silent(net::boot_now());
+        return;
+    }
+    send(make_router_id(*host, call.control.port), call.message);
+    ask_timer_ = loop_.after(
+        ask_timeout,
+        [this, name = call.router]
+        {
+            ask_timer_ = 0;
+            log_event(log_level::info, "router_silent", {{"router", name}});
+            context_.follower.router_silent(net::boot_now());
+            follow();
+        });
+}
+
+void relay::keep_linked()
+{
+    const auto& state = context_.follower.state();
+    if (!context_.follower.is_complete())
+        return;
+    if (state.secret().empty())
+    {
+        if (secret_offered_)
+            return;
+        secret_offered_ = true;
+        std::string secret(secret_bytes, '\0');
+        randombytes_buf(secret.data(), secret.size());
+        store_.create_secret(secret, store_timeout);
+        return;
+    }
+    if (socket_ && linked_secret_ == state.secret())
+        return;
+    linked_secret_ = state.secret();
+    keys_.emplace(std::vector<std::string>{linked_secret_});
+    const auto host = parse_ipv4(options_.control_listen.host);
+    failure reason;
+    if (!socket_)
+        socket_ = net::datagram_socket::open(
+            loop_,
+            make_router_id(host.value_or(0), options_.control_listen.port),
+            [this](router_id from, std::string_view bytes)
+            { receive(from, bytes); },
+            reason);
+    log_event(socket_ ? log_level::info : log_level::error,
+              socket_ ? "linked" : "link_failed",
+              {{"address", to_string(options_.control_listen)},
+               {"reason", reason.message}});
+}
+
+void relay::send(router_id to, const fleet::message& message)
+{
+    const auto self =
+        make_router_id(parse_ipv4(options_.control_listen.host).value_or(0),
+                       options_.control_listen.port);
+    const auto bytes = net::encode_datagram(*keys_, self, message);
+    context_.counters.datagram_sent(fleet::message_names.at(message.index()),
+                                    bytes.size() + net::datagram_header_bytes);
+    socket_->send(to, bytes);
+}
+
+void relay::receive(router_id from, std::string_view bytes)
+{
+    failure reason;
+    const auto message = net::decode_datagram(*keys_, from, bytes, reason);
+    if (!message)
+    {
+        context_.counters.datagram_refused(
+            name_in(failure_kind_names, reason.kind));
+        return;
+    }
+    context_.counters.datagram_received(
+        fleet::message_names.at(message->index()),
+        bytes.size() + net::datagram_header_bytes);
+    std::visit(
+        [&](const auto& part)
+        {
+            // Other kinds are between routers that follow a preset.
+            if constexpr (requires { handle(from, part); })
+                handle(from, part);
+        },
+        *message);
+}
+
+void relay::handle(router_id from, const directory::change_ask& message)
+{
+    send(from, context_.follower.answer(net::boot_now(), message));
+}
+
+void relay::handle(router_id /*from*/, const directory::change_answer& message)
+{
+    if (!context_.follower.router_answered(net::boot_now(), message))
+        return;
+    loop_.cancel(ask_timer_);
+    ask_timer_ = 0;
+    follow();
+}
+
+void relay::handle(router_id /*from*/, const directory::change_notice& message)
+{
+    context_.follower.notice_arrived(net::boot_now(), message);
+    follow();
+}
+
+void relay::notify_routers()
+{
+    if (!socket_ || !context_.follower.is_watching(net::boot_now()))
+        return;
+    for (const auto& [name, router] : context_.follower.state().routers())
+    {
+        const auto host = parse_ipv4(router.control.host);
+        if (host && name != options_.router_name &&
+            router.data_centre == options_.data_centre)
+            send(make_router_id(*host, router.control.port),
+                 directory::change_notice{context_.follower.known_revision()});
+    }
+}
+
 void relay::report_changes()
 {
-    for (const auto& change : context_.follower.state().take_changes())
+    const auto changes = context_.follower.state().take_changes();
+    if (!changes.empty())
+        notify_routers();
+    for (const auto& change : changes)
         log_event(log_level::info,
                   name_in(directory::belief_change_names, change.kind),
                   {{"name", change.name},
@@ -387,7 +536,8 @@
 void relay::register_router()
 {
     store_.write_router(
-        {options_.router_name, options_.control_listen}, *lease_, store_timeout,
+        {options_.router_name, options_.control_listen, options_.data_centre},
+        *lease_, store_timeout,
         [this](bool written, const failure& reason)
         {
             registering_ = false;
