--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -136,6 +136,8 @@
     /// Of an ask in progress, and routers that did not answer lately.
     std::uint32_t sequence_ = 0;
     std::string asked_;
+    /// Asks of one router without an answer, one after the other.
+    std::uint32_t unanswered_ = 0;
     std::map<std::string, time_point> silent_until_;
     /// The next call goes to the store.
     bool go_direct_ = false;
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -36,6 +36,8 @@
     const directory::routed_service* service = nullptr;
     /// Hash of the shared prompt prefix; without it the least loaded is taken.
     std::optional<std::uint64_t> affinity;
+    /// Tokens of that prefix, which another upstream would read again.
+    std::uint32_t shared_tokens = 0;
     /// Upstreams that failed this request.
     std::span<const std::string> avoid;
     /// A request that may run again may try an upstream that failed lately.
--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -83,6 +83,7 @@
 
     void on_data(std::string_view bytes);
     void parse_input();
+    [[nodiscard]] bool has_unknown_coding() const;
     void reject(unsigned status, std::string_view why);
     void finish_answer(time_point now);
     void add_connection_fields(fields& all, bool keep) const;
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -99,6 +99,7 @@
     const directory::routed_customer* customer_ = nullptr;
     const directory::routed_service* service_ = nullptr;
     std::optional<std::uint64_t> affinity_;
+    std::uint32_t shared_tokens_ = 0;
     time_point arrived_;
     time_point latest_;
     dispatch::attempt_history history_;
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -13,6 +13,8 @@
 /// Largest proof age that is told; older ones are of no use to anybody.
 constexpr std::int64_t max_age_ms = 1'000'000;
 
+constexpr std::uint32_t asks_per_router = 2;
+
 } // namespace
 
 directory_follower::directory_follower(const record_codec& codec,
@@ -173,6 +175,7 @@
         return false;
     out_ = false;
     asked_.clear();
+    unanswered_ = 0;
     due_ = now;
     const duration told_age = answer.proof_age_ms * 1ms;
     if (!answer.known || told_age > options_.max_told_age)
@@ -207,7 +210,12 @@
     if (!out_ || asked_.empty())
         return;
     out_ = false;
-    silent_until_[asked_] = now + options_.silent_router_pause;
+    // A datagram is lost now and then; two in a row mean more.
+    if (++unanswered_ >= asks_per_router)
+    {
+        silent_until_[asked_] = now + options_.silent_router_pause;
+        unanswered_ = 0;
+    }
     asked_.clear();
     due_ = now;
 }
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -11,11 +11,15 @@
 namespace
 {
 
-/// An upstream above this multiple of the mean plus `load_slack` gets nothing
-/// while others have room. Below the users' bound of twice the mean plus 3,
-/// since other routers' requests are known late.
-constexpr double load_multiple = 1.6;
-constexpr double load_slack = 3;
+/// An upstream above this multiple of the mean plus a slack gets nothing while
+/// others have room. Below the users' bound of twice the mean plus 3, since
+/// other routers' requests are known late. Requests with a short prefix move
+/// first: little is read again for them.
+constexpr double load_multiple = 1.4;
+constexpr double least_slack = 1.3;
+constexpr double most_slack = 2.5;
+/// Prefix length from which a request has the most slack.
+constexpr double long_prefix_tokens = 6000;
 /// A load that was told longer ago than this says little.
 constexpr duration told_lifetime = 1500ms;
 /// Load that one hop to another data centre is worth for plain services.
@@ -156,7 +160,10 @@
     for (const auto& item : options)
         sum += item.load;
     const double mean = sum / static_cast<double>(options.size());
-    const double limit = load_multiple * mean + load_slack;
+    const double limit =
+        load_multiple * mean + least_slack +
+        (most_slack - least_slack) *
+            std::min(1.0, want.shared_tokens / long_prefix_tokens);
 
     const bool spread = !want.affinity.has_value();
     if (spread)
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -99,6 +99,11 @@
         reject(status_of(error), error.message());
         return;
     }
+    if (parser_->is_header_done() && has_unknown_coding())
+    {
+        reject(status_bad_request, "transfer coding is not chunked");
+        return;
+    }
     if (!parser_->is_done())
     {
         // An incomplete header stays in the input; the parser sees it again.
@@ -128,6 +133,15 @@
     parse_input();
 }
 
+bool caller_channel::has_unknown_coding() const
+{
+    // The parser takes a coding that it does not know for no coding.
+    const auto& message = parser_->get();
+    const auto coding = message[bhttp::field::transfer_encoding];
+    return message.count(bhttp::field::transfer_encoding) > 1 ||
+           (!coding.empty() && !beast::iequals(coding, "chunked"));
+}
+
 void caller_channel::reject(unsigned status, std::string_view why)
 {
     const auto self = shared_from_this();
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -207,6 +207,8 @@
         if (!parts.empty())
             affinity_ = parts.size() > 1 ? parts[parts.size() - 2].id
                                          : parts.front().id;
+        for (std::size_t index = 0; index + 1 < parts.size(); ++index)
+            shared_tokens_ += parts[index].tokens;
     }
     std::uint64_t total = 0;
     for (const auto& item : route_->services)
@@ -251,6 +253,7 @@
     const auto chosen = context_.selector.choose(
         now, {.service = service_,
               .affinity = affinity_,
+              .shared_tokens = shared_tokens_,
               .avoid = avoid_,
               .is_repeatable = route_->is_repeatable()});
     if (chosen.upstream == nullptr)
--- /dev/null
+++ b/unittests/directory/directory_test.cpp
@@ -0,0 +1,514 @@
+// Routes, what the store's contents mean, and following the store directly and
+// through other routers, in virtual time.
+#include "baobabloft/directory/directory_follower.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace baobabloft::directory
+{
+
+namespace
+{
+
+constexpr time_point start{1000s};
+
+/// Values are "VERSION" for the configuration, and "SERVICE STATE COLD_MS
+/// STARTED" for upstreams; anything else cannot be read.
+class text_codec final : public record_codec
+{
+public:
+    [[nodiscard]] key_name read_key(std::string_view key) const override
+    {
+        const auto rest = std::string{key.substr(key.find('/') + 1)};
+        if (key == "config")
+            return {key_kind::config, {}};
+        if (key == "secret")
+            return {key_kind::fleet_secret, {}};
+        if (key.starts_with("up/"))
+            return {key_kind::upstream, rest};
+        if (key.starts_with("out/"))
+            return {key_kind::data_centre_out, rest};
+        if (key.starts_with("router/"))
+            return {key_kind::router, rest};
+        return {};
+    }
+
+    [[nodiscard]] record read(const key_name& key,
+                              const std::string& value) const override
+    {
+        if (key.kind == key_kind::data_centre_out)
+            return data_centre_out{key.name};
+        if (key.kind == key_kind::fleet_secret)
+            return fleet_secret{value};
+        if (key.kind == key_kind::router)
+            return router_record{key.name, {"127.0.0.1", 1}, value};
+        if (value == "garbage")
+            return unreadable_record{"garbage"};
+        if (key.kind == key_kind::config)
+        {
+            auto config = std::make_shared<route_config>();
+            config->version = std::stoull(value);
+            return config_snapshot{config};
+        }
+        upstream_record upstream;
+        upstream.id = key.name;
+        upstream.service = "chat";
+        upstream.draining = value == "draining";
+        if (value == "cold")
+            upstream.cold_left = 3s;
+        upstream.started_ms = value == "reborn" ? 2 : 1;
+        return upstream;
+    }
+};
+
+const text_codec codec;
+
+/// A store with a revision counter and a full history.
+class fake_store
+{
+public:
+    void write(const std::string& key, const std::string& value)
+    {
+        entries_[key] = {key, value, ++revision_, false};
+        history_.push_back(entries_[key]);
+    }
+
+    void remove(const std::string& key)
+    {
+        entries_.erase(key);
+        history_.push_back({key, {}, ++revision_, true});
+    }
+
+    void forget_history()
+    {
+        history_.clear();
+        oldest_ = revision_;
+    }
+
+    [[nodiscard]] entry_page page() const
+    {
+        entry_page page;
+        for (const auto& [key, item] : entries_)
+            page.entries.push_back(item);
+        page.as_of = revision_;
+        return page;
+    }
+
+    [[nodiscard]] std::optional<entry_changes> behind(revision after) const
+    {
+        if (after < oldest_)
+            return std::nullopt;
+        entry_changes changes;
+        for (const auto& item : history_)
+            if (item.changed > after)
+                changes.entries.push_back(item);
+        changes.as_of = revision_;
+        return changes;
+    }
+
+    [[nodiscard]] std::optional<entry> find(const std::string& key) const
+    {
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? std::nullopt
+                                       : std::optional{found->second};
+    }
+
+    [[nodiscard]] revision now() const
+    {
+        return revision_;
+    }
+
+private:
+    std::map<std::string, entry> entries_;
+    std::vector<entry> history_;
+    revision revision_ = 1;
+    revision oldest_ = 0;
+};
+
+/// Runs one call of `follower` to its end at `now`.
+void run_call(directory_follower& follower, const fake_store& store,
+              time_point now)
+{
+    const auto call = follower.next(now);
+    if (!call)
+        return;
+    if (std::holds_alternative<read_page>(*call))
+        follower.page_arrived(now, store.page());
+    else if (const auto* watch = std::get_if<watch_changes>(&*call))
+    {
+        if (const auto changes = store.behind(watch->after))
+            follower.changes_arrived(now, *changes);
+        else
+            follower.history_lost(now);
+    }
+    else if (const auto* one = std::get_if<read_entry>(&*call))
+        follower.entry_arrived(now, store.find(one->key));
+    else
+        follower.router_silent(now);
+}
+
+TEST(route_config, the_longest_prefix_of_the_host_wins)
+{
+    route_config config;
+    config.routes.push_back(
+        {.name = "all", .host = "a.example", .prefix = "/"});
+    config.routes.push_back(
+        {.name = "deep", .host = "a.example", .prefix = "/x/y/"});
+    config.routes.push_back(
+        {.name = "other", .host = "b.example", .prefix = "/x/"});
+    config.index_routes();
+    EXPECT_EQ(config.find_route("a.example", "/x/y/z?q=/w/")->name, "deep");
+    EXPECT_EQ(config.find_route("A.Example:80", "/x/")->name, "all");
+    EXPECT_EQ(config.find_route("b.example", "/"), nullptr);
+    EXPECT_EQ(config.find_route("c.example", "/x/"), nullptr);
+    EXPECT_EQ(config.find_route("b.example", "/y?/x/"), nullptr);
+}
+
+TEST(directory_state, never_goes_back_to_an_older_configuration)
+{
+    directory_state state{codec};
+    state.apply(start, {"config", "7", 10, false}, {});
+    state.apply(start, {"config", "6", 11, false}, {});
+    EXPECT_EQ(state.config()->version, 7U);
+    state.apply(start, {"config", "9", 9, false}, {});
+    EXPECT_EQ(state.config()->version, 7U);
+}
+
+TEST(directory_state, an_unreadable_configuration_changes_nothing)
+{
+    directory_state state{codec};
+    state.apply(start, {"config", "7", 10, false}, {});
+    state.apply(start, {"config", "garbage", 11, false}, {});
+    EXPECT_EQ(state.config()->version, 7U);
+    const auto changes = state.take_changes();
+    EXPECT_EQ(changes.back().kind, belief_change::what::entry_unreadable);
+}
+
+TEST(directory_state, an_unreadable_entry_names_no_upstream)
+{
+    directory_state state{codec};
+    state.apply(start, {"up/a", "ready", 1, false}, {});
+    state.apply(start, {"up/b", "ready", 2, false}, {});
+    state.apply(start, {"up/a", "garbage", 3, false}, {});
+    EXPECT_FALSE(state.upstreams().contains("a"));
+    EXPECT_TRUE(state.upstreams().contains("b"));
+}
+
+TEST(directory_state, a_new_lifetime_under_the_same_id_is_new)
+{
+    directory_state state{codec};
+    state.begin_changes(0);
+    state.apply(start, {"up/a", "cold", 1, false}, {});
+    EXPECT_EQ(state.upstreams().at("a").cold_until, start + 3s);
+    state.apply(start + 1s, {"up/a", "reborn", 2, false}, {});
+    EXPECT_EQ(state.upstreams().at("a").cold_until, start + 1s);
+    EXPECT_EQ(state.upstreams().at("a").appeared, start + 1s);
+}
+
+TEST(directory_state, what_may_have_lapsed_stays_usable_for_a_while)
+{
+    directory_state state{codec};
+    state.apply(start, {"up/a", "ready", 1, false}, {});
+    state.apply(start, {"up/a", "", 2, true}, start + 2s);
+    EXPECT_TRUE(state.upstreams().contains("a"));
+    state.tick(start + 1s);
+    EXPECT_TRUE(state.upstreams().contains("a"));
+    state.tick(start + 2s);
+    EXPECT_FALSE(state.upstreams().contains("a"));
+}
+
+TEST(change_log, splits_answers_between_revisions_only)
+{
+    change_log log;
+    constexpr std::size_t long_enough = 400;
+    for (revision number = 1; number <= 6; ++number)
+        log.add({"up/" + std::to_string(number), std::string(long_enough, 'x'),
+                 (number + 1) / 2, false});
+    const auto first = log.answer(0, 3);
+    EXPECT_TRUE(first.known);
+    EXPECT_TRUE(first.more);
+    EXPECT_EQ(first.as_of, 1U);
+    EXPECT_EQ(first.entries.size(), 2U);
+    const auto last = log.answer(2, 3);
+    EXPECT_FALSE(last.more);
+    EXPECT_EQ(last.as_of, 3U);
+}
+
+TEST(change_log, admits_what_it_does_not_know)
+{
+    change_log log;
+    log.set_floor(10);
+    EXPECT_FALSE(log.answer(9, 20).known);
+    EXPECT_TRUE(log.answer(10, 20).known);
+}
+
+TEST(directory_follower, reads_all_then_watches_and_reads_again_after_a_gap)
+{
+    fake_store store;
+    store.write("config", "1");
+    store.write("up/a", "ready");
+    directory_follower follower{codec, {}};
+    run_call(follower, store, start);
+    ASSERT_TRUE(follower.is_complete());
+    store.write("config", "2");
+    run_call(follower, store, start + 1s);
+    EXPECT_EQ(follower.state().config()->version, 2U);
+    store.remove("up/a");
+    store.write("config", "3");
+    store.forget_history();
+    run_call(follower, store, start + 2s);
+    EXPECT_FALSE(follower.is_complete());
+    run_call(follower, store, start + 2s);
+    EXPECT_EQ(follower.state().config()->version, 3U);
+    EXPECT_TRUE(follower.state().upstreams().empty());
+}
+
+TEST(directory_follower, a_failed_call_proves_nothing)
+{
+    fake_store store;
+    directory_follower follower{codec, {}};
+    run_call(follower, store, start);
+    const auto proven = follower.proven_at();
+    for (int call = 1; call < 20; ++call)
+    {
+        if (follower.next(start + call * 1s))
+            follower.call_failed(start + call * 1s);
+        EXPECT_EQ(follower.proven_at(), proven);
+    }
+}
+
+TEST(directory_follower, upstreams_that_lapsed_in_an_outage_stay_usable)
+{
+    fake_store store;
+    store.write("up/a", "ready");
+    directory_follower follower{codec, {}};
+    run_call(follower, store, start);
+    run_call(follower, store, start + 1s);
+    // The store is away for ten seconds, and the entry lapses meanwhile.
+    store.remove("up/a");
+    auto now = start + 11s;
+    run_call(follower, store, now);
+    EXPECT_TRUE(follower.state().upstreams().contains("a"));
+    now += 3s;
+    run_call(follower, store, now);
+    EXPECT_FALSE(follower.state().upstreams().contains("a"));
+}
+
+/// Several routers of one data centre on one store, with calls and answers
+/// that take random times and are lost.
+class fleet_model
+{
+public:
+    explicit fleet_model(std::size_t routers)
+    {
+        store_.write("config", "1");
+        store_.write("secret", "s");
+        for (std::size_t index = 0; index < routers; ++index)
+        {
+            const auto name = "r" + std::to_string(index);
+            store_.write("router/" + name, "dc");
+            followers_.push_back(std::make_unique<directory_follower>(
+                codec, follower_options{.router = name, .data_centre = "dc"}));
+        }
+        pending_.resize(routers);
+    }
+
+    struct write_made
+    {
+        time_point at;
+        revision changed;
+        std::uint64_t version;
+    };
+
+    void write_config(time_point now)
+    {
+        store_.write("config", std::to_string(++version_));
+        writes_.push_back({now, store_.now(), version_});
+    }
+
+    void step(time_point now)
+    {
+        for (std::size_t index = 0; index < followers_.size(); ++index)
+            step_one(now, index);
+    }
+
+    /// Each proof must cover every write confirmed before it.
+    void check() const
+    {
+        for (const auto& follower : followers_)
+        {
+            if (!follower->proven_at())
+                continue;
+            for (const auto& write : writes_)
+                if (write.at < *follower->proven_at())
+                {
+                    RC_ASSERT(follower->state().config() != nullptr);
+                    RC_ASSERT(follower->state().config()->version >=
+                              write.version);
+                }
+        }
+    }
+
+    [[nodiscard]] bool all_know(std::uint64_t version) const
+    {
+        return std::all_of(followers_.begin(), followers_.end(),
+                           [version](const auto& follower)
+                           {
+                               return follower->state().config() &&
+                                      follower->state().config()->version ==
+                                          version;
+                           });
+    }
+
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return version_;
+    }
+
+    [[nodiscard]] std::size_t store_calls() const
+    {
+        return store_calls_;
+    }
+
+    void set_store_away(bool away)
+    {
+        store_away_ = away;
+    }
+
+    /// One call in `of` is lost.
+    void set_loss(bool lossy, int of)
+    {
+        lossy_ = lossy;
+        loss_of_ = of;
+    }
+
+private:
+    struct pending_call
+    {
+        store_call call;
+        time_point done_at;
+        bool lost = false;
+        std::optional<change_answer> answer;
+    };
+
+    void step_one(time_point now, std::size_t index)
+    {
+        auto& slot = pending_[index];
+        if (!slot)
+        {
+            const auto call = followers_[index]->next(now);
+            if (!call)
+                return;
+            slot = pending_call{*call,
+                                now + *rc::gen::inRange(1, 40) * 1ms,
+                                lossy_ && *rc::gen::inRange(0, loss_of_) ==
+                                              loss_of_ - 1,
+                                {}};
+            answer_call(now, *slot);
+            return;
+        }
+        if (now < slot->done_at)
+            return;
+        const auto done = std::move(*slot);
+        slot.reset();
+        deliver(now, *followers_[index], done);
+    }
+
+    /// The answer is made between the call and its arrival; here at once,
+    /// which is the oldest that it may be.
+    void answer_call(time_point now, pending_call& call)
+    {
+        const auto* ask = std::get_if<ask_router>(&call.call);
+        if (ask == nullptr)
+        {
+            ++store_calls_;
+            call.lost = call.lost || store_away_;
+            return;
+        }
+        const auto asked = std::stoul(ask->router.substr(1));
+        call.answer = followers_[asked]->answer(now, ask->message);
+    }
+
+    void deliver(time_point now, directory_follower& follower,
+                 const pending_call& done)
+    {
+        if (const auto* ask = std::get_if<ask_router>(&done.call))
+        {
+            if (done.lost)
+                follower.router_silent(now);
+            else
+                follower.router_answered(now, *done.answer);
+            return;
+        }
+        if (done.lost)
+            follower.call_failed(now);
+        else if (std::holds_alternative<read_page>(done.call))
+            follower.page_arrived(now, store_.page());
+        else if (const auto* watch = std::get_if<watch_changes>(&done.call))
+        {
+            if (const auto changes = store_.behind(watch->after))
+                follower.changes_arrived(now, *changes);
+            else
+                follower.history_lost(now);
+        }
+        else
+            follower.entry_arrived(
+                now, store_.find(std::get<read_entry>(done.call).key));
+    }
+
+    fake_store store_;
+    std::vector<std::unique_ptr<directory_follower>> followers_;
+    std::vector<std::optional<pending_call>> pending_;
+    std::vector<write_made> writes_;
+    std::uint64_t version_ = 1;
+    std::size_t store_calls_ = 0;
+    bool store_away_ = false;
+    bool lossy_ = true;
+    int loss_of_ = 10;
+};
+
+RC_GTEST_PROP(directory_follower, a_proof_covers_every_write_before_it, ())
+{
+    fleet_model fleet{5};
+    auto now = start;
+    for (int step = 0; step < 600; ++step)
+    {
+        now += 10ms;
+        if (*rc::gen::inRange(0, 40) == 0)
+            fleet.write_config(now);
+        if (*rc::gen::inRange(0, 150) == 0)
+            fleet.set_store_away(*rc::gen::arbitrary<bool>());
+        fleet.step(now);
+        fleet.check();
+    }
+    fleet.set_store_away(false);
+    fleet.set_loss(false, 1);
+    for (int step = 0; step < 400; ++step)
+        fleet.step(now += 10ms);
+    RC_ASSERT(fleet.all_know(fleet.version()));
+}
+
+RC_GTEST_PROP(directory_follower, one_router_of_a_data_centre_calls_the_store,
+              ())
+{
+    constexpr std::size_t routers = 30;
+    fleet_model fleet{routers};
+    constexpr int loss_of = 50;
+    fleet.set_loss(true, loss_of);
+    auto now = start;
+    for (int step = 0; step < 300; ++step)
+        fleet.step(now += 10ms);
+    const auto before = fleet.store_calls();
+    constexpr int steps = 1000;
+    for (int step = 0; step < steps; ++step)
+        fleet.step(now += 10ms);
+    // Ten seconds; lost datagrams send a router to the store now and then.
+    RC_ASSERT(fleet.store_calls() - before < 10 * routers);
+}
+
+} // namespace
+
+} // namespace baobabloft::directory
--- /dev/null
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -0,0 +1,447 @@
+// Choice of upstreams, retries and their budget, freshness and shutdown, in
+// virtual time. Load tests name the pattern that they answer.
+#include "baobabloft/dispatch/arrival_budget.hpp"
+#include "baobabloft/dispatch/freshness.hpp"
+#include "baobabloft/dispatch/retry_rules.hpp"
+#include "baobabloft/dispatch/shutdown_rules.hpp"
+#include "baobabloft/dispatch/upstream_selector.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace baobabloft::dispatch
+{
+
+namespace
+{
+
+using directory::directory_state;
+using directory::entry;
+using directory::key_kind;
+using directory::key_name;
+
+constexpr time_point start{1000s};
+
+/// Keys are "up/DATA_CENTRE/NAME"; the value is "cold", "draining" or "ready".
+class text_codec final : public directory::record_codec
+{
+public:
+    [[nodiscard]] key_name read_key(std::string_view key) const override
+    {
+        if (key.starts_with("router/"))
+            return {key_kind::router, std::string{key}};
+        if (key.starts_with("out/"))
+            return {key_kind::data_centre_out, std::string{key.substr(4)}};
+        return {key_kind::upstream, std::string{key}};
+    }
+
+    [[nodiscard]] directory::record
+    read(const key_name& key, const std::string& value) const override
+    {
+        if (key.kind == key_kind::router)
+            return directory::router_record{key.name, {"127.0.0.1", 1}, "a"};
+        if (key.kind == key_kind::data_centre_out)
+            return directory::data_centre_out{key.name};
+        directory::upstream_record upstream;
+        upstream.id = key.name;
+        upstream.service = "chat";
+        upstream.data_centre = key.name.substr(3, 1);
+        upstream.draining = value == "draining";
+        if (value == "cold")
+            upstream.cold_left = 3s;
+        return upstream;
+    }
+};
+
+const text_codec codec;
+
+const directory::routed_service service{.name = "chat",
+                                        .max_connections = 370,
+                                        .cold_per_second = 17,
+                                        .cold_start = 3s,
+                                        .engine_tokens = 1000};
+
+class selector_test : public testing::Test
+{
+protected:
+    void add(const std::string& key, const std::string& value = "ready")
+    {
+        state.apply(start, {key, value, ++last, false}, {});
+    }
+
+    void add_engines(int count)
+    {
+        for (int index = 0; index < count; ++index)
+            add(std::string{"up/"} + "abc"[index % 3] + "/" +
+                std::to_string(index));
+    }
+
+    selection choose(time_point now, std::optional<std::uint64_t> affinity,
+                     bool is_repeatable = true,
+                     const std::vector<std::string>& avoid = {})
+    {
+        return selector.choose(now, {.service = &service,
+                                     .affinity = affinity,
+                                     .avoid = avoid,
+                                     .is_repeatable = is_repeatable});
+    }
+
+    static std::string id_of(const selection& chosen)
+    {
+        return chosen.upstream == nullptr ? "" : chosen.upstream->record.id;
+    }
+
+    directory_state state{codec};
+    directory::revision last = 0;
+    upstream_selector selector{
+        state,
+        {.data_centre = "a", .router = "router/0", .started = start - 60s},
+        [](const auto&, const auto&)
+        {
+            return true;
+        }};
+};
+
+TEST_F(selector_test, requests_with_one_prefix_stay_together)
+{
+    add_engines(9);
+    const auto first = id_of(choose(start, 42));
+    for (int count = 0; count < 20; ++count)
+        EXPECT_EQ(id_of(choose(start, 42)), first);
+    state.apply(start, {first, "", ++last, true}, {});
+    EXPECT_NE(id_of(choose(start, 42)), first);
+}
+
+TEST_F(selector_test, draining_and_data_centres_taken_out_get_nothing)
+{
+    add("up/a/0");
+    add("up/b/1", "draining");
+    add("up/c/2");
+    add("out/c");
+    for (std::uint64_t prefix = 0; prefix < 50; ++prefix)
+        EXPECT_EQ(id_of(choose(start, prefix)), "up/a/0");
+}
+
+TEST_F(selector_test, pattern_hot_prefix_spills_below_twice_the_mean)
+{
+    add_engines(9);
+    constexpr std::uint64_t hot = 7;
+    std::map<std::string, int> load;
+    std::mt19937_64 random{1};
+    // A quarter of 180 requests in progress share one prefix.
+    for (int count = 0; count < 180; ++count)
+    {
+        const auto prefix = count % 4 == 0 ? hot : random();
+        const auto id = id_of(choose(start, prefix));
+        selector.count_sent(start, id);
+        ++load[id];
+    }
+    constexpr double mean = 20;
+    for (const auto& [id, requests] : load)
+        EXPECT_LE(requests, 2 * mean + 3) << id;
+}
+
+TEST_F(selector_test, pattern_scale_out_moves_few_prefixes_at_once)
+{
+    add_engines(9);
+    std::map<std::uint64_t, std::string> before;
+    for (std::uint64_t prefix = 0; prefix < 500; ++prefix)
+        before[prefix] = id_of(choose(start, prefix));
+    state.begin_changes(last);
+    add("up/a/new");
+    const auto moved = [&](time_point now)
+    {
+        int count = 0;
+        for (const auto& [prefix, id] : before)
+            count += id_of(choose(now, prefix)) == id ? 0 : 1;
+        return count;
+    };
+    // A tenth of a full share first, a full share later, and only from old
+    // upstreams to the new one.
+    EXPECT_LT(moved(start + 1s), 15);
+    EXPECT_GT(moved(start + 60s), 25);
+    for (const auto& [prefix, id] : before)
+    {
+        const auto now_at = id_of(choose(start + 60s, prefix));
+        EXPECT_TRUE(now_at == id || now_at == "up/a/new");
+    }
+}
+
+RC_GTEST_PROP(selector_property, pattern_cold_return_keeps_the_fleet_bound, ())
+{
+    // Every engine of the service is cold, and nine routers are busy.
+    constexpr int routers = 9;
+    constexpr int engines = 3;
+    std::vector<std::unique_ptr<directory_state>> states;
+    std::vector<std::unique_ptr<upstream_selector>> selectors;
+    for (int index = 0; index < routers; ++index)
+    {
+        auto& state =
+            *states.emplace_back(std::make_unique<directory_state>(codec));
+        directory::revision last = 0;
+        for (int other = 0; other < routers; ++other)
+            state.apply(start,
+                        {"router/" + std::to_string(other), "", ++last, false},
+                        {});
+        for (int engine = 0; engine < engines; ++engine)
+            state.apply(
+                start,
+                {"up/a/" + std::to_string(engine), "cold", ++last, false}, {});
+        selectors.push_back(std::make_unique<upstream_selector>(
+            state,
+            selector_options{.data_centre = "a",
+                             .router = "router/" + std::to_string(index),
+                             .started = start - 60s},
+            [](const auto&, const auto&) { return true; }));
+    }
+    std::map<std::string, std::vector<time_point>> arrivals;
+    for (auto now = start; now < start + 2900ms; now += 1ms)
+    {
+        const auto index =
+            static_cast<std::size_t>(*rc::gen::inRange(0, routers));
+        const auto prefix = *rc::gen::inRange<std::uint64_t>(0, 40);
+        const auto chosen = selectors[index]->choose(
+            now, {.service = &service, .affinity = prefix, .avoid = {}});
+        if (chosen.upstream == nullptr)
+            continue;
+        const auto& id = chosen.upstream->record.id;
+        selectors[index]->count_sent(now, id);
+        selectors[index]->count_done(id);
+        arrivals[id].push_back(now);
+    }
+    // 17 x 1.5 + 5 a second, summed over all routers.
+    constexpr std::size_t bound = 30;
+    for (const auto& [id, times] : arrivals)
+        for (std::size_t first = 0; first < times.size(); ++first)
+        {
+            std::size_t end = first;
+            while (end < times.size() && times[end] < times[first] + 1s)
+                ++end;
+            RC_ASSERT(end - first <= bound);
+        }
+}
+
+TEST_F(selector_test, pattern_large_fleet_lets_few_routers_warm_a_cold_engine)
+{
+    add("up/a/0", "cold");
+    for (int index = 0; index < 200; ++index)
+        add("router/" + std::to_string(index));
+    int allowed = 0;
+    for (int index = 0; index < 200; ++index)
+    {
+        upstream_selector own{state,
+                              {.data_centre = "a",
+                               .router = "router/" + std::to_string(index),
+                               .started = start - 60s},
+                              [](const auto&, const auto&)
+                              {
+                                  return true;
+                              }};
+        for (int request = 0; request < 10; ++request)
+        {
+            const auto chosen = own.choose(
+                start, {.service = &service, .affinity = 1, .avoid = {}});
+            if (chosen.upstream == nullptr)
+                break;
+            own.count_sent(start, "up/a/0");
+            own.count_done("up/a/0");
+            ++allowed;
+        }
+    }
+    EXPECT_GT(allowed, 0);
+    EXPECT_LE(allowed, 30);
+}
+
+TEST_F(selector_test, pattern_failing_upstream_is_avoided_and_tried_gently)
+{
+    add_engines(3);
+    const auto bad = id_of(choose(start, 1));
+    for (int count = 0; count < 3; ++count)
+        selector.failed(start, bad);
+    EXPECT_NE(id_of(choose(start + 1ms, 1)), bad);
+    const auto later = start + 2s;
+    // Only a request that may run again tries it, and one at a time.
+    EXPECT_NE(id_of(choose(later, 1, false)), bad);
+    EXPECT_EQ(id_of(choose(later, 1)), bad);
+    selector.count_sent(later, bad);
+    EXPECT_NE(id_of(choose(later, 1)), bad);
+    selector.succeeded(later, bad);
+    selector.count_done(bad);
+    EXPECT_EQ(id_of(choose(later, 1, false)), bad);
+}
+
+TEST_F(selector_test, if_all_fail_the_best_is_still_tried)
+{
+    add_engines(3);
+    for (const auto& [id, item] : state.upstreams())
+        selector.unreachable(start, id);
+    const auto chosen = choose(start + 1ms, 1);
+    EXPECT_EQ(chosen.how, choice::last_resort);
+    EXPECT_NE(chosen.upstream, nullptr);
+}
+
+TEST_F(selector_test, what_failed_this_request_is_not_chosen_again)
+{
+    add_engines(2);
+    std::vector<std::string> avoid;
+    avoid.push_back(id_of(choose(start, 1)));
+    avoid.push_back(id_of(choose(start, 1, true, avoid)));
+    EXPECT_NE(avoid[0], avoid[1]);
+    EXPECT_EQ(choose(start, 1, true, avoid).upstream, nullptr);
+}
+
+TEST_F(selector_test, plain_services_are_served_from_the_own_data_centre)
+{
+    add_engines(3);
+    EXPECT_EQ(id_of(choose(start, std::nullopt)), "up/a/0");
+    for (int count = 0; count < 5; ++count)
+        selector.count_sent(start, "up/a/0");
+    EXPECT_NE(id_of(choose(start, std::nullopt)), "up/a/0");
+}
+
+RC_GTEST_PROP(arrival_budget, all_routers_together_keep_the_bound, ())
+{
+    constexpr std::size_t routers = 9;
+    const arrival_bound bound{.ratio = 0.2, .slack = 58, .window = 10s};
+    std::vector<arrival_budget> budgets(routers,
+                                        arrival_budget{bound, start - 60s});
+    std::vector<time_point> first;
+    std::vector<time_point> further;
+    auto now = start;
+    for (int step = 0; step < 3000; ++step)
+    {
+        now += *rc::gen::inRange(1, 15) * 1ms;
+        auto& budget =
+            budgets[static_cast<std::size_t>(*rc::gen::inRange(0, 9))];
+        budget.count_first(now, "s");
+        first.push_back(now);
+        while (budget.take_further(now, "s", routers))
+            further.push_back(now);
+    }
+    const auto within =
+        [](const std::vector<time_point>& times, time_point from, time_point to)
+    {
+        return std::lower_bound(times.begin(), times.end(), to) -
+               std::lower_bound(times.begin(), times.end(), from);
+    };
+    for (auto from = start; from < now; from += 500ms)
+    {
+        // The bound counts requests in this window or the one before.
+        const auto requests = std::max(within(first, from, from + 10s),
+                                       within(first, from - 10s, from));
+        RC_ASSERT(static_cast<double>(within(further, from, from + 10s)) <=
+                  bound.ratio * static_cast<double>(requests) + bound.slack);
+    }
+}
+
+TEST(arrival_budget, a_new_lifetime_does_not_spend_what_the_last_one_may_have)
+{
+    arrival_budget budget{{}, start};
+    EXPECT_FALSE(budget.take_further(start, "s", 1));
+    EXPECT_TRUE(budget.take_further(start + 10s, "s", 1));
+}
+
+TEST(freshness, allows_less_as_the_proof_ages)
+{
+    const freshness_bounds bounds{.key_revocation = 5s, .in_force = 2s};
+    EXPECT_EQ(reliance_at(start, std::nullopt, bounds), reliance::none);
+    EXPECT_EQ(reliance_at(start + 1s, start, bounds), reliance::full);
+    EXPECT_EQ(reliance_at(start + 1600ms, start, bounds), reliance::serve);
+    EXPECT_EQ(reliance_at(start + 4600ms, start, bounds), reliance::serve);
+    // A key that was taken away just after the proof is refused everywhere
+    // five seconds later.
+    EXPECT_EQ(reliance_at(start + 4800ms, start, bounds),
+              reliance::routes_only);
+    EXPECT_TRUE(is_fresh_enough_to_attract(start + 2s, start, bounds));
+    EXPECT_FALSE(is_fresh_enough_to_attract(start + 3s, start, bounds));
+}
+
+TEST(shutdown_rules, late_requests_that_may_outlast_it_are_refused)
+{
+    const shutdown_times times{.limit = 8s, .reserve = 500ms, .notice = 2600ms};
+    EXPECT_TRUE(takes_request(1s, 10s, times));
+    EXPECT_FALSE(takes_request(5500ms, 10s, times));
+    EXPECT_TRUE(takes_request(5500ms, 800ms, times));
+    EXPECT_FALSE(takes_request(7s, 800ms, times));
+}
+
+directory::route route_of(directory::request_kind kind, bool resumable,
+                          std::uint32_t attempts)
+{
+    return {.name = "r",
+            .kind = kind,
+            .resumable = resumable,
+            .attempts = attempts};
+}
+
+TEST(retry_rules, what_may_have_run_is_never_repeated_unless_it_may_be)
+{
+    using directory::request_kind;
+    for (const auto end :
+         {attempt_end::broken, attempt_end::silent, attempt_end::failed})
+        for (const auto& route : {route_of(request_kind::unsafe, false, 3),
+                                  route_of(request_kind::streaming, false, 3)})
+        {
+            const auto step =
+                step_after(route, end, {.runs = 1, .attempts = 1});
+            EXPECT_NE(step, next_step::try_other);
+            EXPECT_NE(step, next_step::refuse_not_run);
+        }
+}
+
+RC_GTEST_PROP(retry_rules, a_refusal_that_says_not_run_is_true, ())
+{
+    const auto kind = *rc::gen::element(directory::request_kind::safe,
+                                        directory::request_kind::unsafe,
+                                        directory::request_kind::streaming);
+    const auto route = route_of(kind, *rc::gen::arbitrary<bool>(),
+                                *rc::gen::inRange<std::uint32_t>(1, 4));
+    attempt_history history;
+    bool may_have_run = false;
+    std::uint32_t runs = 0;
+    while (true)
+    {
+        const auto end = *rc::gen::element(
+            attempt_end::not_sent, attempt_end::declined, attempt_end::broken,
+            attempt_end::silent, attempt_end::failed);
+        ++history.attempts;
+        if (end == attempt_end::broken || end == attempt_end::silent ||
+            end == attempt_end::failed)
+        {
+            may_have_run = true;
+            ++history.runs;
+            ++runs;
+        }
+        history.has_time = *rc::gen::inRange(0, 5) != 0;
+        const auto step = step_after(route, end, history);
+        RC_ASSERT(runs <= route.attempts);
+        if (step == next_step::refuse_not_run)
+            RC_ASSERT(!may_have_run);
+        if (step != next_step::try_other)
+            break;
+        if (!route.is_repeatable())
+            RC_ASSERT(!may_have_run);
+        RC_ASSERT(history.attempts < max_attempts);
+    }
+}
+
+TEST(retry_rules, an_answer_that_has_begun_is_resumed_or_broken_off)
+{
+    using directory::request_kind;
+    const auto resumable = route_of(request_kind::streaming, true, 2);
+    const auto plain = route_of(request_kind::streaming, false, 2);
+    const attempt_history history{
+        .runs = 1, .attempts = 1, .answer_started = true};
+    EXPECT_EQ(step_after(resumable, attempt_end::broken, history),
+              next_step::try_other);
+    EXPECT_EQ(step_after(plain, attempt_end::broken, history),
+              next_step::break_off);
+    EXPECT_EQ(step_without_retry(attempt_end::failed, history),
+              next_step::break_off);
+}
+
+} // namespace
+
+} // namespace baobabloft::dispatch
--- /dev/null
+++ b/unittests/http/http_test.cpp
@@ -0,0 +1,537 @@
+// Both sides of HTTP/1.1 against hostile and odd framings: what is read as a
+// request or an answer, what is refused, and what is known to have been sent.
+#include "baobabloft/http/caller_channel.hpp"
+#include "baobabloft/http/upstream_channel.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace baobabloft::http
+{
+
+namespace
+{
+
+/// Runs everything that is due.
+void settle(net::event_loop& loop)
+{
+    constexpr int quiet_turns = 20;
+    for (int turn = 0; turn < quiet_turns;)
+        turn = g_main_context_iteration(loop.context(), FALSE) != FALSE
+                   ? 0
+                   : turn + 1;
+}
+
+/// Runs until `done` or for two seconds.
+template <typename Done>
+void run_until(net::event_loop& loop, Done done)
+{
+    loop.after(2s, [] {});
+    const auto end = net::boot_now() + 2s;
+    while (!done() && net::boot_now() < end)
+        g_main_context_iteration(loop.context(), TRUE);
+}
+
+std::string read_all(int fd)
+{
+    std::string bytes;
+    std::array<char, 65536> buffer{};
+    while (true)
+    {
+        const auto size = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (size <= 0)
+            return bytes;
+        bytes.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+}
+
+bool is_closed(int fd)
+{
+    char byte = 0;
+    return recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0 ||
+           (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void write_all(int fd, std::string_view bytes)
+{
+    ASSERT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+}
+
+class caller_test : public testing::Test
+{
+protected:
+    caller_test()
+    {
+        std::array<int, 2> ends{};
+        EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+        peer = ends[0];
+        channel = std::make_shared<caller_channel>(
+            tcp_stream::adopt(loop, ends[1], {}), limits, net::boot_now());
+        channel->start({.on_request = [this](request&& message)
+                        { requests.push_back(std::move(message)); },
+                        .on_gone = [this] { gone = true; },
+                        .on_drained = nullptr,
+                        .on_rejected =
+                            [this](unsigned status, std::string_view)
+                        {
+                            rejected = status;
+                        }});
+    }
+
+    ~caller_test() override
+    {
+        ::close(peer);
+    }
+
+    void feed(std::string_view bytes)
+    {
+        write_all(peer, bytes);
+        settle(loop);
+    }
+
+    void answer(std::string body)
+    {
+        response message;
+        message.result(200);
+        message.body() = std::move(body);
+        channel->respond(net::boot_now(), std::move(message), true);
+        settle(loop);
+    }
+
+    static constexpr caller_limits limits{.header_bytes = 4096,
+                                          .body_bytes = 10000,
+                                          .header_timeout = 3s,
+                                          .idle_timeout = 15s};
+    net::event_loop loop;
+    int peer = -1;
+    std::shared_ptr<caller_channel> channel;
+    std::vector<request> requests;
+    bool gone = false;
+    unsigned rejected = 0;
+};
+
+TEST_F(caller_test, hostile_framings_are_refused_and_never_a_request)
+{
+    // Each is a fresh connection's first bytes.
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"both framings", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+        {"both framings, other order",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+         "Content-Length: 5\r\n\r\n0\r\n\r\n"},
+        {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+                        "Content-Length: 6\r\n\r\nabcdef"},
+        {"signed length", "POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\nabcde"},
+        {"negative length",
+         "POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\nabcde"},
+        {"blank before the colon",
+         "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
+        {"unknown coding",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
+        {"broken chunk size", "POST / HTTP/1.1\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"},
+        {"chunk longer than its size",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3\r\nabcdef\r\n0\r\n\r\n"},
+        {"bare line feeds", "GET / HTTP/1.1\nHost: a\n\n"},
+        {"no version", "GET /\r\n\r\n"},
+        {"NUL in a header",
+         std::string{"GET / HTTP/1.1\r\nX: a\0b\r\n\r\n", 27}},
+        {"no colon", "GET / HTTP/1.1\r\nNoColon\r\n\r\n"},
+        {"blank name", "GET / HTTP/1.1\r\n: x\r\n\r\n"},
+        {"not HTTP", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"}};
+    for (const auto& [name, bytes] : cases)
+    {
+        std::array<int, 2> ends{};
+        ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+        int taken = 0;
+        unsigned status = 0;
+        const auto own = std::make_shared<caller_channel>(
+            tcp_stream::adopt(loop, ends[1], {}), limits, net::boot_now());
+        own->start({.on_request = [&](request&&) { ++taken; },
+                    .on_gone = nullptr,
+                    .on_drained = nullptr,
+                    .on_rejected =
+                        [&](unsigned code, std::string_view)
+                    {
+                        status = code;
+                    }});
+        write_all(ends[0], bytes);
+        settle(loop);
+        EXPECT_EQ(taken, 0) << name;
+        EXPECT_EQ(status, 400U) << name;
+        EXPECT_TRUE(read_all(ends[0]).starts_with("HTTP/1.1 400")) << name;
+        EXPECT_TRUE(is_closed(ends[0])) << name;
+        ::close(ends[0]);
+    }
+}
+
+TEST_F(caller_test, chunked_bodies_with_extensions_and_trailers_are_taken)
+{
+    feed("POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\n\r\n");
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].body(), "abcde");
+}
+
+TEST_F(caller_test, bytes_may_come_one_by_one)
+{
+    const std::string_view bytes =
+        "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nwxyz";
+    for (const char byte : bytes)
+        feed({&byte, 1});
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].body(), "wxyz");
+}
+
+TEST_F(caller_test, a_body_that_ends_early_is_no_request)
+{
+    feed("POST /p HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    shutdown(peer, SHUT_WR);
+    settle(loop);
+    EXPECT_TRUE(requests.empty());
+    EXPECT_TRUE(gone);
+}
+
+TEST_F(caller_test, headers_beyond_the_limit_are_refused)
+{
+    feed("GET / HTTP/1.1\r\nX: " + std::string(5000, 'a') + "\r\n\r\n");
+    EXPECT_EQ(rejected, 431U);
+    EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(caller_test, bodies_beyond_the_limit_are_refused)
+{
+    feed("POST / HTTP/1.1\r\nContent-Length: 10001\r\n\r\n");
+    EXPECT_EQ(rejected, 413U);
+    EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(caller_test, requests_are_served_one_at_a_time_in_order)
+{
+    feed("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    ASSERT_EQ(requests.size(), 1U);
+    answer("one");
+    ASSERT_EQ(requests.size(), 2U);
+    EXPECT_EQ(view_of(requests[1].target()), "/2");
+    answer("two");
+    const auto bytes = read_all(peer);
+    EXPECT_LT(bytes.find("one"), bytes.find("two"));
+    EXPECT_NE(bytes.find("Keep-Alive: timeout=15"), std::string::npos);
+}
+
+TEST_F(caller_test, the_callers_end_is_seen_while_a_request_is_served)
+{
+    feed("GET /1 HTTP/1.1\r\n\r\n");
+    EXPECT_FALSE(gone);
+    shutdown(peer, SHUT_RDWR);
+    settle(loop);
+    EXPECT_TRUE(gone);
+}
+
+TEST_F(caller_test, a_stream_is_chunked_and_ends_with_its_last_chunk)
+{
+    feed("GET /1 HTTP/1.1\r\n\r\n");
+    response_head head;
+    head.result(200);
+    channel->start_stream(std::move(head), true);
+    channel->send_part("id: 1\n\n");
+    channel->end_stream(net::boot_now());
+    settle(loop);
+    EXPECT_TRUE(read_all(peer).ends_with("7\r\nid: 1\n\n\r\n0\r\n\r\n"));
+    EXPECT_FALSE(is_closed(peer));
+}
+
+TEST_F(caller_test, headers_that_take_too_long_end_the_connection)
+{
+    feed("GET / HT");
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 2s));
+    EXPECT_FALSE(channel->check_timeouts(net::boot_now() + 4s));
+    EXPECT_EQ(rejected, 408U);
+}
+
+TEST_F(caller_test, idle_connections_outlast_the_announced_time)
+{
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15500ms));
+    EXPECT_FALSE(channel->check_timeouts(net::boot_now() + 17s));
+}
+
+RC_GTEST_FIXTURE_PROP(caller_test, any_bytes_are_read_without_harm,
+                      (const std::string& bytes))
+{
+    std::array<int, 2> ends{};
+    RC_ASSERT(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
+    const auto own = std::make_shared<caller_channel>(
+        tcp_stream::adopt(loop, ends[1], {}), limits, net::boot_now());
+    own->start({.on_request = [](request&&) {},
+                .on_gone = nullptr,
+                .on_drained = nullptr,
+                .on_rejected = nullptr});
+    send(ends[0], bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    settle(loop);
+    ::close(ends[0]);
+    settle(loop);
+}
+
+/// An upstream whose bytes the test writes.
+class upstream_test : public testing::Test
+{
+protected:
+    upstream_test()
+    {
+        listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* raw_address = reinterpret_cast<sockaddr*>(&address);
+        EXPECT_EQ(bind(listener, raw_address, size), 0);
+        EXPECT_EQ(listen(listener, 4), 0);
+        EXPECT_EQ(getsockname(listener, raw_address, &size), 0);
+        target = {"127.0.0.1", ntohs(address.sin_port)};
+    }
+
+    ~upstream_test() override
+    {
+        ::close(listener);
+        if (peer >= 0)
+            ::close(peer);
+    }
+
+    /// Sends a request and waits until the upstream has it.
+    void request_on(const std::shared_ptr<upstream_channel>& channel)
+    {
+        head.reset();
+        body.clear();
+        complete = false;
+        failed.reset();
+        outgoing_request out;
+        out.head.method_string("GET");
+        out.head.target("/");
+        out.head.version(11);
+        out.id_header = "X-Id";
+        out.id = "7";
+        channel->exchange(
+            std::move(out),
+            {.on_head = [this](const response_head& got) { head = got; },
+             .on_body = [this](std::string_view bytes) { body += bytes; },
+             .on_complete = [this] { complete = true; },
+             .on_failure =
+                 [this](exchange_failure why)
+             {
+                 failed = why;
+             }});
+        if (peer < 0)
+            peer = accept(listener, nullptr, nullptr);
+        run_until(loop, [&] { return channel->has_sent(); });
+        std::string seen;
+        run_until(loop,
+                  [&]
+                  {
+                      seen += read_all(peer);
+                      return seen.find("\r\n\r\n") != std::string::npos;
+                  });
+    }
+
+    void reply(std::string_view bytes, bool then_close = false)
+    {
+        write_all(peer, bytes);
+        if (then_close)
+            shutdown(peer, SHUT_WR);
+        run_until(loop, [this] { return complete || failed; });
+    }
+
+    std::shared_ptr<upstream_channel> open()
+    {
+        return upstream_channel::open(loop, target, {});
+    }
+
+    net::event_loop loop;
+    int listener = -1;
+    int peer = -1;
+    endpoint target;
+    std::optional<response_head> head;
+    std::string body;
+    bool complete = false;
+    std::optional<exchange_failure> failed;
+};
+
+TEST_F(upstream_test, a_kept_channel_carries_the_next_request)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: timeout=4\r\n"
+          "Content-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(complete);
+    EXPECT_EQ(body, "ok");
+    EXPECT_TRUE(channel->is_reusable());
+    EXPECT_EQ(channel->announced_idle(), duration{4s});
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nyes");
+    EXPECT_EQ(body, "yes");
+    EXPECT_TRUE(channel->was_reused());
+}
+
+TEST_F(upstream_test, an_answer_to_another_request_is_skipped)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 4\r\n\r\nlate"
+          "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(complete);
+    EXPECT_EQ(body, "ok");
+    EXPECT_FALSE(channel->is_reusable());
+}
+
+TEST_F(upstream_test, bytes_behind_an_answer_end_the_channel)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nokmore");
+    EXPECT_TRUE(complete);
+    EXPECT_EQ(body, "ok");
+    EXPECT_FALSE(channel->is_reusable());
+}
+
+TEST_F(upstream_test, bytes_on_an_idle_channel_end_it)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    write_all(peer, "HTTP/1.1 200 OK\r\n\r\n");
+    run_until(loop, [&] { return !channel->is_open(); });
+    EXPECT_FALSE(channel->is_reusable());
+}
+
+TEST_F(upstream_test, an_answer_cut_short_is_incomplete)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 20\r\n\r\nhalf", true);
+    EXPECT_FALSE(complete);
+    EXPECT_EQ(failed, exchange_failure::incomplete);
+}
+
+TEST_F(upstream_test, chunks_cut_short_are_incomplete)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "4\r\nhalf\r\n",
+          true);
+    EXPECT_EQ(failed, exchange_failure::incomplete);
+    EXPECT_EQ(body, "half");
+}
+
+TEST_F(upstream_test, without_a_length_only_an_orderly_end_completes)
+{
+    auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nwhole", true);
+    EXPECT_TRUE(complete);
+    EXPECT_EQ(body, "whole");
+    ::close(peer);
+    peer = -1;
+    channel = open();
+    request_on(channel);
+    write_all(peer, "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nwhole");
+    run_until(loop, [this] { return !body.empty(); });
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    setsockopt(peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    ::close(peer);
+    peer = -1;
+    run_until(loop, [this] { return complete || failed; });
+    EXPECT_FALSE(complete);
+    EXPECT_EQ(failed, exchange_failure::incomplete);
+}
+
+TEST_F(upstream_test, a_channel_that_closes_without_an_answer_repeats_nothing)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    request_on(channel);
+    ::close(peer);
+    peer = -1;
+    run_until(loop, [this] { return complete || failed; });
+    EXPECT_EQ(failed, exchange_failure::closed_without_answer);
+    EXPECT_TRUE(channel->has_sent());
+    // No second connection was opened.
+    timeval short_wait{.tv_sec = 0, .tv_usec = 100'000};
+    setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &short_wait,
+               sizeof short_wait);
+    EXPECT_LT(accept(listener, nullptr, nullptr), 0);
+}
+
+TEST_F(upstream_test, answers_that_are_none_are_malformed)
+{
+    for (const std::string_view bytes :
+         {std::string_view{"garbage garbage\r\n\r\n"},
+          std::string_view{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                           "Content-Length: 3\r\n\r\nabc"},
+          std::string_view{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}})
+    {
+        const auto channel = open();
+        request_on(channel);
+        reply(bytes);
+        EXPECT_EQ(failed, exchange_failure::malformed) << bytes;
+        ::close(peer);
+        peer = -1;
+    }
+}
+
+TEST_F(upstream_test, interim_answers_are_skipped)
+{
+    const auto channel = open();
+    request_on(channel);
+    reply("HTTP/1.1 100 Continue\r\n\r\n"
+          "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(complete);
+    EXPECT_EQ(head->result_int(), 200U);
+}
+
+TEST_F(upstream_test, a_refused_connection_has_sent_nothing)
+{
+    ::close(listener);
+    const auto channel = open();
+    outgoing_request out;
+    out.head.method_string("GET");
+    out.head.target("/");
+    if (channel)
+    {
+        channel->exchange(std::move(out),
+                          {.on_head = nullptr,
+                           .on_body = nullptr,
+                           .on_complete = nullptr,
+                           .on_failure = [this](exchange_failure why)
+                           {
+                               failed = why;
+                           }});
+        run_until(loop, [this] { return failed.has_value(); });
+        EXPECT_EQ(failed, exchange_failure::connect_failed);
+        EXPECT_FALSE(channel->has_sent());
+    }
+    listener = socket(AF_INET, SOCK_STREAM, 0);
+}
+
+TEST(message, connection_headers_are_not_forwarded)
+{
+    fields all;
+    all.set("Connection", "close, X-Private");
+    for (const auto* name : {"connection", "Keep-Alive", "X-Private",
+                             "Transfer-Encoding", "TE", "Upgrade"})
+        EXPECT_TRUE(is_hop_by_hop(all, name)) << name;
+    EXPECT_FALSE(is_hop_by_hop(all, "X-Public"));
+}
+
+} // namespace
+
+} // namespace baobabloft::http
--- /dev/null
+++ b/unittests/platform/platform_test.cpp
@@ -0,0 +1,301 @@
+// Every form of the platform's pages as it is decoded, with malformed,
+// missing, further and wrongly typed fields.
+#include "platform/headers.hpp"
+#include "platform/record_codec.hpp"
+
+#include "baobabloft/router/settings.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+namespace baobabloft::platform
+{
+
+namespace
+{
+
+using nlohmann::json;
+namespace dir = directory;
+
+const record_codec codec;
+
+json sample_config()
+{
+    return json::parse(R"({"version":7,
+      "routes":[
+        {"name":"r-1","hostname":"a.example","prefix":"/x/",
+         "routeKind":"streaming","timeoutMs":4000,"goalMs":500,"priority":0,
+         "backends":[{"service":"s1","wt":90},{"service":"s2","wt":10}],
+         "attempts":2,"public":false,"affinity":true,"resumable":true,
+         "gapAimMs":300},
+        {"name":"r-2","hostname":"a.example","prefix":"/y/",
+         "routeKind":"unsafe","timeoutMs":800.5,"goalMs":100,"priority":2,
+         "service":"s2","attempts":1,"public":true}],
+      "services":[
+        {"name":"s1","healthPath":"/healthz","maxConns":370,"protocol":"h1",
+         "tls":false,"coldStartS":3.0,"coldPerS":17.0,
+         "engine":{"slots":64,"kvCapacity":445152}},
+        {"name":"s2","healthPath":"/healthz","maxConns":110,
+         "coldStartS":0.0,"coldPerS":0.0}],
+      "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+                "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+      "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},
+                 {"name":"t2","apiKeys":[]}]})");
+}
+
+json sample_server()
+{
+    return json::parse(R"({"service":"s1","address":"10.0.0.9:8080",
+      "zone":"z","version":"v1","slots":64,"phase":"ready","coldLeftMs":1500,
+      "stage":"mixed","models":[],"seq":4,"born":1700000000000})");
+}
+
+dir::record read_config(const json& value)
+{
+    return codec.read({dir::key_kind::config, {}}, value.dump());
+}
+
+dir::record read_server(const json& value)
+{
+    return codec.read({dir::key_kind::upstream, "i-1"}, value.dump());
+}
+
+bool is_unreadable(const dir::record& record)
+{
+    return std::holds_alternative<dir::unreadable_record>(record);
+}
+
+TEST(keys, name_what_an_entry_is_about)
+{
+    EXPECT_EQ(codec.read_key("op/config").kind, dir::key_kind::config);
+    EXPECT_EQ(codec.read_key("servers/i-7").name, "i-7");
+    EXPECT_EQ(codec.read_key("op/evacuate/z").kind,
+              dir::key_kind::data_centre_out);
+    EXPECT_EQ(codec.read_key("baobabloft/routers/r").kind,
+              dir::key_kind::router);
+    EXPECT_EQ(codec.read_key("op/configuration").kind, dir::key_kind::other);
+    EXPECT_EQ(codec.read_key("").kind, dir::key_kind::other);
+}
+
+TEST(config, is_decoded_into_routes_services_and_customers)
+{
+    const auto record = read_config(sample_config());
+    const auto* config = std::get_if<dir::config_snapshot>(&record);
+    ASSERT_NE(config, nullptr);
+    const auto& all = **config;
+    EXPECT_EQ(all.version, 7U);
+    const auto* route = all.find_route("a.example", "/x/1");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->kind, dir::request_kind::streaming);
+    EXPECT_TRUE(route->resumable);
+    EXPECT_EQ(route->timeout, 4s);
+    EXPECT_EQ(route->gap_goal, 300ms);
+    ASSERT_EQ(route->services.size(), 2U);
+    EXPECT_EQ(route->services[1].weight, 10U);
+    const auto* other = all.find_route("a.example", "/y/");
+    EXPECT_TRUE(other->is_public);
+    EXPECT_EQ(other->timeout, 800500us);
+    EXPECT_EQ(all.services.at("s1").cold_per_second, 17);
+    EXPECT_EQ(all.find_customer("k2")->name, "t1");
+    EXPECT_EQ(all.find_customer("k2")->priority, 1U);
+    EXPECT_EQ(all.find_customer("k3"), nullptr);
+    EXPECT_TRUE(all.needs_keys);
+    EXPECT_EQ(all.bounds.idle_timeout, 15s);
+}
+
+TEST(config, without_customers_needs_no_keys)
+{
+    auto value = sample_config();
+    value.erase("tenants");
+    const auto record = read_config(value);
+    EXPECT_FALSE(std::get<dir::config_snapshot>(record)->needs_keys);
+}
+
+TEST(config, further_fields_are_ignored)
+{
+    auto value = sample_config();
+    value["more"] = 1;
+    value["routes"][0]["more"] = "x";
+    EXPECT_FALSE(is_unreadable(read_config(value)));
+}
+
+TEST(config, wrong_fields_make_it_unreadable_as_a_whole)
+{
+    const std::vector<std::pair<json::json_pointer, json>> wrong{
+        {json::json_pointer{"/version"}, "7"},
+        {json::json_pointer{"/version"}, -1},
+        {json::json_pointer{"/routes"}, json::object()},
+        {json::json_pointer{"/routes/0/prefix"}, 3},
+        {json::json_pointer{"/routes/0/routeKind"}, "perhaps"},
+        {json::json_pointer{"/routes/0/timeoutMs"}, nullptr},
+        {json::json_pointer{"/routes/0/backends"}, json::array()},
+        {json::json_pointer{"/routes/0/backends/0/wt"}, "90"},
+        {json::json_pointer{"/routes/0/public"}, "no"},
+        {json::json_pointer{"/routes/1"}, 5},
+        {json::json_pointer{"/services/0/maxConns"}, false},
+        {json::json_pointer{"/services/0/engine"}, 1},
+        {json::json_pointer{"/tenants/0/apiKeys"}, "k1"},
+        {json::json_pointer{"/tenants/0/apiKeys/0"}, 1},
+        {json::json_pointer{"/tenants"}, "none"},
+        {json::json_pointer{"/limits/maxBodyBytes"}, json::array()}};
+    for (const auto& [where, value] : wrong)
+    {
+        auto config = sample_config();
+        config[where] = value;
+        EXPECT_TRUE(is_unreadable(read_config(config))) << where.to_string();
+    }
+    for (const auto* name : {"version", "routes", "services"})
+    {
+        auto config = sample_config();
+        config.erase(name);
+        EXPECT_TRUE(is_unreadable(read_config(config))) << name;
+    }
+}
+
+TEST(server, is_decoded_into_an_upstream)
+{
+    const auto record = read_server(sample_server());
+    const auto* upstream = std::get_if<dir::upstream_record>(&record);
+    ASSERT_NE(upstream, nullptr);
+    EXPECT_EQ(upstream->id, "i-1");
+    EXPECT_EQ(upstream->address, (endpoint{"10.0.0.9", 8080}));
+    EXPECT_EQ(upstream->data_centre, "z");
+    EXPECT_EQ(upstream->cold_left, 1500ms);
+    EXPECT_FALSE(upstream->draining);
+    EXPECT_EQ(upstream->started_ms, 1700000000000U);
+    auto draining = sample_server();
+    draining["phase"] = "draining";
+    draining.erase("born");
+    const auto other = read_server(draining);
+    EXPECT_TRUE(std::get<dir::upstream_record>(other).draining);
+}
+
+TEST(server, wrong_fields_name_no_upstream)
+{
+    const std::vector<std::pair<std::string, json>> wrong{
+        {"service", 1},          {"address", "nowhere"}, {"address", 7},
+        {"address", "10.0.0.9"}, {"zone", nullptr},      {"slots", "64"},
+        {"slots", -2},           {"phase", "asleep"},    {"phase", true},
+        {"coldLeftMs", "soon"},  {"coldLeftMs", -1},     {"seq", 1.5},
+        {"born", "yesterday"},   {"born", 1.5}};
+    for (const auto& [name, value] : wrong)
+    {
+        auto server = sample_server();
+        server[name] = value;
+        EXPECT_TRUE(is_unreadable(read_server(server))) << name << value;
+    }
+    for (const auto* name :
+         {"service", "address", "zone", "slots", "phase", "coldLeftMs", "seq"})
+    {
+        auto server = sample_server();
+        server.erase(name);
+        EXPECT_TRUE(is_unreadable(read_server(server))) << name;
+    }
+    EXPECT_TRUE(
+        is_unreadable(codec.read({dir::key_kind::upstream, "i"}, "\xff\xfe{")));
+    EXPECT_TRUE(
+        is_unreadable(codec.read({dir::key_kind::upstream, "i"}, "[1]")));
+}
+
+RC_GTEST_PROP(records, any_bytes_are_read_without_harm, (std::string bytes))
+{
+    for (const auto kind : {dir::key_kind::config, dir::key_kind::upstream,
+                            dir::key_kind::router})
+        RC_ASSERT(is_unreadable(codec.read({kind, "x"}, bytes)));
+}
+
+RC_GTEST_PROP(records, cut_entries_are_unreadable, ())
+{
+    const auto whole = sample_config().dump();
+    const auto length = *rc::gen::inRange<std::size_t>(0, whole.size());
+    RC_ASSERT(is_unreadable(
+        codec.read({dir::key_kind::config, {}}, whole.substr(0, length))));
+}
+
+TEST(router, entry_is_read_back_as_written)
+{
+    const dir::router_record router{"r", {"10.0.0.1", 7000}, "z"};
+    const auto record =
+        codec.read({dir::key_kind::router, "r"}, encode_router(router));
+    EXPECT_EQ(std::get<dir::router_record>(record), router);
+    EXPECT_TRUE(is_unreadable(
+        codec.read({dir::key_kind::router, "r"}, R"({"control":"x"})")));
+}
+
+TEST(headers, load_is_running_waiting_and_slots)
+{
+    const auto dialect = make_dialect();
+    const auto load = dialect.read_load("3,0,8");
+    ASSERT_TRUE(load);
+    EXPECT_EQ(load->running, 3U);
+    EXPECT_EQ(load->waiting, 0U);
+    for (const auto* text : {"", "3", "3,0", "3,0,8,9", "a,b,c", "-1,0,8"})
+        EXPECT_FALSE(dialect.read_load(text)) << text;
+}
+
+TEST(headers, prompt_parts_are_hexadecimal_ids_with_tokens)
+{
+    const auto dialect = make_dialect();
+    const auto parts =
+        dialect.read_prompt_parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    ASSERT_EQ(parts.size(), 3U);
+    EXPECT_EQ(parts[1].id, 0x91bd3f06U);
+    EXPECT_EQ(parts[1].tokens, 410U);
+    for (const auto* text : {"", "5c", "xyz:1", "5c:", ":5", "5c:1,,6d:2"})
+        EXPECT_TRUE(dialect.read_prompt_parts(text).empty()) << text;
+}
+
+TEST(deploy, the_template_renders_to_valid_settings)
+{
+    const std::map<std::string, std::string> sample{
+        {"nodeName", "edge-fyn-a-1"},
+        {"zone", "fyn-a"},
+        {"ip", "10.1.0.40"},
+        {"listen.frontend", "10.1.0.40:8227"},
+        {"listen.ready", "10.1.0.40:8220"},
+        {"portRange.0", "7340"},
+        {"portRange.1", "7355"},
+        {"platform.address", "10.200.1.7:8223"},
+        {"bounds.graceS", "8"},
+        {"bounds.configMs", "2000"},
+        {"bounds.revokeMs", "5000"},
+        {"bounds.retryRatio", "0.2"},
+        {"bounds.retrySlack", "58"},
+        {"bounds.budgetWindowS", "10"},
+        {"bounds.coldOverrun", "1.5"},
+        {"bounds.coldSlack", "5"}};
+    std::ifstream file{BAOBAB_SOURCE_DIR "/deploy/settings.template"};
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto rendered = text.str();
+    for (const auto& [name, value] : sample)
+        rendered = std::regex_replace(
+            rendered, std::regex{"\\{\\{" + name + "\\}\\}"}, value);
+    EXPECT_EQ(rendered.find("{{"), std::string::npos) << rendered;
+    const auto path = testing::TempDir() + "baobab-settings";
+    std::ofstream{path} << rendered;
+    failure reason;
+    std::vector<std::string> unknown;
+    const auto given = router::read_settings_file(path, unknown, reason);
+    ASSERT_TRUE(given) << reason.text();
+    EXPECT_TRUE(unknown.empty());
+    std::vector<failure> mistakes;
+    const auto settings = router::make_settings(*given, mistakes);
+    for (const auto& mistake : mistakes)
+        ADD_FAILURE() << mistake.text();
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->in_force_bound, 2s);
+    EXPECT_EQ(settings->key_revocation_bound, 5s);
+    EXPECT_EQ(settings->directory, (endpoint{"10.200.1.7", 8223}));
+    std::remove(path.c_str());
+}
+
+} // namespace
+
+} // namespace baobabloft::platform
