Keep loads below twice the mean through a release; log on standard output, bounded

(2) Log lines went to standard error, unbounded and blocking. Ruled out: slack alone (0.5 instead of 1.3 helps less than half), no ramp (reads prefixes again).

--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -21,14 +21,17 @@
 /// Prefix length from which a request has the most slack.
 constexpr double long_prefix_tokens = 6000;
 /// A load that was told longer ago than this says little.
-constexpr duration told_lifetime = 1500ms;
+constexpr duration told_lifetime = 3000ms;
+/// Load that is assumed for each request sent since then: what one router
+/// sends to an upstream, others send to it as well.
+constexpr double unseen_factor = 2;
 /// Load that one hop to another data centre is worth for plain services.
 constexpr double distance_cost = 2.5;
 
 /// An upstream that has just appeared has read no prefix. Its share of the
 /// prefixes grows from this to a full one over the ramp, since each prefix that
 /// moves is read again.
-constexpr double first_weight = 0.1;
+constexpr double first_weight = 0.5;
 constexpr duration weight_ramp = 40s;
 
 /// Pauses before an upstream is tried again, first and at most.
@@ -71,9 +74,8 @@
 {
     double load = state.in_progress;
     if (state.told && now - state.told_at < told_lifetime)
-        load = std::max(load, static_cast<double>(state.told->running +
-                                                  state.told->waiting +
-                                                  state.sent_since_told));
+        load = std::max(load, state.told->running + state.told->waiting +
+                                  unseen_factor * state.sent_since_told);
     return load;
 }
 
--- a/lib/router/log.cpp
+++ b/lib/router/log.cpp
@@ -5,13 +5,22 @@
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
-#include <iostream>
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace baobabloft::router
 {
@@ -43,27 +52,109 @@
     return result + '"';
 }
 
+/// Lines below it are not made at all.
+log_level least_level = log_level::info;
+
+/// Lines of one kind that are written at once, and per second on average.
+/// Beyond them a kind is counted only, so that a surge cannot flood the log.
+constexpr double line_burst = 200;
+constexpr double lines_per_second = 40;
+/// A pipe takes this many bytes at once or says that it would block.
+constexpr std::size_t max_line_bytes = 4096;
+
+/// Allowance of one kind of line.
+struct line_allowance
+{
+    double left = line_burst;
+    std::chrono::steady_clock::time_point updated =
+        std::chrono::steady_clock::now();
+    std::uint64_t left_out = 0;
+};
+
+/// Allowances by kind; kinds are literals of the program.
+class line_limiter
+{
+public:
+    /// Takes one line of `what`. Returns how many were left out before it, or
+    /// nothing if this one is left out too.
+    std::optional<std::uint64_t> take(std::string_view what)
+    {
+        const std::lock_guard guard{mutex_};
+        auto& known = kinds_[std::string{what}];
+        const auto now = std::chrono::steady_clock::now();
+        const std::chrono::duration<double> passed = now - known.updated;
+        known.updated = now;
+        known.left = std::min(line_burst,
+                              known.left + passed.count() * lines_per_second);
+        if (known.left < 1)
+        {
+            ++known.left_out;
+            return std::nullopt;
+        }
+        known.left -= 1;
+        return std::exchange(known.left_out, 0);
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, line_allowance, std::less<>> kinds_;
+};
+
+/// Writes lines to standard output if it takes them at once; a reader that
+/// does not read costs lines, never time.
+class nonblocking_backend : public logging::sinks::basic_formatted_sink_backend<
+                                char, logging::sinks::synchronized_feeding>
+{
+public:
+    void consume(const logging::record_view& /*record*/,
+                 const string_type& text)
+    {
+        auto line = text.substr(0, max_line_bytes - 1);
+        line += '\n';
+        pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        const bool takes =
+            poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+        if (!takes || write(STDOUT_FILENO, line.data(), line.size()) < 0)
+            ++lost_lines;
+    }
+
+    static inline std::atomic<std::uint64_t> lost_lines{0};
+};
+
 } // namespace
 
+std::uint64_t lost_log_lines()
+{
+    return nonblocking_backend::lost_lines;
+}
+
 void start_logging(std::string_view level)
 {
     const auto least = value_in(level_names, level).value_or(log_level::info);
     logging::add_common_attributes();
-    logging::add_console_log(std::cerr, logging::keywords::auto_flush = true,
-                             logging::keywords::format =
-                                 (logging::expressions::stream
-                                  << "ts="
-                                  << logging::expressions::format_date_time<
-                                         boost::posix_time::ptime>(
-                                         "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                                  << " " << logging::expressions::smessage));
+    using sink = logging::sinks::synchronous_sink<nonblocking_backend>;
+    const auto out = boost::make_shared<sink>();
+    out->set_formatter(
+        logging::expressions::stream
+        << "ts="
+        << logging::expressions::format_date_time<boost::posix_time::ptime>(
+               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+        << " " << logging::expressions::smessage);
+    logging::core::get()->add_sink(out);
     logging::core::get()->set_filter(
         logging::expressions::attr<int>("Severity") >= static_cast<int>(least));
+    least_level = least;
 }
 
 void log_event(log_level level, std::string_view what,
                std::initializer_list<log_field> fields)
 {
+    if (level < least_level)
+        return;
+    static line_limiter limiter;
+    const auto left_out = limiter.take(what);
+    if (!left_out)
+        return;
     std::string line = "level=";
     line += name_in(level_names, level);
     line += " event=";
@@ -74,6 +165,8 @@
         line += field.name;
         line += '=' + quoted(field.value);
     }
+    if (*left_out > 0)
+        line += " left_out=" + std::to_string(*left_out);
     static logging::sources::severity_logger_mt<int> logger;
     BOOST_LOG_SEV(logger, static_cast<int>(level)) << line;
 }
