--- a/include/baobabloft/relay/channel_pool.hpp
+++ b/include/baobabloft/relay/channel_pool.hpp
@@ -32,6 +32,9 @@
                                 std::uint32_t max_connections,
                                 std::size_t routers) const;
 
+    /// Returns the open connections to an upstream, idle or not.
+    [[nodiscard]] std::size_t open_count(const std::string& id) const;
+
     /// Closes connections that idle too long or whose upstream is gone.
     void sweep(time_point now, const directory::directory_state& directory);
 
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -14,6 +14,7 @@
 #include "baobabloft/relay/ports.hpp"
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/settings.hpp"
+#include "baobabloft/routing/crash_tracker.hpp"
 
 #include <random>
 #include <unordered_set>
@@ -34,6 +35,10 @@
     dispatch::upstream_selector selector;
     dispatch::arrival_budget budget;
     dispatch::freshness_bounds freshness;
+    routing::crash_tracker crashes;
+    /// Finds out whether an upstream crashed under a request.
+    std::function<void(fingerprint request, const std::string& upstream)>
+        suspect_crash;
     std::mt19937_64 random;
     dispatch::shutdown_times shutdown;
     /// Start of the shutdown; answers end their connections from then on.
@@ -92,6 +97,11 @@
     void handle(router_id from, const directory::change_ask& message);
     void handle(router_id from, const directory::change_answer& message);
     void handle(router_id from, const directory::change_notice& message);
+    void handle(router_id from, const routing::crash_notice& message);
+    void suspect_crash(fingerprint request, const std::string& upstream);
+    void judge_crash(fingerprint request, const std::string& upstream,
+                     std::size_t open_before);
+    void note_crash(fingerprint request, const std::string& upstream);
     void send(router_id to, const fleet::message& message);
     void notify_routers();
     void note_call(std::string_view kind, bool answered, const failure& reason);
@@ -100,6 +110,7 @@
     void register_router();
     void check_shutdown();
     void note_readiness();
+    void update_gauges();
     [[nodiscard]] bool is_ready(time_point now) const;
     [[nodiscard]] http::caller_limits caller_limits() const;
 
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -100,6 +100,8 @@
     const directory::routed_service* service_ = nullptr;
     std::optional<std::uint64_t> affinity_;
     std::uint32_t shared_tokens_ = 0;
+    /// Path, customer and body; survives a new request id.
+    fingerprint fingerprint_{};
     time_point arrived_;
     time_point latest_;
     dispatch::attempt_history history_;
--- a/include/baobabloft/router/metrics.hpp
+++ b/include/baobabloft/router/metrics.hpp
@@ -55,6 +55,9 @@
     void platform_call(std::string_view kind, bool answered);
     /// Counts requests in progress up or down.
     void requests_in_progress(int change);
+    /// Counts an event of counter `name` by one label.
+    void count(std::string_view name, std::string_view label,
+               std::string_view value);
     /// Sets a gauge of the decisions.
     void set(std::string_view name, double value);
 
@@ -63,7 +66,7 @@
 
 private:
     /// The one label of a counter.
-    struct label
+    struct metric_label
     {
         std::string name;
         std::string value;
@@ -81,7 +84,8 @@
     Metric& find_or_make(cache<Metric>& known, std::string_view name,
                          std::string_view label, Make make);
 
-    prometheus::Counter& counter(std::string_view name, const label& label);
+    prometheus::Counter& counter(std::string_view name,
+                                 const metric_label& label);
     prometheus::Histogram& histogram(std::string_view name,
                                      const std::string& service);
     prometheus::Gauge& gauge(std::string_view name);
--- a/include/baobabloft/routing/messages.hpp
+++ b/include/baobabloft/routing/messages.hpp
@@ -180,4 +180,12 @@
     std::vector<load_entry> entries;
 };
 
+/// Says that `request` was on `upstream` when it crashed; to every router, so
+/// that all of them refuse a request that crashes what runs it.
+struct crash_notice
+{
+    fingerprint request{};
+    upstream_id upstream{};
+};
+
 } // namespace baobabloft::routing
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -16,8 +16,8 @@
 /// other routers' requests are known late. Requests with a short prefix move
 /// first: little is read again for them.
 constexpr double load_multiple = 1.4;
-constexpr double least_slack = 1.3;
-constexpr double most_slack = 2.5;
+constexpr double least_slack = 2.0;
+constexpr double most_slack = 2.8;
 /// Prefix length from which a request has the most slack.
 constexpr double long_prefix_tokens = 6000;
 /// A load that was told longer ago than this says little.
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -153,6 +153,12 @@
 namespace routing
 {
 
+template <typename Archive>
+void serialize(Archive& archive, crash_notice& it)
+{
+    archive(it.request, it.upstream);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, permit_ask& it)
 {
--- a/lib/relay/channel_pool.cpp
+++ b/lib/relay/channel_pool.cpp
@@ -96,9 +96,16 @@
                  static_cast<std::size_t>(
                      used_part * max_connections /
                      static_cast<double>(std::max<std::size_t>(routers, 1))));
-    const auto open = std::count_if(found->second.open.begin(),
-                                    found->second.open.end(), is_open);
-    return static_cast<std::size_t>(open) < share;
+    return open_count(upstream.id) < share;
+}
+
+std::size_t channel_pool::open_count(const std::string& id) const
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(
+        found->second.open.begin(), found->second.open.end(), is_open));
 }
 
 void channel_pool::sweep(time_point now,
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -23,6 +23,10 @@
 /// router is lost.
 constexpr duration ask_timeout = 120ms;
 constexpr std::size_t secret_bytes = 32;
+/// Resets of a crashed upstream's other connections have arrived by then.
+constexpr duration crash_judgement_delay = 60ms;
+/// A crashed upstream refuses a connection well within this.
+constexpr duration crash_probe_time = 200ms;
 /// Lifetime of this router's entry; others count it until then.
 constexpr duration registration_lifetime = 10s;
 constexpr duration registration_period = 3s;
@@ -99,6 +103,10 @@
                             }},
                .budget = {arrival_bound_of(options), net::boot_now()},
                .freshness = freshness_of(options),
+               .crashes = {},
+               .suspect_crash =
+                   [this](fingerprint request, const std::string& upstream)
+               { suspect_crash(request, upstream); },
                .random = std::mt19937_64{random_seed()},
                .shutdown = {.limit = options.shutdown_timeout},
                .leaving_since = std::nullopt},
@@ -220,6 +228,7 @@
     else if (path == "/metrics")
     {
         out.result(status_ok);
+        update_gauges();
         out.body() = context_.counters.text();
     }
     else
@@ -458,6 +467,75 @@
     follow();
 }
 
+void relay::handle(router_id /*from*/, const routing::crash_notice& message)
+{
+    context_.crashes.record(net::boot_now(), message.request, message.upstream);
+}
+
+void relay::suspect_crash(fingerprint request, const std::string& upstream)
+{
+    const auto open_before = context_.pool.open_count(upstream);
+    loop_.after(crash_judgement_delay, [this, request, upstream, open_before]
+                { judge_crash(request, upstream, open_before); });
+}
+
+void relay::judge_crash(fingerprint request, const std::string& upstream,
+                        std::size_t open_before)
+{
+    // A crash takes every connection with it; a lost answer only its own.
+    if (context_.pool.open_count(upstream) > 0)
+        return;
+    if (open_before > 0)
+    {
+        note_crash(request, upstream);
+        return;
+    }
+    const auto& known = context_.follower.state().upstreams();
+    const auto found = known.find(upstream);
+    if (found == known.end())
+        return;
+    const auto probe =
+        http::tcp_stream::connect(loop_, found->second.record.address, {});
+    if (!probe)
+        return;
+    probe->set_handlers({.on_connected =
+                             [weak = std::weak_ptr{probe}]
+                         {
+                             if (const auto held = weak.lock())
+                                 held->close();
+                         },
+                         .on_data = nullptr,
+                         .on_end =
+                             [this, request, upstream](http::stream_end how)
+                         {
+                             if (how == http::stream_end::connect_failed)
+                                 note_crash(request, upstream);
+                         },
+                         .on_drained = nullptr});
+    // Holds the probe until it is decided.
+    loop_.after(crash_probe_time, [probe] { probe->close(); });
+}
+
+void relay::note_crash(fingerprint request, const std::string& upstream)
+{
+    const auto now = net::boot_now();
+    const routing::crash_notice notice{request, make_upstream_id(upstream)};
+    context_.crashes.record(now, request, notice.upstream);
+    log_event(log_level::warning, "upstream_crashed",
+              {{"upstream", upstream},
+               {"fingerprint", std::to_string(raw(request))},
+               {"quarantined", context_.crashes.standing(now, request) ==
+                                       routing::crash_standing::quarantined
+                                   ? "yes"
+                                   : "no"}});
+    if (!socket_)
+        return;
+    for (const auto& [name, router] : context_.follower.state().routers())
+        if (const auto host = parse_ipv4(router.control.host);
+            host && name != options_.router_name)
+            send(make_router_id(*host, router.control.port), notice);
+}
+
 void relay::notify_routers()
 {
     if (!socket_ || !context_.follower.is_watching(net::boot_now()))
@@ -477,6 +555,11 @@
     const auto changes = context_.follower.state().take_changes();
     if (!changes.empty())
         notify_routers();
+    for (const auto& change : changes)
+    {
+        const auto kind = name_in(directory::belief_change_names, change.kind);
+        context_.counters.count("baobab_directory_changes_total", "kind", kind);
+    }
     for (const auto& change : changes)
         log_event(log_level::info,
                   name_in(directory::belief_change_names, change.kind),
@@ -485,6 +568,30 @@
                    {"revision", std::to_string(change.changed)}});
 }
 
+void relay::update_gauges()
+{
+    const auto now = net::boot_now();
+    const auto& state = context_.follower.state();
+    auto& counters = context_.counters;
+    counters.set("baobab_members", static_cast<double>(state.routers().size()));
+    counters.set("baobab_config_version",
+                 state.config() ? static_cast<double>(state.config()->version)
+                                : 0);
+    counters.set("baobab_proof_age_seconds",
+                 to_seconds(context_.proof_age(now)));
+    counters.set("baobab_upstreams",
+                 static_cast<double>(state.upstreams().size()));
+    counters.set("baobab_callers", static_cast<double>(callers_.size()));
+    counters.set("baobab_upstream_channels_opened",
+                 static_cast<double>(context_.pool.opened()));
+    counters.set("baobab_quarantined_requests",
+                 static_cast<double>(context_.crashes.quarantined(now)));
+    counters.set("baobab_watches_store",
+                 context_.follower.is_watching(now) ? 1 : 0);
+    counters.set("baobab_log_lines_lost",
+                 static_cast<double>(router::lost_log_lines()));
+}
+
 void relay::keep_registered()
 {
     const auto now = net::boot_now();
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -134,6 +134,16 @@
     if (!admit())
         return;
     read_deadline(arrived_);
+    fingerprint_ = fingerprint{hash_combine(
+        hash_bytes(http::view_of(message_.target()),
+                   hash_bytes(customer_ != nullptr ? customer_->name : "")),
+        hash_bytes(message_.body()))};
+    if (context_.crashes.standing(arrived_, fingerprint_) ==
+        routing::crash_standing::quarantined)
+    {
+        refuse(refusal_kind::quarantined, "crashed two upstreams");
+        return;
+    }
     choose_service();
     if (service_ == nullptr)
     {
@@ -283,6 +293,8 @@
             refuse(refusal_kind::overloaded, "retry budget is used up");
         return;
     }
+    context_.counters.count("baobab_choices_total", "reason",
+                            name_in(dispatch::choice_names, chosen.how));
     if (history_.attempts == 0)
         context_.budget.count_first(now, service_->name);
     send(*chosen.upstream, chosen);
@@ -538,6 +550,7 @@
         return;
     }
     context_.selector.succeeded(net::boot_now(), at->upstream);
+    context_.crashes.clear(fingerprint_);
     close_attempt(at);
     if (!stream_started_)
         start_stream(at);
@@ -566,6 +579,7 @@
         return;
     }
     context_.selector.succeeded(net::boot_now(), at->upstream);
+    context_.crashes.clear(fingerprint_);
     close_attempt(at);
     forward(at);
 }
@@ -646,6 +660,8 @@
         // A kept connection may be at fault rather than its upstream.
         if (!reused)
             selector.failed(now, at->upstream);
+        if (how == attempt_end::broken)
+            context_.suspect_crash(fingerprint_, at->upstream);
         ++arrivals_;
         ++history_.runs;
         break;
@@ -658,6 +674,8 @@
     avoid_.push_back(at->upstream);
     history_.has_time = now + least_attempt_time < latest_;
     const auto step = step_after(*route_, how, history_);
+    context_.counters.count("baobab_attempt_ends_total", "end",
+                            name_in(dispatch::attempt_end_names, how));
     log_event(
         log_level::info, "attempt_failed",
         {{"request", request_id_},
@@ -751,7 +769,9 @@
     context_.counters.refused(kind);
     auto status = router::row_of(kind).status;
     // Statuses are promises here: 503 that the request did not run.
-    if (ran == router::executed::no && status >= first_server_error)
+    // What is in quarantine may be taken again later.
+    if (ran == router::executed::no &&
+        (status >= first_server_error || kind == refusal_kind::quarantined))
         status = status_unavailable;
     http::response out;
     out.result(status);
@@ -782,11 +802,20 @@
     const auto now = net::boot_now();
     if (outcome == "broken_off")
         caller_->abort();
-    log_event(log_level::debug, "request_over",
+    // Failures have lines of their own; one in full for each of these.
+    log_event(log_level::info, "request_over",
               {{"request", request_id_},
                {"outcome", std::string{outcome}},
                {"route", route_ != nullptr ? route_->name : ""},
                {"upstream", current_ ? current_->upstream : ""},
+               {"choice", current_ ? std::string{name_in(dispatch::choice_names,
+                                                         current_->chosen.how)}
+                                   : ""},
+               {"load", current_ ? rounded(current_->chosen.load) : ""},
+               {"mean", current_ ? rounded(current_->chosen.mean) : ""},
+               {"config", config_ ? std::to_string(config_->version) : "none"},
+               {"proof_age_ms", in_ms(context_.proof_age(now))},
+               {"attempts", std::to_string(history_.attempts)},
                {"after_ms", in_ms(now - arrived_)}});
     const auto self = std::move(held_);
 }
--- a/lib/router/metrics.cpp
+++ b/lib/router/metrics.cpp
@@ -53,6 +53,23 @@
     metric_row{"baobab_ledger_damaged_entries",
                "Ledger entries that cannot be read"},
     metric_row{"baobab_ledger_keys", "Keys in memory of this appender"},
+    metric_row{"baobab_config_version",
+               "Version of the configuration in force"},
+    metric_row{"baobab_proof_age_seconds",
+               "Age of the read that last proved the configuration in force"},
+    metric_row{"baobab_upstreams", "Upstreams that the directory lists"},
+    metric_row{"baobab_directory_changes_total",
+               "Changes of what is believed of the directory, by kind"},
+    metric_row{"baobab_watches_store",
+               "1 if this router watches the store for its data centre"},
+    metric_row{"baobab_callers", "Open connections of callers"},
+    metric_row{"baobab_upstream_channels_opened",
+               "Connections to upstreams opened since the start"},
+    metric_row{"baobab_choices_total", "Upstreams chosen, by reason"},
+    metric_row{"baobab_attempt_ends_total",
+               "Attempts without a usable answer, by how they ended"},
+    metric_row{"baobab_log_lines_lost",
+               "Log lines that standard output did not take"},
     metric_row{"baobab_ready", "1 if the router takes new requests"},
 };
 
@@ -112,7 +129,7 @@
 
 void metrics::datagram_sent(std::string_view kind, std::size_t bytes)
 {
-    const label labels{"kind", std::string{kind}};
+    const metric_label labels{"kind", std::string{kind}};
     counter("baobab_control_sent_bytes_total", labels)
         .Increment(static_cast<double>(bytes));
     counter("baobab_control_sent_total", labels).Increment();
@@ -120,7 +137,7 @@
 
 void metrics::datagram_received(std::string_view kind, std::size_t bytes)
 {
-    const label labels{"kind", std::string{kind}};
+    const metric_label labels{"kind", std::string{kind}};
     counter("baobab_control_received_bytes_total", labels)
         .Increment(static_cast<double>(bytes));
     counter("baobab_control_received_total", labels).Increment();
@@ -144,6 +161,12 @@
     gauge("baobab_requests_in_progress").Increment(change);
 }
 
+void metrics::count(std::string_view name, std::string_view label,
+                    std::string_view value)
+{
+    counter(name, {std::string{label}, std::string{value}}).Increment();
+}
+
 void metrics::set(std::string_view name, double value)
 {
     gauge(name).Set(value);
@@ -154,7 +177,8 @@
     return prometheus::TextSerializer{}.Serialize(registry_->Collect());
 }
 
-prometheus::Counter& metrics::counter(std::string_view name, const label& label)
+prometheus::Counter& metrics::counter(std::string_view name,
+                                      const metric_label& label)
 {
     return find_or_make(counters_, name, label.value,
                         [&]() -> prometheus::Counter&
