Let a router that the store does not answer ask any other; spill by a flat slack

Cause: a router cut from the store that watches it for its data centre asked nobody and refused every key after 4.7 s; others stayed on it although it was behind. Ruled out: a longer retry at the store, which does not answer.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -54,6 +54,11 @@
     duration max_told_age = 1300ms;
     /// Pause before a router that did not answer is asked again.
     duration silent_router_pause = 3s;
+    /// Pause before a router whose proof was too old is asked again while the
+    /// store does not answer here.
+    duration stale_router_pause = 500ms;
+    /// After a failed call others are asked for this long before the next one.
+    duration store_retry_pause = 1s;
     /// From one answer to the next watch. Bounds calls to the store while
     /// entries change all the time, and how old a belief gets on a calm day.
     duration watch_pause = 700ms;
@@ -115,7 +120,11 @@
     void note_return(time_point now, time_point as_of);
     void proved(time_point as_of);
     void forget_read();
+    /// Returns the router that watches the store for this one, or null if this
+    /// router does so itself.
     [[nodiscard]] const router_record* router_to_ask(time_point now) const;
+    /// Returns a router of any data centre, or null.
+    [[nodiscard]] const router_record* any_router(time_point now) const;
     [[nodiscard]] std::optional<time_point> lapse_end(time_point now) const;
 
     follower_options options_;
@@ -139,6 +148,7 @@
     /// Asks of one router without an answer, one after the other.
     std::uint32_t unanswered_ = 0;
     std::map<std::string, time_point> silent_until_;
+    std::optional<time_point> store_failed_at_;
     /// The next call goes to the store.
     bool go_direct_ = false;
     /// An entry to read before asking on.
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -18,8 +18,6 @@
     revision changed = 0;
     /// End of its cold start; in the past if it is warm.
     time_point cold_until;
-    /// When it came up; long ago if the first whole read listed it.
-    time_point appeared;
     /// Its entry went while the store was away or just after; it may only have
     /// lapsed, and is usable until this time.
     std::optional<time_point> lapsed_until;
@@ -89,8 +87,8 @@
     void retain(time_point now, const std::set<std::string>& listed,
                 revision as_of, std::optional<time_point> lapse_until);
 
-    /// The first whole read is over: what appears from now on is new, and
-    /// changes behind `as_of` are kept for other routers.
+    /// The first whole read is over: changes behind `as_of` are kept for other
+    /// routers.
     void begin_changes(revision as_of);
 
     /// Returns changes for another router, up to `as_of`.
@@ -140,7 +138,6 @@
     /// Latest revision seen of each key, so that nothing goes back.
     std::map<std::string, revision> seen_;
     std::uint64_t generation_ = 0;
-    bool complete_ = false;
     std::vector<belief_change> changes_;
 };
 
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -139,12 +139,12 @@
         const directory::known_upstream* upstream;
         standing* state;
         double load;
-        double preference = 0;
+        std::uint64_t preference = 0;
     };
 
     std::vector<option> usable(time_point now, const upstream_want& want);
     /// Orders by the affinity's preference, best first.
-    static void rank_by_affinity(time_point now, std::uint64_t affinity,
+    static void rank_by_affinity(std::uint64_t affinity,
                                  std::vector<option>& options);
     /// Orders by load and distance, best first.
     void rank_by_cost(std::vector<option>& options) const;
--- a/include/baobabloft/support/hash.hpp
+++ b/include/baobabloft/support/hash.hpp
@@ -21,9 +21,4 @@
     return hash_combine(key, node);
 }
 
-/// Returns the rendezvous score of a node that wins keys in proportion to
-/// `weight`, above 0. A change of weight moves keys only to or from that node.
-double weighted_rendezvous_score(std::uint64_t key, std::uint64_t node,
-                                 double weight);
-
 } // namespace baobabloft
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -3,6 +3,7 @@
 #include "baobabloft/support/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace baobabloft::directory
 {
@@ -40,6 +41,10 @@
         return read_entry{long_entry_->key};
     const auto* router = go_direct_ ? nullptr : router_to_ask(now);
     go_direct_ = false;
+    // While the store does not answer here, it may answer others.
+    if (router == nullptr && store_failed_at_ &&
+        now - *store_failed_at_ < options_.store_retry_pause)
+        router = any_router(now);
     if (router == nullptr)
         return watch_changes{watched_, options_.watch_wait};
     asked_ = router->name;
@@ -71,6 +76,27 @@
     return chosen;
 }
 
+const router_record* directory_follower::any_router(time_point now) const
+{
+    if (state_.secret().empty())
+        return nullptr;
+    const auto own = hash_bytes(options_.router);
+    std::uint64_t best = 0;
+    const router_record* chosen = nullptr;
+    for (const auto& [name, router] : state_.routers())
+    {
+        const auto silent = silent_until_.find(name);
+        const bool is_silent =
+            silent != silent_until_.end() && silent->second > now;
+        const auto score = rendezvous_score(own, hash_bytes(name));
+        if (name == options_.router || is_silent || score <= best)
+            continue;
+        best = score;
+        chosen = &router;
+    }
+    return chosen;
+}
+
 void directory_follower::note_return(time_point now, time_point as_of)
 {
     if (proven_ && as_of - *proven_ > options_.away_after)
@@ -130,6 +156,7 @@
                                          const entry_changes& changes)
 {
     out_ = false;
+    store_failed_at_.reset();
     note_return(now, sent_);
     for (const auto& item : changes.entries)
         state_.apply(now, item, lapse_end(now));
@@ -149,6 +176,7 @@
 void directory_follower::call_failed(time_point now)
 {
     out_ = false;
+    store_failed_at_ = now;
     pause_ =
         std::clamp(pause_ * 2, options_.retry_pause, options_.max_retry_pause);
     due_ = now + pause_;
@@ -174,12 +202,17 @@
     if (!out_ || asked_.empty() || answer.sequence != sequence_)
         return false;
     out_ = false;
-    asked_.clear();
+    const auto from = std::exchange(asked_, {});
     unanswered_ = 0;
     due_ = now;
     const duration told_age = answer.proof_age_ms * 1ms;
     if (!answer.known || told_age > options_.max_told_age)
     {
+        // The next one may know better. A router that should watch the store
+        // and is behind is passed over longer, so that another one watches.
+        silent_until_[from] =
+            now + (store_failed_at_ ? options_.stale_router_pause
+                                    : options_.silent_router_pause);
         go_direct_ = true;
         return true;
     }
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -103,8 +103,6 @@
                          known.record.service != record.service ||
                          known.record.data_centre != record.data_centre;
     const auto cold_until = now + record.cold_left;
-    if (complete_ && (added || reborn))
-        known.appeared = now;
     if (added || reborn || record.cold_left > duration{0})
         known.cold_until = cold_until;
     const bool was_lapsed = known.lapsed_until.has_value();
@@ -181,7 +179,6 @@
 
 void directory_state::begin_changes(revision as_of)
 {
-    complete_ = true;
     log_.set_floor(as_of);
 }
 
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -15,25 +15,19 @@
 /// others have room. Below the users' bound of twice the mean plus 3, since
 /// other routers' requests are known late. Requests with a short prefix move
 /// first: little is read again for them.
-constexpr double load_multiple = 1.4;
-constexpr double least_slack = 2.0;
-constexpr double most_slack = 2.8;
+constexpr double load_multiple = 1.0;
+constexpr double least_slack = 3.3;
+constexpr double most_slack = 3.8;
 /// Prefix length from which a request has the most slack.
 constexpr double long_prefix_tokens = 6000;
 /// A load that was told longer ago than this says little.
 constexpr duration told_lifetime = 3000ms;
 /// Load that is assumed for each request sent since then: what one router
 /// sends to an upstream, others send to it as well.
-constexpr double unseen_factor = 2;
+constexpr double unseen_factor = 3;
 /// Load that one hop to another data centre is worth for plain services.
 constexpr double distance_cost = 2.5;
 
-/// An upstream that has just appeared has read no prefix. Its share of the
-/// prefixes grows from this to a full one over the ramp, since each prefix that
-/// moves is read again.
-constexpr double first_weight = 0.5;
-constexpr duration weight_ramp = 40s;
-
 /// Pauses before an upstream is tried again, first and at most.
 constexpr duration unreachable_pause = 400ms;
 constexpr duration max_unreachable_pause = 3s;
@@ -54,12 +48,6 @@
 /// Before this age the number of routers is not known well.
 constexpr duration fleet_known_after = 4s;
 
-double weight_of(duration age)
-{
-    const double part = to_seconds(age) / to_seconds(weight_ramp);
-    return std::clamp(part, first_weight, 1.0);
-}
-
 } // namespace
 
 upstream_selector::upstream_selector(
@@ -126,15 +114,12 @@
     return item.state->cold_sends.total(now) + 1 <= std::floor(share);
 }
 
-void upstream_selector::rank_by_affinity(time_point now, std::uint64_t affinity,
+void upstream_selector::rank_by_affinity(std::uint64_t affinity,
                                          std::vector<option>& options)
 {
     for (auto& item : options)
-    {
-        const auto hash = hash_bytes(item.upstream->record.id);
-        item.preference = weighted_rendezvous_score(
-            affinity, hash, weight_of(now - item.upstream->appeared));
-    }
+        item.preference =
+            rendezvous_score(affinity, hash_bytes(item.upstream->record.id));
     std::sort(options.begin(), options.end(),
               [](const option& left, const option& right)
               { return left.preference > right.preference; });
@@ -171,7 +156,7 @@
     if (spread)
         rank_by_cost(options);
     else
-        rank_by_affinity(now, *want.affinity, options);
+        rank_by_affinity(*want.affinity, options);
 
     const auto tried = [&](const option& item)
     {
