--- a/tools/baobabctl/commands.cpp
+++ b/tools/baobabctl/commands.cpp
@@ -4,11 +4,13 @@
 #include "baobabloft/operators/burn_report.hpp"
 #include "baobabloft/operators/fleet_client.hpp"
 #include "baobabloft/operators/preset_store.hpp"
+#include "baobabloft/operators/request_account.hpp"
 
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
 #include <array>
+#include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -422,6 +424,38 @@
     return exit_unavailable;
 }
 
+/// Logs that one call takes; a fleet's on-call engineer names those of the
+/// routers that the caller reached.
+constexpr std::size_t max_logs = 1000;
+
+int explain(const command_context& context)
+{
+    std::vector<std::ifstream> files;
+    files.reserve(context.arguments.size());
+    std::vector<operators::router_log> logs;
+    for (std::size_t index = 1; index < context.arguments.size(); ++index)
+    {
+        const auto& path = context.arguments[index];
+        files.emplace_back(path);
+        if (!files.back())
+        {
+            std::cerr << "baobabctl: cannot read " << path << '\n';
+            return exit_usage;
+        }
+        logs.push_back(
+            {std::filesystem::path{path}.stem().string(), &files.back()});
+    }
+    const auto account = operators::account_of(context.arguments.front(), logs);
+    if (account.empty())
+    {
+        std::cerr << "baobabctl: no line of these logs names "
+                  << context.arguments.front() << '\n';
+        return exit_negative;
+    }
+    std::cout << operators::account_text(account);
+    return exit_ok;
+}
+
 } // namespace
 
 const std::vector<command_row>& command_table()
@@ -468,6 +502,9 @@
              return change_data_centre(context, true);
          }},
         {"report burn", "", "report the service-level burn", 0, 0, report_burn},
+        {"explain", "REQUEST-ID LOG...",
+         "put the log lines of several routers about one request together", 2,
+         max_logs + 1, explain},
     };
     return table;
 }
--- a/unittests/operators/operators_test.cpp
+++ b/unittests/operators/operators_test.cpp
@@ -1,6 +1,7 @@
 // Preset changes over a KV service that loses answers, and the burn report.
 #include "baobabloft/operators/burn_report.hpp"
 #include "baobabloft/operators/preset_store.hpp"
+#include "baobabloft/operators/request_account.hpp"
 #include "baobabloft/router/control_task.hpp"
 
 #include <gtest/gtest.h>
@@ -199,6 +200,34 @@
     EXPECT_NE(burn_html(series, "now").find("<svg"), std::string::npos);
 }
 
+TEST(request_account, joins_the_lines_of_several_routers_in_time_order)
+{
+    std::istringstream one{
+        "ts=2026-01-01T10:00:01 level=info event=store_lost call=x\n"
+        "ts=2026-01-01T10:00:03 level=info event=refused request=r7 kind=k\n"
+        "ts=2026-01-01T10:00:04 level=info event=refused request=r77 kind=k\n"};
+    std::istringstream two{
+        "ts=2026-01-01T10:00:02 level=info event=attempt_failed request=r7 "
+        "upstream=u\n"
+        "ts=2026-01-01T10:00:05 level=info event=store_regained call=x\n"};
+    std::istringstream third{
+        "ts=2026-01-01T10:00:00 level=info event=store_lost call=x\n"};
+    const auto account =
+        account_of("r7", {{"one", &one}, {"two", &two}, {"third", &third}});
+    ASSERT_EQ(account.size(), 3U);
+    EXPECT_EQ(account[0].event, "store_lost");
+    EXPECT_FALSE(account[0].names_request);
+    EXPECT_EQ(account[1].router, "two");
+    EXPECT_EQ(account[2].fields, "request=r7 kind=k");
+    EXPECT_EQ(account_text(account).find("r77"), std::string::npos);
+}
+
+TEST(request_account, is_empty_if_no_log_names_the_request)
+{
+    std::istringstream log{"garbage\n\nts=1 event=started\n"};
+    EXPECT_TRUE(account_of("r7", {{"one", &log}}).empty());
+}
+
 } // namespace
 
 } // namespace baobabloft::operators
--- /dev/null
+++ b/unittests/soak/store_standin.py
@@ -0,0 +1,179 @@
+"""A small stand-in for the platform's store: keys with revisions, watches,
+transactions and leases, over HTTP."""
+import base64
+import json
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+
+class Store:
+    """Keys and their history; every method is safe from any thread."""
+
+    def __init__(self):
+        self._changed = threading.Condition()
+        self._items = {}
+        self._history = []
+        self._leases = {}
+        self._revision = 1
+        self._next_lease = 1
+
+    def write(self, key, value, lease=0):
+        with self._changed:
+            self._put(key, value, lease)
+
+    def remove(self, key):
+        with self._changed:
+            self._drop(key)
+
+    def forget_history(self):
+        with self._changed:
+            self._history.clear()
+            self._floor = self._revision
+
+    _floor = 0
+
+    def _put(self, key, value, lease):
+        self._revision += 1
+        item = {"key": key, "value": base64.b64encode(value.encode()).decode(),
+                "rev": self._revision, "createRevision": self._revision,
+                "lease": lease}
+        self._items[key] = item
+        self._history.append(item)
+        self._changed.notify_all()
+
+    def _drop(self, key):
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        self._history.append({"key": key, "rev": self._revision,
+                              "deleted": True})
+        self._changed.notify_all()
+
+    def expire_leases(self):
+        with self._changed:
+            now = time.monotonic()
+            ended = [lease for lease, (end, _) in self._leases.items()
+                     if end < now]
+            for lease in ended:
+                self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        self._leases.pop(lease, None)
+        for key in [key for key, item in self._items.items()
+                    if item["lease"] == lease]:
+            self._drop(key)
+
+    def get(self, path, query):
+        if path == "/api/kv-range":
+            with self._changed:
+                return 200, {"entries": [item for key, item in
+                                         sorted(self._items.items())
+                                         if key.startswith(query["prefix"])],
+                             "morePages": False, "asOf": self._revision}
+        if path == "/api/kv-key":
+            with self._changed:
+                item = self._items.get(query["key"])
+                return (200, {**item, "asOf": self._revision}) if item else (
+                    404, {})
+        if path == "/api/kv-watch":
+            return self._watch(int(query["after"]), int(query["waitMs"]))
+        return 404, {}
+
+    def _watch(self, after, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        with self._changed:
+            if after < self._floor:
+                return 410, {}
+            while True:
+                events = [item for item in self._history
+                          if item["rev"] > after]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    return 200, {"events": events, "asOf": self._revision}
+                self._changed.wait(left)
+
+    def post(self, path, body):
+        with self._changed:
+            if path == "/api/kv-txn":
+                return self._commit(body)
+            if path == "/api/kv-lease":
+                lease = self._next_lease
+                self._next_lease += 1
+                ttl = body["ttlMs"]
+                self._leases[lease] = (time.monotonic() + ttl / 1000, ttl)
+                return 200, {"lease": lease, "ttlMs": ttl}
+            if path.startswith("/api/kv-keep/"):
+                lease = int(path.rsplit("/", 1)[1])
+                if lease not in self._leases:
+                    return 404, {}
+                ttl = self._leases[lease][1]
+                self._leases[lease] = (time.monotonic() + ttl / 1000, ttl)
+                return 200, {"ttlMs": ttl}
+        return 404, {}
+
+    def _commit(self, body):
+        for row in body["expectRev"]:
+            known = self._items.get(row["key"], {"rev": 0})
+            if known["rev"] != row["rev"]:
+                return 412, {"entries": []}
+        for row in body["writes"]:
+            lease = row.get("lease", 0)
+            if lease and lease not in self._leases:
+                return 404, {}
+            value = base64.b64decode(row["value"]).decode("latin-1")
+            self._put(row["key"], value, lease)
+            # Keeps bytes as they came.
+            self._items[row["key"]]["value"] = row["value"]
+        for key in body["remove"]:
+            self._drop(key)
+        return 200, {"rev": self._revision}
+
+    def delete(self, path):
+        with self._changed:
+            self._end_lease(int(path.rsplit("/", 1)[1]))
+        return 200, {}
+
+
+def serve(store, port):
+    """Serves `store` on loopback until the process ends."""
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+        disable_nagle_algorithm = True
+
+        def _answer(self, status, value):
+            body = json.dumps(value).encode()
+            self.send_response(status)
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def do_GET(self):
+            url = urllib.parse.urlsplit(self.path)
+            query = dict(urllib.parse.parse_qsl(url.query, True))
+            self._answer(*store.get(url.path, query))
+
+        def do_POST(self):
+            size = int(self.headers.get("Content-Length", 0))
+            body = json.loads(self.rfile.read(size) or b"{}")
+            self._answer(*store.post(self.path, body))
+
+        def do_DELETE(self):
+            self._answer(*store.delete(self.path))
+
+        def log_message(self, *_):
+            pass
+
+    class Server(ThreadingHTTPServer):
+        daemon_threads = True
+        request_queue_size = 128
+
+        def handle_error(self, *_):
+            pass  # connections that break are part of the soak
+
+    server = Server(("127.0.0.1", port), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
