--- a/include/baobabloft/dispatch/arrival_budget.hpp
+++ b/include/baobabloft/dispatch/arrival_budget.hpp
@@ -39,6 +39,8 @@
 private:
     struct counts
     {
+        explicit counts(duration window) : first(window), further(window) {}
+
         sliding_count first;
         sliding_count further;
     };
--- a/lib/dispatch/arrival_budget.cpp
+++ b/lib/dispatch/arrival_budget.cpp
@@ -26,9 +26,7 @@
 
 arrival_budget::counts& arrival_budget::counts_of(const std::string& service)
 {
-    const auto [found, added] = services_.try_emplace(
-        service, sliding_count{bound_.window}, sliding_count{bound_.window});
-    return found->second;
+    return services_.try_emplace(service, bound_.window).first->second;
 }
 
 void arrival_budget::count_first(time_point now, const std::string& service)
--- /dev/null
+++ b/lib/relay/relay_directory.cpp
@@ -0,0 +1,187 @@
+// The relay's side of the store: following the directory and keeping this
+// router's own entry.
+#include "store_timeout.hpp"
+
+#include "baobabloft/relay/relay.hpp"
+#include "baobabloft/router/log.hpp"
+
+namespace baobabloft::relay
+{
+
+namespace
+{
+
+using router::log_event;
+using router::log_level;
+
+/// Lifetime of this router's entry; others count it until then.
+constexpr duration registration_lifetime = 10s;
+constexpr duration registration_period = 3s;
+constexpr duration registration_retry = 500ms;
+
+} // namespace
+
+void relay::follow()
+{
+    if (const auto call = context_.follower.next(net::boot_now()))
+        std::visit([this](const auto& part) { call_store(part); }, *call);
+    report_changes();
+}
+
+void relay::note_call(std::string_view kind, bool answered,
+                      const failure& reason)
+{
+    context_.counters.platform_call(kind, answered);
+    if (answered == store_answers_)
+        return;
+    store_answers_ = answered;
+    log_event(answered ? log_level::info : log_level::warning,
+              answered ? "store_regained" : "store_lost",
+              {{"call", std::string{kind}},
+               {"proof_age_ms",
+                std::to_string(context_.proof_age(net::boot_now()) / 1ms)},
+               {"reason", reason.message}});
+}
+
+void relay::call_store(const directory::read_page& call)
+{
+    store_.read_page(call.after, store_timeout,
+                     [this](const std::optional<directory::entry_page>& page,
+                            const failure& reason)
+                     {
+                         const auto now = net::boot_now();
+                         if (page)
+                             context_.follower.page_arrived(now, *page);
+                         else
+                             context_.follower.call_failed(now);
+                         note_call("directory_read", page.has_value(), reason);
+                         follow();
+                     });
+}
+
+void relay::call_store(const directory::watch_changes& call)
+{
+    store_.watch(call, call.wait + store_timeout,
+                 [this](const watch_result& result, const failure& reason)
+                 {
+                     const auto now = net::boot_now();
+                     auto& follower = context_.follower;
+                     if (result.changes)
+                         follower.changes_arrived(now, *result.changes);
+                     else if (result.history_lost)
+                     {
+                         log_event(log_level::info, "store_history_lost");
+                         follower.history_lost(now);
+                     }
+                     else
+                         follower.call_failed(now);
+                     note_call("directory_watch",
+                               result.changes || result.history_lost, reason);
+                     follow();
+                 });
+}
+
+void relay::call_store(const directory::read_entry& call)
+{
+    store_.read_entry(
+        call.key, store_timeout,
+        [this](const std::optional<std::optional<directory::entry>>& result,
+               const failure& reason)
+        {
+            const auto now = net::boot_now();
+            if (result)
+                context_.follower.entry_arrived(now, *result);
+            else
+                context_.follower.call_failed(now);
+            note_call("directory_entry", result.has_value(), reason);
+            follow();
+        });
+}
+
+void relay::report_changes()
+{
+    const auto changes = context_.follower.state().take_changes();
+    if (!changes.empty())
+        notify_routers();
+    for (const auto& change : changes)
+    {
+        const auto kind = name_in(directory::belief_change_names, change.kind);
+        context_.counters.count("baobab_directory_changes_total", "kind", kind);
+    }
+    for (const auto& change : changes)
+        log_event(log_level::info,
+                  name_in(directory::belief_change_names, change.kind),
+                  {{"name", change.name},
+                   {"detail", change.detail},
+                   {"revision", std::to_string(change.changed)}});
+}
+
+void relay::keep_registered()
+{
+    const auto now = net::boot_now();
+    if (registering_ || now < next_registration_ || context_.leaving())
+        return;
+    if (!context_.follower.is_complete())
+        return;
+    registering_ = true;
+    if (lease_)
+    {
+        store_.renew_lease(
+            *lease_, store_timeout,
+            [this](lease_renewal renewal, const failure& reason)
+            {
+                registering_ = false;
+                if (renewal == lease_renewal::ended)
+                {
+                    log_event(log_level::info, "registration_lost");
+                    lease_.reset();
+                    return;
+                }
+                const bool renewed = renewal == lease_renewal::renewed;
+                context_.counters.platform_call("lease_renewal", renewed);
+                if (!renewed)
+                    log_event(log_level::debug, "registration_not_renewed",
+                              {{"reason", reason.message}});
+                next_registration_ =
+                    net::boot_now() +
+                    (renewed ? registration_period : registration_retry);
+            });
+        return;
+    }
+    store_.grant_lease(
+        registration_lifetime, store_timeout,
+        [this](const std::optional<lease_id>& lease, const failure&)
+        {
+            context_.counters.platform_call("lease_grant", lease.has_value());
+            lease_ = lease;
+            if (lease)
+            {
+                register_router();
+                return;
+            }
+            registering_ = false;
+            next_registration_ = net::boot_now() + registration_retry;
+        });
+}
+
+void relay::register_router()
+{
+    store_.write_router(
+        {options_.router_name, options_.control_listen, options_.data_centre},
+        *lease_, store_timeout,
+        [this](bool written, const failure& reason)
+        {
+            registering_ = false;
+            context_.counters.platform_call("registration", written);
+            log_event(log_level::info,
+                      written ? "registered" : "registration_failed",
+                      {{"reason", reason.message}});
+            if (!written)
+                lease_.reset();
+            next_registration_ =
+                net::boot_now() +
+                (written ? registration_period : registration_retry);
+        });
+}
+
+} // namespace baobabloft::relay
--- a/tools/baobabd/main.cpp
+++ b/tools/baobabd/main.cpp
@@ -8,8 +8,10 @@
 #include <cxxopts.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <unistd.h>
 
 namespace
 {
@@ -130,7 +132,7 @@
     const auto again = [&parsed]
     {
         std::vector<failure> mistakes;
-        const auto options = read_settings(parsed, mistakes);
+        auto options = read_settings(parsed, mistakes);
         for (const auto& mistake : mistakes)
             router::log_event(router::log_level::error, "setting_rejected",
                               {{"reason", mistake.text()}});
@@ -168,10 +170,20 @@
     return run(*settings, parsed);
 }
 
+/// Until the daemon has its own handlers there is nothing to finish and
+/// nothing to read again.
+void handle_early_signals()
+{
+    std::signal(SIGTERM, [](int /*number*/) { _exit(EXIT_SUCCESS); });
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    handle_early_signals();
     // The parser reports mistakes by exceptions.
     try
     {
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -19,7 +19,6 @@
 {
 
 using directory::directory_state;
-using directory::entry;
 using directory::key_kind;
 using directory::key_name;
 
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -143,7 +143,7 @@
         {"bare line feeds", "GET / HTTP/1.1\nHost: a\n\n"},
         {"no version", "GET /\r\n\r\n"},
         {"NUL in a header",
-         std::string{"GET / HTTP/1.1\r\nX: a\0b\r\n\r\n", 27}},
+         std::string{"GET / HTTP/1.1\r\nX: a"} + '\0' + "b\r\n\r\n"},
         {"no colon", "GET / HTTP/1.1\r\nNoColon\r\n\r\n"},
         {"blank name", "GET / HTTP/1.1\r\n: x\r\n\r\n"},
         {"not HTTP", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"}};
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -275,8 +275,12 @@
     text << file.rdbuf();
     auto rendered = text.str();
     for (const auto& [name, value] : sample)
-        rendered = std::regex_replace(
-            rendered, std::regex{"\\{\\{" + name + "\\}\\}"}, value);
+    {
+        auto placeholder = std::string{"\\{\\{"};
+        placeholder += name;
+        placeholder += "\\}\\}";
+        rendered = std::regex_replace(rendered, std::regex{placeholder}, value);
+    }
     EXPECT_EQ(rendered.find("{{"), std::string::npos) << rendered;
     const auto path = testing::TempDir() + "baobab-settings";
     std::ofstream{path} << rendered;
--- a/unittests/soak/soak.py
+++ b/unittests/soak/soak.py
@@ -23,9 +23,12 @@
 import threading
 import time
 
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "utils"))
+
 import store_standin
+from fleet import free_ports
 
-HERE = os.path.dirname(os.path.abspath(__file__))
 ROUTERS = 3
 ENGINES = 3
 PLAIN = 2
@@ -37,16 +40,6 @@
 PROMISES = (408, 421, 429, 503)
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 class Proxy:
     """Forwards connections to `target` and harms them on demand."""
 
@@ -128,6 +121,9 @@
         self.start()
 
     def start(self):
+        # Faults overlap: another one's end may have started it again.
+        if self.child is not None and self.child.poll() is None:
+            return
         with open(self._log, "ab") as log:
             self.child = subprocess.Popen(self._command, stdout=log,
                                           stderr=log)
@@ -380,7 +376,8 @@
             self.revoked[key] = time.time()
 
     def drain_upstream(self):
-        index = self.random.randrange(ENGINES)
+        # One engine always stays, so that streams can be served.
+        index = self.random.randrange(ENGINES - 1)
         self.write_upstream(index, 1, "draining")
 
     def forget(self):
