Spread the asks of a large data centre over several watching routers

Cause: worked out for the target, one watching router of 49 would send 6.4 kB of answers a second; 2 kB are allowed for all control. A data centre now has one watching router for each twelve, and each router asks one of them every 0.6 s. Ruled out: sixteen to a watcher (the hash gives the busiest up to 305 answers in ten seconds, 300 are allowed).

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -1,8 +1,8 @@
 // Keeps the directory state true to the store: a whole read first, then paced
 // watches; a whole read again whenever the history was lost. In each data
-// centre one router watches the store and the others ask it; who gets no fresh
-// answer calls the store itself. Does no I/O: it says which call to make next
-// and takes in how the call ended.
+// centre a few routers watch the store and the others ask them; who gets no
+// fresh answer calls the store itself. Does no I/O: it says which call to make
+// next and takes in how the call ended.
 #pragma once
 
 #include "baobabloft/directory/directory_state.hpp"
@@ -48,8 +48,11 @@
     /// This router's name and data centre.
     std::string router;
     std::string data_centre;
+    /// Routers that one watching router answers: at 65 bytes an answer and one
+    /// ask in 0.6 s each, their answers stay below 2 kB a second.
+    std::size_t routers_per_watcher = 12;
     /// From one answer of a router to the next ask.
-    duration ask_pause = 500ms;
+    duration ask_pause = 600ms;
     /// An answer with an older proof is not taken.
     duration max_told_age = 1300ms;
     /// Pause before a router that did not answer is asked again.
@@ -123,6 +126,8 @@
     /// Returns the router that watches the store for this one, or null if this
     /// router does so itself.
     [[nodiscard]] const router_record* router_to_ask(time_point now) const;
+    [[nodiscard]] bool is_silent(time_point now,
+                                 const std::string& router) const;
     /// Returns a router of any data centre, or null.
     [[nodiscard]] const router_record* any_router(time_point now) const;
     [[nodiscard]] std::optional<time_point> lapse_end(time_point now) const;
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -56,24 +56,43 @@
     // Without a secret nothing that a router says can be trusted.
     if (state_.secret().empty() || options_.router.empty())
         return nullptr;
+    struct candidate
+    {
+        std::uint64_t score;
+        const router_record* router;
+    };
     const auto key = hash_bytes(options_.data_centre);
-    auto best = rendezvous_score(key, hash_bytes(options_.router));
-    const router_record* chosen = nullptr;
+    std::vector<candidate> candidates;
     for (const auto& [name, router] : state_.routers())
-    {
-        if (name == options_.router ||
-            router.data_centre != options_.data_centre)
-            continue;
-        const auto silent = silent_until_.find(name);
-        if (silent != silent_until_.end() && silent->second > now)
-            continue;
-        const auto score = rendezvous_score(key, hash_bytes(name));
-        if (score <= best)
-            continue;
-        best = score;
-        chosen = &router;
-    }
-    return chosen;
+        if (name != options_.router &&
+            router.data_centre == options_.data_centre && !is_silent(now, name))
+            candidates.push_back(
+                {rendezvous_score(key, hash_bytes(name)), &router});
+    const auto watchers = 1 + candidates.size() / options_.routers_per_watcher;
+    const auto own = rendezvous_score(key, hash_bytes(options_.router));
+    std::sort(candidates.begin(), candidates.end(),
+              [](const candidate& left, const candidate& right)
+              { return left.score > right.score; });
+    if (candidates.size() < watchers || own > candidates[watchers - 1].score)
+        return nullptr;
+    // Spread over the watchers, each router always on the same one.
+    const auto mine = hash_bytes(options_.router);
+    const auto best = std::max_element(
+        candidates.begin(),
+        candidates.begin() + static_cast<std::ptrdiff_t>(watchers),
+        [mine](const candidate& left, const candidate& right)
+        {
+            return rendezvous_score(mine, left.score) <
+                   rendezvous_score(mine, right.score);
+        });
+    return best->router;
+}
+
+bool directory_follower::is_silent(time_point now,
+                                   const std::string& router) const
+{
+    const auto found = silent_until_.find(router);
+    return found != silent_until_.end() && found->second > now;
 }
 
 const router_record* directory_follower::any_router(time_point now) const
@@ -85,11 +104,8 @@
     const router_record* chosen = nullptr;
     for (const auto& [name, router] : state_.routers())
     {
-        const auto silent = silent_until_.find(name);
-        const bool is_silent =
-            silent != silent_until_.end() && silent->second > now;
         const auto score = rendezvous_score(own, hash_bytes(name));
-        if (name == options_.router || is_silent || score <= best)
+        if (name == options_.router || is_silent(now, name) || score <= best)
             continue;
         best = score;
         chosen = &router;
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -383,6 +383,15 @@
         return now - followers_[router]->proven_at().value_or(time_point{});
     }
 
+    /// Asks that the busiest router got.
+    [[nodiscard]] std::size_t most_asks() const
+    {
+        std::size_t most = 0;
+        for (const auto& [router, count] : asks_)
+            most = std::max(most, count);
+        return most;
+    }
+
     void set_store_away(bool away)
     {
         store_away_ = away;
@@ -439,6 +448,7 @@
             return;
         }
         const auto asked = std::stoul(ask->router.substr(1));
+        ++asks_[asked];
         call.answer = followers_[asked]->answer(now, ask->message);
     }
 
@@ -475,6 +485,7 @@
     std::vector<write_made> writes_;
     std::uint64_t version_ = 1;
     std::size_t store_calls_ = 0;
+    std::map<std::size_t, std::size_t> asks_;
     bool store_away_ = false;
     std::optional<std::size_t> cut_;
     bool lossy_ = true;
@@ -524,6 +535,24 @@
     }
 }
 
+TEST(directory_follower, pattern_large_data_centre_spreads_its_asks)
+{
+    rc::check(
+        []
+        {
+            constexpr std::size_t routers = 49;
+            fleet_model fleet{routers};
+            fleet.set_loss(false, 1);
+            auto now = start;
+            for (int step = 0; step < 1000; ++step)
+                fleet.step(now += 10ms);
+            // 2 kB a second at 65 bytes an answer, headers included.
+            constexpr std::size_t seconds = 10;
+            constexpr std::size_t answers_per_second = 30;
+            RC_ASSERT(fleet.most_asks() < seconds * answers_per_second);
+        });
+}
+
 RC_GTEST_PROP(directory_follower, one_router_of_a_data_centre_calls_the_store,
               ())
 {
