Apply changed limits to open connections; drop what nothing calls; test the new datagrams

Cause: a configuration that changes how long callers may stay idle held for new connections only. Ruled out: closing them, which would cross callers' requests.

--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -129,7 +129,6 @@
 
     const record_codec& codec_;
     config_snapshot config_;
-    revision config_changed_ = 0;
     std::map<std::string, known_upstream> upstreams_;
     std::map<std::string, revision> out_;
     std::map<std::string, router_record> routers_;
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -115,9 +115,6 @@
 
     void set_cold_bound(const cold_bound& bound);
 
-    /// Returns true if `id` is avoided at present.
-    [[nodiscard]] bool is_avoided(time_point now, const std::string& id) const;
-
 private:
     struct standing
     {
@@ -131,7 +128,6 @@
         time_point avoid_until;
         duration backoff{0};
         sliding_count cold_sends{1200ms};
-        std::uint32_t lifetimes = 0;
     };
 
     struct option
--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -71,7 +71,6 @@
     bool check_timeouts(time_point now);
 
     [[nodiscard]] bool is_open() const;
-    [[nodiscard]] bool is_serving() const;
     [[nodiscard]] std::size_t unsent() const;
 
     /// Applies changed limits to later requests.
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -87,10 +87,10 @@
     void begin_request(const caller_ptr& channel, http::request&& message);
     void sweep();
     void follow();
-    void call_store(const directory::read_page& call);
-    void call_store(const directory::watch_changes& call);
-    void call_store(const directory::read_entry& call);
-    void call_store(const directory::ask_router& call);
+    void make_call(const directory::read_page& call);
+    void make_call(const directory::watch_changes& call);
+    void make_call(const directory::read_entry& call);
+    void make_call(const directory::ask_router& call);
     /// Opens the socket towards other routers once their secret is known.
     void keep_linked();
     void receive(router_id from, std::string_view bytes);
@@ -106,6 +106,8 @@
     void notify_routers();
     void note_call(std::string_view kind, bool answered, const failure& reason);
     void report_changes();
+    /// Applies the configuration's limits to open connections.
+    void apply_caller_limits();
     void keep_registered();
     void register_router();
     void check_shutdown();
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -84,7 +84,6 @@
         return false;
     }
     config_ = config;
-    config_changed_ = item.changed;
     note(belief_change::what::config_adopted, std::to_string(config->version),
          {}, item.changed);
     return true;
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -295,10 +295,4 @@
     options_.cold = bound;
 }
 
-bool upstream_selector::is_avoided(time_point now, const std::string& id) const
-{
-    const auto found = standings_.find(id);
-    return found != standings_.end() && found->second.avoid_until > now;
-}
-
 } // namespace baobabloft::dispatch
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -266,11 +266,6 @@
     return stream_->is_open();
 }
 
-bool caller_channel::is_serving() const
-{
-    return serving_;
-}
-
 std::size_t caller_channel::unsent() const
 {
     return stream_->unsent();
--- a/lib/relay/relay_directory.cpp
+++ b/lib/relay/relay_directory.cpp
@@ -24,7 +24,7 @@
 void relay::follow()
 {
     if (const auto call = context_.follower.next(net::boot_now()))
-        std::visit([this](const auto& part) { call_store(part); }, *call);
+        std::visit([this](const auto& part) { make_call(part); }, *call);
     report_changes();
 }
 
@@ -43,7 +43,7 @@
                {"reason", reason.message}});
 }
 
-void relay::call_store(const directory::read_page& call)
+void relay::make_call(const directory::read_page& call)
 {
     store_.read_page(call.after, store_timeout,
                      [this](const std::optional<directory::entry_page>& page,
@@ -59,7 +59,7 @@
                      });
 }
 
-void relay::call_store(const directory::watch_changes& call)
+void relay::make_call(const directory::watch_changes& call)
 {
     store_.watch(call, call.wait + store_timeout,
                  [this](const watch_result& result, const failure& reason)
@@ -81,7 +81,7 @@
                  });
 }
 
-void relay::call_store(const directory::read_entry& call)
+void relay::make_call(const directory::read_entry& call)
 {
     store_.read_entry(
         call.key, store_timeout,
@@ -98,6 +98,12 @@
         });
 }
 
+void relay::apply_caller_limits()
+{
+    for (const auto& channel : callers_)
+        channel->set_limits(caller_limits());
+}
+
 void relay::report_changes()
 {
     const auto changes = context_.follower.state().take_changes();
@@ -107,6 +113,8 @@
     {
         const auto kind = name_in(directory::belief_change_names, change.kind);
         context_.counters.count("baobab_directory_changes_total", "kind", kind);
+        if (change.kind == directory::belief_change::what::config_adopted)
+            apply_caller_limits();
     }
     for (const auto& change : changes)
         log_event(log_level::info,
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-void relay::call_store(const directory::ask_router& call)
+void relay::make_call(const directory::ask_router& call)
 {
     const auto host = parse_ipv4(call.control.host);
     if (!socket_ || !host)
--- a/unittests/net/codec_test.cpp
+++ b/unittests/net/codec_test.cpp
@@ -1,4 +1,5 @@
 // Datagrams: round trips, keys, and damaged input.
+#include "baobabloft/directory/change_log.hpp"
 #include "baobabloft/net/codec.hpp"
 #include "baobabloft/net/kv_client.hpp"
 
@@ -66,6 +67,55 @@
     EXPECT_EQ(round_trip(before).answer, before.answer);
 }
 
+TEST(codec, keeps_what_routers_tell_of_the_directory)
+{
+    const auto ask =
+        round_trip(directory::change_ask{.sequence = 7, .after = 8});
+    EXPECT_EQ(ask.sequence, 7U);
+    EXPECT_EQ(ask.after, 8U);
+    directory::change_answer before{.sequence = 7,
+                                    .known = true,
+                                    .more = true,
+                                    .as_of = 9,
+                                    .proof_age_ms = 10,
+                                    .entries = {}};
+    before.entries.push_back({"key", "value", 9, false, true});
+    const auto after = round_trip(before);
+    EXPECT_TRUE(after.known);
+    EXPECT_TRUE(after.more);
+    EXPECT_EQ(after.as_of, 9U);
+    EXPECT_EQ(after.proof_age_ms, 10U);
+    ASSERT_EQ(after.entries.size(), 1U);
+    EXPECT_EQ(after.entries[0].key, "key");
+    EXPECT_EQ(after.entries[0].value, "value");
+    EXPECT_TRUE(after.entries[0].is_long);
+    EXPECT_EQ(round_trip(directory::change_notice{5}).revision, 5U);
+    const auto crash =
+        round_trip(routing::crash_notice{fingerprint{3}, upstream_id{4}});
+    EXPECT_EQ(crash.request, fingerprint{3});
+    EXPECT_EQ(crash.upstream, upstream_id{4});
+}
+
+TEST(codec, a_calm_answer_about_the_directory_is_small)
+{
+    // The control traffic of a watching router is worked out from this.
+    constexpr std::size_t calm_answer_bytes = 65;
+    const auto bytes =
+        encode_datagram(keys, sender, directory::change_answer{});
+    EXPECT_LE(bytes.size() + datagram_header_bytes, calm_answer_bytes);
+}
+
+TEST(codec, an_answer_full_of_changes_fits_a_datagram)
+{
+    directory::change_log log;
+    for (directory::revision number = 1; number < 200; ++number)
+        log.add({"servers/" + std::to_string(number), std::string(120, 'x'),
+                 number, false});
+    const auto answer = log.answer(0, 200);
+    EXPECT_TRUE(answer.more);
+    EXPECT_EQ(round_trip(answer).entries.size(), answer.entries.size());
+}
+
 TEST(codec, refuses_a_wrong_key_and_a_wrong_sender)
 {
     failure reason;
