Count idle upstreams that are set aside in the mean of the load bound

Cause: the users' bound on load is twice the mean of a service's upstreams plus 3, those of an evacuated data centre included; the spill bound took the mean of the usable ones, 1.5 times as high while a third is out. The new test fails first (7 requests where 6.4 are allowed) and passes now.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -138,7 +138,10 @@
         std::uint64_t preference = 0;
     };
 
-    std::vector<option> usable(time_point now, const upstream_want& want);
+    /// Returns the upstreams that may get requests; `listed` becomes the
+    /// number of all upstreams of the service.
+    std::vector<option> usable(time_point now, const upstream_want& want,
+                               std::size_t& listed);
     /// Orders by the affinity's preference, best first.
     static void rank_by_affinity(std::uint64_t affinity,
                                  std::vector<option>& options);
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -18,6 +18,9 @@
 constexpr double load_multiple = 1.0;
 constexpr double least_slack = 3.3;
 constexpr double most_slack = 3.8;
+/// Slack above the mean of the usable upstreams that is always left, so that a
+/// service with many set aside still spreads its load.
+constexpr double usable_slack = 1;
 /// Prefix length from which a request has the most slack.
 constexpr double long_prefix_tokens = 6000;
 /// A load that was told longer ago than this says little.
@@ -74,13 +77,17 @@
 }
 
 std::vector<upstream_selector::option>
-upstream_selector::usable(time_point now, const upstream_want& want)
+upstream_selector::usable(time_point now, const upstream_want& want,
+                          std::size_t& listed)
 {
     std::vector<option> result;
+    listed = 0;
     for (const auto& [id, item] : directory_.upstreams())
     {
-        if (item.record.service != want.service->name || item.record.draining ||
-            directory_.is_out(item.record.data_centre))
+        if (item.record.service != want.service->name)
+            continue;
+        ++listed;
+        if (item.record.draining || directory_.is_out(item.record.data_centre))
             continue;
         auto& state = standings_[id];
         result.push_back({&item, &state, load_of(now, state)});
@@ -140,17 +147,23 @@
 
 selection upstream_selector::choose(time_point now, const upstream_want& want)
 {
-    auto options = usable(now, want);
+    std::size_t listed = 0;
+    auto options = usable(now, want, listed);
     if (options.empty())
         return {};
     double sum = 0;
     for (const auto& item : options)
         sum += item.load;
     const double mean = sum / static_cast<double>(options.size());
-    const double limit =
-        load_multiple * mean + least_slack +
+    // The users' bound refers to all upstreams of the service, those included
+    // that are set aside and idle.
+    const double mean_of_all = sum / static_cast<double>(listed);
+    const double slack =
+        least_slack +
         (most_slack - least_slack) *
             std::min(1.0, want.shared_tokens / long_prefix_tokens);
+    const double limit = std::max(load_multiple * mean_of_all + slack,
+                                  load_multiple * mean + usable_slack);
 
     const bool spread = !want.affinity.has_value();
     if (spread)
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -162,6 +162,27 @@
     EXPECT_GT(moved, 25);
 }
 
+TEST_F(selector_test, pattern_evacuation_counts_idle_upstreams_in_the_mean)
+{
+    add_engines(9);
+    add("out/c");
+    std::map<std::string, int> load;
+    constexpr std::uint64_t hot = 7;
+    std::mt19937_64 random{1};
+    // Two of three requests share one prefix; a third of the engines is out.
+    for (int count = 0; count < 20; ++count)
+    {
+        const auto prefix = count % 3 == 0 ? random() : hot;
+        const auto id = id_of(choose(start, prefix));
+        selector.count_sent(start, id);
+        ++load[id];
+    }
+    // Twice the mean over all nine, and three.
+    constexpr double bound = 2 * 20.0 / 9 + 3;
+    for (const auto& [id, requests] : load)
+        EXPECT_LE(requests, bound - 1) << id;
+}
+
 /// Nine routers before engines that are being replaced. Routers learn an
 /// engine's load only from its answers to themselves.
 class release_model
