Know other routers' load as a moving average; let new engines take over as needed; relieve at cached engines

Cause: a load was 'told + 3 x own requests since', up to 3 s old. Now: own requests in progress, plus a moving average (1 s) of what the engine told less the own part, plus the lesser of both; bound 1.5 x mean + 2.5 to 3.0; an engine seen for less than 60 s is preferred for a share that grows with its age or with the mean load; a request that leaves its engine goes where its prefix is.

--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -16,6 +16,9 @@
 {
     upstream_record record;
     revision changed = 0;
+    /// When this router first saw this lifetime of it; the epoch if it was
+    /// listed already when the router began.
+    time_point first_seen;
     /// End of its cold start; in the past if it is warm.
     time_point cold_until;
     /// Its entry went while the store was away or just after; it may only have
@@ -136,6 +139,8 @@
     change_log log_;
     /// Latest revision seen of each key, so that nothing goes back.
     std::map<std::string, revision> seen_;
+    /// The first whole read is over.
+    bool complete_ = false;
     std::uint64_t generation_ = 0;
     std::vector<belief_change> changes_;
 };
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -5,6 +5,7 @@
 
 #include "baobabloft/directory/directory_state.hpp"
 #include "baobabloft/dispatch/sliding_count.hpp"
+#include "baobabloft/routing/chat_memory.hpp"
 
 #include <functional>
 #include <span>
@@ -119,9 +120,9 @@
     struct standing
     {
         std::uint32_t in_progress = 0;
-        std::optional<told_load> told;
-        time_point told_at;
-        std::uint32_t sent_since_told = 0;
+        /// Requests of other routers, as of `told_at`.
+        double others = 0;
+        std::optional<time_point> told_at;
         /// Moving average of failures, 0 to 1.
         double failure_share = 0;
         std::uint32_t failures_in_row = 0;
@@ -135,16 +136,49 @@
         const directory::known_upstream* upstream;
         standing* state;
         double load;
-        std::uint64_t preference = 0;
+        double preference = 0;
     };
 
-    /// Returns the upstreams that may get requests; `listed` becomes the
-    /// number of all upstreams of the service.
+    /// How an upstream suits a request.
+    enum class fitness : std::uint8_t
+    {
+        fit,
+        /// Loaded above the limit.
+        over,
+        cold,
+        /// Cold, and has what it bears.
+        cold_and_full,
+        failing,
+        /// Tried already, or has no connection left.
+        excluded
+    };
+
+    /// Mean loads of a service's upstreams.
+    struct load_means
+    {
+        double of_usable = 0;
+        /// Those included that are set aside and idle, to which the users'
+        /// bound refers.
+        double of_listed = 0;
+    };
+
+    /// Returns the upstreams that may get requests, and their mean loads.
     std::vector<option> usable(time_point now, const upstream_want& want,
-                               std::size_t& listed);
-    /// Orders by the affinity's preference, best first.
-    static void rank_by_affinity(std::uint64_t affinity,
-                                 std::vector<option>& options);
+                               load_means& means);
+    /// Returns the load from which a request goes elsewhere.
+    static double load_limit(const upstream_want& want,
+                             const load_means& means);
+    [[nodiscard]] fitness judge(time_point now, const upstream_want& want,
+                                const option& item, double limit) const;
+    /// Returns the best of `fit`, which are in the order of preference: one
+    /// that has the prefix cached may relieve the first. `is_first` tells that
+    /// the first is the preferred one of all.
+    const option* relieve(time_point now, std::uint64_t affinity,
+                          std::span<const option* const> fit, bool is_first);
+    /// Orders by the affinity's preference, best first. New upstreams are
+    /// preferred for fewer prefixes, unless the mean load needs them.
+    static void rank_by_affinity(time_point now, std::uint64_t affinity,
+                                 double mean, std::vector<option>& options);
     /// Orders by load and distance, best first.
     void rank_by_cost(std::vector<option>& options) const;
     [[nodiscard]] double load_of(time_point now, const standing& state) const;
@@ -158,6 +192,8 @@
     selector_options options_;
     room_lookup has_room_;
     std::map<std::string, standing> standings_;
+    /// Prefixes at upstreams that this router sent there lately.
+    routing::chat_memory cached_;
 };
 
 } // namespace baobabloft::dispatch
--- a/include/baobabloft/support/hash.hpp
+++ b/include/baobabloft/support/hash.hpp
@@ -21,4 +21,10 @@
     return hash_combine(key, node);
 }
 
+/// Returns a score in 0 to 1 with which `node` wins a part of all keys in
+/// proportion to its `weight`, more than 0 and at most 1. A change of weight
+/// moves only keys of that node.
+double weighted_rendezvous_score(std::uint64_t key, std::uint64_t node,
+                                 double weight);
+
 } // namespace baobabloft
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -104,6 +104,8 @@
     const auto cold_until = now + record.cold_left;
     if (added || reborn || record.cold_left > duration{0})
         known.cold_until = cold_until;
+    if (added || reborn)
+        known.first_seen = complete_ ? now : time_point{};
     const bool was_lapsed = known.lapsed_until.has_value();
     known.record = record;
     known.changed = item.changed;
@@ -179,6 +181,7 @@
 void directory_state::begin_changes(revision as_of)
 {
     log_.set_floor(as_of);
+    complete_ = true;
 }
 
 change_answer directory_state::changes_behind(revision after,
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace baobabloft::dispatch
 {
@@ -15,19 +16,32 @@
 /// others have room. Below the users' bound of twice the mean plus 3, since
 /// other routers' requests are known late. Requests with a short prefix move
 /// first: little is read again for them.
-constexpr double load_multiple = 1.0;
-constexpr double least_slack = 3.3;
-constexpr double most_slack = 3.8;
+constexpr double load_multiple = 1.5;
+constexpr double least_slack = 2.5;
+constexpr double most_slack = 3.0;
 /// Slack above the mean of the usable upstreams that is always left, so that a
 /// service with many set aside still spreads its load.
 constexpr double usable_slack = 1;
 /// Prefix length from which a request has the most slack.
 constexpr double long_prefix_tokens = 6000;
-/// A load that was told longer ago than this says little.
-constexpr duration told_lifetime = 3000ms;
-/// Load that is assumed for each request sent since then: what one router
-/// sends to an upstream, others send to it as well.
-constexpr double unseen_factor = 3;
+/// Other routers' load on an upstream is a moving average of what it told less
+/// this router's own part, over this time.
+constexpr double others_average_s = 1;
+/// Least weight of the newest value in that average.
+constexpr double least_weight = 0.1;
+/// Time in which a part of 1/e of it is left if the upstream tells nothing.
+constexpr double others_decay_s = 2;
+/// A new upstream takes over its share of the prefixes over this time, or as
+/// far as the mean load reaches that at which it is needed at once.
+constexpr double takeover_s = 60;
+constexpr double needed_at_mean = 2;
+constexpr double least_takeover = 0.01;
+/// An upstream that has the prefix cached as well is taken if it has this much
+/// less load than the preferred one.
+constexpr double relief = 1.5;
+/// Prefixes with the upstreams that read them lately, and for how long.
+constexpr std::size_t remembered_prefixes = 2048;
+constexpr duration prefix_lifetime = 10s;
 /// Load that one hop to another data centre is worth for plain services.
 constexpr double distance_cost = 2.5;
 
@@ -51,23 +65,32 @@
 /// Before this age the number of routers is not known well.
 constexpr duration fleet_known_after = 4s;
 
+/// Names a prefix at an upstream.
+chat_id prefix_at(std::uint64_t affinity, std::string_view upstream)
+{
+    return chat_id{hash_bytes(upstream, affinity)};
+}
+
 } // namespace
 
 upstream_selector::upstream_selector(
     const directory::directory_state& directory, selector_options options,
     room_lookup has_room)
     : directory_(directory), options_(std::move(options)),
-      has_room_(std::move(has_room))
+      has_room_(std::move(has_room)),
+      cached_(remembered_prefixes, prefix_lifetime)
 {
 }
 
 double upstream_selector::load_of(time_point now, const standing& state) const
 {
-    double load = state.in_progress;
-    if (state.told && now - state.told_at < told_lifetime)
-        load = std::max(load, state.told->running + state.told->waiting +
-                                  unseen_factor * state.sent_since_told);
-    return load;
+    const double own = state.in_progress;
+    if (!state.told_at)
+        return own;
+    const double age = to_seconds(now - *state.told_at);
+    const double others = state.others * std::exp(-age / others_decay_s);
+    // Where others send as well, they send more when this router does.
+    return own + others + std::min(own, others);
 }
 
 bool upstream_selector::is_cold(time_point now, const upstream_want& want,
@@ -78,10 +101,11 @@
 
 std::vector<upstream_selector::option>
 upstream_selector::usable(time_point now, const upstream_want& want,
-                          std::size_t& listed)
+                          load_means& means)
 {
     std::vector<option> result;
-    listed = 0;
+    double sum = 0;
+    std::size_t listed = 0;
     for (const auto& [id, item] : directory_.upstreams())
     {
         if (item.record.service != want.service->name)
@@ -91,7 +115,11 @@
             continue;
         auto& state = standings_[id];
         result.push_back({&item, &state, load_of(now, state)});
+        sum += result.back().load;
     }
+    if (!result.empty())
+        means = {sum / static_cast<double>(result.size()),
+                 sum / static_cast<double>(listed)};
     return result;
 }
 
@@ -121,12 +149,20 @@
     return item.state->cold_sends.total(now) + 1 <= std::floor(share);
 }
 
-void upstream_selector::rank_by_affinity(std::uint64_t affinity,
+void upstream_selector::rank_by_affinity(time_point now, std::uint64_t affinity,
+                                         double mean,
                                          std::vector<option>& options)
 {
     for (auto& item : options)
-        item.preference =
-            rendezvous_score(affinity, hash_bytes(item.upstream->record.id));
+    {
+        const auto& known = *item.upstream;
+        const double age = to_seconds(now - known.first_seen);
+        const double share =
+            std::clamp(std::max(age / takeover_s, mean / needed_at_mean),
+                       least_takeover, 1.0);
+        item.preference = weighted_rendezvous_score(
+            affinity, hash_bytes(known.record.id), share);
+    }
     std::sort(options.begin(), options.end(),
               [](const option& left, const option& right)
               { return left.preference > right.preference; });
@@ -145,80 +181,113 @@
               { return cost(left) < cost(right); });
 }
 
-selection upstream_selector::choose(time_point now, const upstream_want& want)
+double upstream_selector::load_limit(const upstream_want& want,
+                                     const load_means& means)
 {
-    std::size_t listed = 0;
-    auto options = usable(now, want, listed);
-    if (options.empty())
-        return {};
-    double sum = 0;
-    for (const auto& item : options)
-        sum += item.load;
-    const double mean = sum / static_cast<double>(options.size());
-    // The users' bound refers to all upstreams of the service, those included
-    // that are set aside and idle.
-    const double mean_of_all = sum / static_cast<double>(listed);
     const double slack =
         least_slack +
         (most_slack - least_slack) *
             std::min(1.0, want.shared_tokens / long_prefix_tokens);
-    const double limit = std::max(load_multiple * mean_of_all + slack,
-                                  load_multiple * mean + usable_slack);
+    return std::max(load_multiple * means.of_listed + slack,
+                    load_multiple * means.of_usable + usable_slack);
+}
 
-    const bool spread = !want.affinity.has_value();
-    if (spread)
-        rank_by_cost(options);
-    else
-        rank_by_affinity(*want.affinity, options);
+upstream_selector::fitness upstream_selector::judge(time_point now,
+                                                    const upstream_want& want,
+                                                    const option& item,
+                                                    double limit) const
+{
+    const auto& state = *item.state;
+    const auto& id = item.upstream->record.id;
+    if (std::find(want.avoid.begin(), want.avoid.end(), id) !=
+            want.avoid.end() ||
+        !has_room_(*item.upstream, *want.service))
+        return fitness::excluded;
+    // One request at a time finds out whether an upstream has recovered.
+    const bool on_trial = state.backoff > duration{0};
+    if (state.avoid_until > now ||
+        (on_trial && (state.in_progress > 0 || !want.is_repeatable)))
+        return fitness::failing;
+    if (is_cold(now, want, *item.upstream))
+        return cold_has_room(now, want, item) ? fitness::cold
+                                              : fitness::cold_and_full;
+    return item.load > limit ? fitness::over : fitness::fit;
+}
 
-    const auto tried = [&](const option& item)
+const upstream_selector::option*
+upstream_selector::relieve(time_point now, std::uint64_t affinity,
+                           std::span<const option* const> fit, bool is_first)
+{
+    const auto has_prefix = [&](const option* item)
     {
-        return std::find(want.avoid.begin(), want.avoid.end(),
-                         item.upstream->record.id) != want.avoid.end();
+        return cached_.contains(now,
+                                prefix_at(affinity, item->upstream->record.id));
     };
-    const auto pick = [&](const option& item, choice how)
+    const auto* best = fit.front();
+    // A request that leaves its preferred upstream goes where its prefix is.
+    const bool any_gain = !is_first && !has_prefix(best);
+    for (const auto* item : fit.subspan(1))
     {
-        return selection{how, item.upstream, item.load, mean};
-    };
+        if (!has_prefix(item))
+            continue;
+        if (any_gain ? best == fit.front() || item->load < best->load
+                     : item->load + relief <= fit.front()->load &&
+                           item->load < best->load)
+            best = item;
+    }
+    return best;
+}
 
-    const option* cold = nullptr;
+selection upstream_selector::choose(time_point now, const upstream_want& want)
+{
+    load_means means;
+    auto options = usable(now, want, means);
+    if (options.empty())
+        return {};
+    if (want.affinity)
+        rank_by_affinity(now, *want.affinity, means.of_usable, options);
+    else
+        rank_by_cost(options);
+    const double limit = want.affinity
+                             ? load_limit(want, means)
+                             : std::numeric_limits<double>::infinity();
+
+    std::vector<const option*> fit;
     const option* over = nullptr;
+    const option* cold = nullptr;
     const option* failing = nullptr;
     bool any_room = false;
     for (const auto& item : options)
     {
-        if (tried(item) || !has_room_(*item.upstream, *want.service))
-            continue;
-        any_room = true;
-        const bool first = &item == &options.front();
-        if (item.state->avoid_until > now)
-        {
-            if (failing == nullptr ||
-                item.state->avoid_until < failing->state->avoid_until)
-                failing = &item;
-            continue;
-        }
-        // One request at a time finds out whether an upstream has recovered.
-        if (item.state->backoff > duration{0} &&
-            (item.state->in_progress > 0 || !want.is_repeatable))
-        {
-            if (failing == nullptr)
-                failing = &item;
-            continue;
-        }
-        if (is_cold(now, want, *item.upstream))
-        {
-            if (cold == nullptr && cold_has_room(now, want, item))
-                cold = &item;
-            continue;
-        }
-        if (!spread && item.load > limit)
-        {
-            if (over == nullptr || item.load < over->load)
-                over = &item;
-            continue;
-        }
-        return pick(item, first ? choice::preferred : choice::other);
+        const auto how = judge(now, want, item, limit);
+        any_room = any_room || how != fitness::excluded;
+        if (how == fitness::fit)
+            fit.push_back(&item);
+        else if (how == fitness::over &&
+                 (over == nullptr || item.load < over->load))
+            over = &item;
+        else if (how == fitness::cold && cold == nullptr)
+            cold = &item;
+        else if (how == fitness::failing &&
+                 (failing == nullptr ||
+                  item.state->avoid_until < failing->state->avoid_until))
+            failing = &item;
+    }
+    const auto pick = [&](const option& item, choice how)
+    {
+        const auto& id = item.upstream->record.id;
+        if (want.affinity)
+            cached_.remember(now, prefix_at(*want.affinity, id));
+        return selection{how, item.upstream, item.load, means.of_usable};
+    };
+    if (!fit.empty())
+    {
+        const bool is_first = fit.front() == &options.front();
+        const auto& best = want.affinity
+                               ? *relieve(now, *want.affinity, fit, is_first)
+                               : *fit.front();
+        return pick(best, &best == &options.front() ? choice::preferred
+                                                    : choice::other);
     }
     if (over != nullptr)
         return pick(*over, choice::last_resort);
@@ -229,14 +298,13 @@
         return pick(*failing, choice::last_resort);
     // Every upstream was tried, is full of connections, or is cold.
     return {any_room ? choice::all_busy : choice::no_upstream, nullptr, 0,
-            mean};
+            means.of_usable};
 }
 
 void upstream_selector::count_sent(time_point now, const std::string& id)
 {
     auto& state = standings_[id];
     ++state.in_progress;
-    ++state.sent_since_told;
     state.cold_sends.add(now);
 }
 
@@ -251,9 +319,15 @@
                              const told_load& load)
 {
     auto& state = standings_[id];
-    state.told = load;
+    const double sum = load.running + load.waiting;
+    const double others = std::max(sum - state.in_progress, 0.0);
+    double weight = 1;
+    if (state.told_at)
+        weight = std::max(
+            1 - std::exp(-to_seconds(now - *state.told_at) / others_average_s),
+            least_weight);
+    state.others += weight * (others - state.others);
     state.told_at = now;
-    state.sent_since_told = 0;
 }
 
 void upstream_selector::succeeded(time_point /*now*/, const std::string& id)
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -489,6 +489,8 @@
                                    : ""},
                {"load", current_ ? rounded(current_->chosen.load) : ""},
                {"mean", current_ ? rounded(current_->chosen.mean) : ""},
+               {"prefix", affinity_ ? std::to_string(*affinity_) : ""},
+               {"prefix_tokens", std::to_string(shared_tokens_)},
                {"config", config_ ? std::to_string(config_->version) : "none"},
                {"proof_age_ms", in_ms(context_.proof_age(now))},
                {"attempts", std::to_string(history_.attempts)},
--- a/lib/support/hash.cpp
+++ b/lib/support/hash.cpp
@@ -1,5 +1,6 @@
 #include "baobabloft/support/hash.hpp"
 
+#include <cmath>
 #include <xxhash.h>
 
 namespace baobabloft
@@ -15,4 +16,13 @@
     return XXH3_64bits_withSeed(&left, sizeof left, right);
 }
 
+double weighted_rendezvous_score(std::uint64_t key, std::uint64_t node,
+                                 double weight)
+{
+    // 64 random bits as a fraction.
+    const double score =
+        std::ldexp(static_cast<double>(rendezvous_score(key, node)), -64);
+    return weight < 1 ? std::pow(score, 1 / weight) : score;
+}
+
 } // namespace baobabloft
