Let engines copy prefixes from each other

The engines copy over their own link on request. The selector names a source: an engine known to have had the prefix, else the best by rank, draining ones included; none that is cold, failing or out.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -72,6 +72,9 @@
     choice how = choice::no_upstream;
     /// Null if there is none; valid until the directory changes.
     const directory::known_upstream* upstream = nullptr;
+    /// Another upstream that is likely to have the prefix cached; null if the
+    /// chosen one has it, or if none is likely to. Valid as `upstream` is.
+    const directory::known_upstream* prefix_source = nullptr;
     /// Its load as estimated, and the mean of its service.
     double load = 0;
     double mean = 0;
@@ -181,6 +184,10 @@
                                  double mean, std::vector<option>& options);
     /// Orders by load and distance, best first.
     void rank_by_cost(std::vector<option>& options) const;
+    /// Returns the upstream from which `chosen` may copy a prefix.
+    [[nodiscard]] const directory::known_upstream*
+    find_source(time_point now, std::uint64_t affinity,
+                const directory::known_upstream& chosen) const;
     [[nodiscard]] double load_of(time_point now, const standing& state) const;
     [[nodiscard]] bool is_cold(time_point now, const upstream_want& want,
                                const directory::known_upstream& item) const;
--- a/include/baobabloft/relay/ports.hpp
+++ b/include/baobabloft/relay/ports.hpp
@@ -114,6 +114,9 @@
     std::string prompt_parts;
     /// 0 to 9, where 0 is served first.
     std::string urgency;
+    /// Address of another upstream from which the one that runs the request
+    /// copies what is cached there of the prompt.
+    std::string prefix_source;
     /// Headers that only this fleet may set; dropped from callers' requests.
     std::vector<std::string> reserved;
     /// Headers of answers that are for this fleet only.
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -35,6 +35,8 @@
     struct attempt
     {
         std::string upstream;
+        /// Upstream from which it may copy the prefix; empty if none.
+        std::string prefix_source;
         std::shared_ptr<http::upstream_channel> channel;
         dispatch::selection chosen;
         time_point started;
@@ -56,6 +58,7 @@
     void send(const directory::known_upstream& upstream,
               const dispatch::selection& chosen);
     http::request_head upstream_head(const directory::upstream_record& target,
+                                     const dispatch::selection& chosen,
                                      time_point now) const;
 
     void on_head(const attempt_ptr& at, const http::response_head& head);
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -65,6 +65,15 @@
 /// Before this age the number of routers is not known well.
 constexpr duration fleet_known_after = 4s;
 
+/// Returns the share of an upstream's prefixes that it has taken over, 0 to 1.
+double takeover_share(time_point now, const directory::known_upstream& item,
+                      double mean_load)
+{
+    const double age = to_seconds(now - item.first_seen);
+    return std::clamp(std::max(age / takeover_s, mean_load / needed_at_mean),
+                      least_takeover, 1.0);
+}
+
 /// Names a prefix at an upstream.
 chat_id prefix_at(std::uint64_t affinity, std::string_view upstream)
 {
@@ -156,12 +165,9 @@
     for (auto& item : options)
     {
         const auto& known = *item.upstream;
-        const double age = to_seconds(now - known.first_seen);
-        const double share =
-            std::clamp(std::max(age / takeover_s, mean / needed_at_mean),
-                       least_takeover, 1.0);
-        item.preference = weighted_rendezvous_score(
-            affinity, hash_bytes(known.record.id), share);
+        item.preference =
+            weighted_rendezvous_score(affinity, hash_bytes(known.record.id),
+                                      takeover_share(now, known, mean));
     }
     std::sort(options.begin(), options.end(),
               [](const option& left, const option& right)
@@ -238,6 +244,36 @@
     return best;
 }
 
+const directory::known_upstream*
+upstream_selector::find_source(time_point now, std::uint64_t affinity,
+                               const directory::known_upstream& chosen) const
+{
+    if (cached_.contains(now, prefix_at(affinity, chosen.record.id)))
+        return nullptr;
+    const directory::known_upstream* best = nullptr;
+    double best_score = 0;
+    for (const auto& [id, item] : directory_.upstreams())
+    {
+        if (&item == &chosen || item.record.service != chosen.record.service ||
+            directory_.is_out(item.record.data_centre) || item.cold_until > now)
+            continue;
+        const auto state = standings_.find(id);
+        if (state != standings_.end() && state->second.avoid_until > now)
+            continue;
+        // Known holders go before likely ones.
+        const bool is_known = cached_.contains(now, prefix_at(affinity, id));
+        const double score =
+            weighted_rendezvous_score(affinity, hash_bytes(id),
+                                      takeover_share(now, item, 0)) +
+            (is_known ? 1 : 0);
+        if (score <= best_score)
+            continue;
+        best = &item;
+        best_score = score;
+    }
+    return best;
+}
+
 selection upstream_selector::choose(time_point now, const upstream_want& want)
 {
     load_means means;
@@ -275,10 +311,14 @@
     }
     const auto pick = [&](const option& item, choice how)
     {
-        const auto& id = item.upstream->record.id;
-        if (want.affinity)
-            cached_.remember(now, prefix_at(*want.affinity, id));
-        return selection{how, item.upstream, item.load, means.of_usable};
+        selection result{how, item.upstream, nullptr, item.load,
+                         means.of_usable};
+        if (!want.affinity)
+            return result;
+        result.prefix_source = find_source(now, *want.affinity, *item.upstream);
+        cached_.remember(now,
+                         prefix_at(*want.affinity, item.upstream->record.id));
+        return result;
     };
     if (!fit.empty())
     {
@@ -297,8 +337,8 @@
                                cold_has_room(now, want, *failing)))
         return pick(*failing, choice::last_resort);
     // Every upstream was tried, is full of connections, or is cold.
-    return {any_room ? choice::all_busy : choice::no_upstream, nullptr, 0,
-            means.of_usable};
+    return {any_room ? choice::all_busy : choice::no_upstream, nullptr, nullptr,
+            0, means.of_usable};
 }
 
 void upstream_selector::count_sent(time_point now, const std::string& id)
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -243,6 +243,7 @@
 
 http::request_head
 relay_session::upstream_head(const directory::upstream_record& target,
+                             const dispatch::selection& chosen,
                              time_point now) const
 {
     const auto& names = context_.dialect;
@@ -261,6 +262,9 @@
         set(names.customer, customer_->name);
     if (affinity_)
         set(names.urgency, std::to_string(urgency()));
+    if (chosen.prefix_source != nullptr)
+        set(names.prefix_source,
+            to_string(chosen.prefix_source->record.address));
     if (stream_started_ && last_event_)
         set(names.resume_after, std::to_string(*last_event_));
     const bool had_body = message_.has_content_length() || message_.chunked();
@@ -276,7 +280,10 @@
     const auto at = std::make_shared<attempt>();
     at->upstream = upstream.record.id;
     at->chosen = chosen;
+    if (chosen.prefix_source != nullptr)
+        at->prefix_source = chosen.prefix_source->record.id;
     at->chosen.upstream = nullptr;
+    at->chosen.prefix_source = nullptr;
     at->started = now;
     ++history_.attempts;
     current_ = at;
@@ -292,7 +299,7 @@
         return;
     }
     http::outgoing_request out;
-    out.head = upstream_head(upstream.record, now);
+    out.head = upstream_head(upstream.record, chosen, now);
     out.body = message_.body();
     out.id_header = context_.dialect.request_id;
     out.id = request_id_;
@@ -491,6 +498,7 @@
                {"mean", current_ ? rounded(current_->chosen.mean) : ""},
                {"prefix", affinity_ ? std::to_string(*affinity_) : ""},
                {"prefix_tokens", std::to_string(shared_tokens_)},
+               {"prefix_source", current_ ? current_->prefix_source : ""},
                {"config", config_ ? std::to_string(config_->version) : "none"},
                {"proof_age_ms", in_ms(context_.proof_age(now))},
                {"attempts", std::to_string(history_.attempts)},
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -218,6 +218,64 @@
     EXPECT_NE(id_of(choose(start, 42)), first);
 }
 
+TEST_F(selector_test, pattern_move_copies_the_prefix_from_where_it_was)
+{
+    add_engines(9);
+    state.begin_changes(last);
+    for (std::uint64_t prefix = 0; prefix < 50; ++prefix)
+    {
+        const auto first = id_of(choose(start, prefix));
+        // Known to be cached there: nothing to copy.
+        EXPECT_EQ(choose(start, prefix).prefix_source, nullptr);
+        const auto moved = choose(start, prefix, true, {first});
+        ASSERT_NE(moved.prefix_source, nullptr);
+        EXPECT_EQ(moved.prefix_source->record.id, first);
+        EXPECT_NE(moved.upstream, moved.prefix_source);
+    }
+}
+
+TEST_F(selector_test, pattern_release_copies_from_the_draining_engine)
+{
+    add_engines(9);
+    state.begin_changes(last);
+    // Another router sent the prefix there, so this one only knows its rank.
+    upstream_selector other{
+        state,
+        {.data_centre = "a", .router = "router/1", .started = start - 60s},
+        [](const auto&, const auto&)
+        {
+            return true;
+        }};
+    const auto first = id_of(
+        other.choose(start, {.service = &service, .affinity = 7, .avoid = {}}));
+    add(first, "draining");
+    const auto moved = choose(start, 7);
+    EXPECT_NE(id_of(moved), first);
+    ASSERT_NE(moved.prefix_source, nullptr);
+    EXPECT_EQ(moved.prefix_source->record.id, first);
+}
+
+TEST_F(selector_test, prefixes_are_not_copied_from_where_they_cannot_be)
+{
+    add("up/a/0");
+    add("up/b/1", "cold");
+    add("up/c/2");
+    add("out/c");
+    EXPECT_EQ(choose(start, 7).prefix_source, nullptr);
+    add("up/a/3");
+    const auto chosen = choose(start, 8);
+    ASSERT_NE(chosen.prefix_source, nullptr);
+    const auto source = chosen.prefix_source->record.id;
+    selector.unreachable(start, source);
+    EXPECT_EQ(choose(start, 9, true, {source}).prefix_source, nullptr);
+}
+
+TEST_F(selector_test, plain_requests_copy_nothing)
+{
+    add_engines(3);
+    EXPECT_EQ(choose(start, std::nullopt).prefix_source, nullptr);
+}
+
 TEST_F(selector_test, pattern_evacuation_counts_idle_upstreams_in_the_mean)
 {
     add_engines(9);
