--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -102,6 +102,8 @@
     void judge_crash(fingerprint request, const std::string& upstream,
                      std::size_t open_before);
     void note_crash(fingerprint request, const std::string& upstream);
+    /// Returns the id under which this router sends datagrams.
+    [[nodiscard]] router_id self_id() const;
     void send(router_id to, const fleet::message& message);
     void notify_routers();
     void note_call(std::string_view kind, bool answered, const failure& reason);
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -42,7 +42,6 @@
         time_point started;
         http::response_head head;
         std::string body;
-        bool has_head = false;
         bool is_stream = false;
         bool over = false;
     };
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -61,7 +61,6 @@
 {
     const auto now = net::boot_now();
     at->head = head;
-    at->has_head = true;
     const auto& names = context_.dialect;
     if (const auto load = names.read_load(http::field_of(head, names.load)))
         context_.selector.told(now, at->upstream, *load);
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -25,17 +25,27 @@
 /// A crashed upstream refuses a connection well within this.
 constexpr duration crash_probe_time = 200ms;
 
+/// Returns the id under which a router at `address` takes datagrams, or
+/// nothing if the address is no IPv4 address.
+std::optional<router_id> id_at(const endpoint& address)
+{
+    const auto host = parse_ipv4(address.host);
+    if (!host)
+        return std::nullopt;
+    return make_router_id(*host, address.port);
+}
+
 } // namespace
 
 void relay::make_call(const directory::ask_router& call)
 {
-    const auto host = parse_ipv4(call.control.host);
-    if (!socket_ || !host)
+    const auto id = id_at(call.control);
+    if (!socket_ || !id)
     {
         context_.follower.router_silent(net::boot_now());
         return;
     }
-    send(make_router_id(*host, call.control.port), call.message);
+    send(*id, call.message);
     ask_timer_ = loop_.after(
         ask_timeout,
         [this, name = call.router]
@@ -66,12 +76,10 @@
         return;
     linked_secret_ = state.secret();
     keys_.emplace(std::vector<std::string>{linked_secret_});
-    const auto host = parse_ipv4(options_.control_listen.host);
     failure reason;
     if (!socket_)
         socket_ = net::datagram_socket::open(
-            loop_,
-            make_router_id(host.value_or(0), options_.control_listen.port),
+            loop_, self_id(),
             [this](router_id from, std::string_view bytes)
             { receive(from, bytes); },
             reason);
@@ -81,12 +89,15 @@
                {"reason", reason.message}});
 }
 
+router_id relay::self_id() const
+{
+    // The settings check lets only IPv4 addresses through.
+    return id_at(options_.control_listen).value_or(router_id{});
+}
+
 void relay::send(router_id to, const fleet::message& message)
 {
-    const auto self =
-        make_router_id(parse_ipv4(options_.control_listen.host).value_or(0),
-                       options_.control_listen.port);
-    const auto bytes = net::encode_datagram(*keys_, self, message);
+    const auto bytes = net::encode_datagram(*keys_, self_id(), message);
     context_.counters.datagram_sent(fleet::message_names.at(message.index()),
                                     bytes.size() + net::datagram_header_bytes);
     socket_->send(to, bytes);
@@ -199,9 +210,9 @@
     if (!socket_)
         return;
     for (const auto& [name, router] : context_.follower.state().routers())
-        if (const auto host = parse_ipv4(router.control.host);
-            host && name != options_.router_name)
-            send(make_router_id(*host, router.control.port), notice);
+        if (const auto id = id_at(router.control);
+            id && name != options_.router_name)
+            send(*id, notice);
 }
 
 void relay::notify_routers()
@@ -210,10 +221,10 @@
         return;
     for (const auto& [name, router] : context_.follower.state().routers())
     {
-        const auto host = parse_ipv4(router.control.host);
-        if (host && name != options_.router_name &&
+        const auto id = id_at(router.control);
+        if (id && name != options_.router_name &&
             router.data_centre == options_.data_centre)
-            send(make_router_id(*host, router.control.port),
+            send(*id,
                  directory::change_notice{context_.follower.known_revision()});
     }
 }
