--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -30,11 +30,14 @@
 /// Least weight of the newest value in that average.
 constexpr double least_weight = 0.1;
 /// Time in which a part of 1/e of it is left if the upstream tells nothing.
-constexpr double others_decay_s = 2;
+constexpr double others_decay_s = 10;
+/// Others' requests count for more than what was told: in a large fleet each
+/// router hears of an upstream seldom, and the loads that grow are missed.
+constexpr double others_factor = 1.3;
 /// A new upstream takes over its share of the prefixes over this time, or as
 /// far as the mean load reaches that at which it is needed at once.
 constexpr double takeover_s = 60;
-constexpr double needed_at_mean = 2;
+constexpr double needed_at_mean = 1;
 constexpr double least_takeover = 0.01;
 /// An upstream that has the prefix cached as well is taken if it has this much
 /// less load than the preferred one.
@@ -99,7 +102,7 @@
     const double age = to_seconds(now - *state.told_at);
     const double others = state.others * std::exp(-age / others_decay_s);
     // Where others send as well, they send more when this router does.
-    return own + others + std::min(own, others);
+    return own + others_factor * others + std::min(own, others);
 }
 
 bool upstream_selector::is_cold(time_point now, const upstream_want& want,
