Gate and selector: one step to change permits, one excess of two counts; a flat choice of the relieving upstream

No change of behaviour: the notes of held permits before and after a change stood in three places, 'how far above' in five; relieve() decided per item what it can decide once for the least loaded holder.

--- a/include/baobabloft/routing/upstream_gate.hpp
+++ b/include/baobabloft/routing/upstream_gate.hpp
@@ -131,6 +131,7 @@
     [[nodiscard]] std::uint64_t setbacks() const;
 
 private:
+    void set_permits(time_point now, std::uint32_t permits);
     void note_permits(time_point now);
     /// Returns the most permits that were held at once lately.
     [[nodiscard]] std::uint32_t recent_permits(time_point now) const;
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -232,19 +232,18 @@
         return cached_.contains(now,
                                 prefix_at(affinity, item->upstream->record.id));
     };
-    const auto* best = fit.front();
-    // A request that leaves its preferred upstream goes where its prefix is.
-    const bool any_gain = !is_first && !has_prefix(best);
+    const option* holder = nullptr;
     for (const auto* item : fit.subspan(1))
-    {
-        if (!has_prefix(item))
-            continue;
-        if (any_gain ? best == fit.front() || item->load < best->load
-                     : item->load + relief <= fit.front()->load &&
-                           item->load < best->load)
-            best = item;
-    }
-    return best;
+        if (has_prefix(item) &&
+            (holder == nullptr || item->load < holder->load))
+            holder = item;
+    const auto* first = fit.front();
+    if (holder == nullptr)
+        return first;
+    // A request that leaves its preferred upstream goes where its prefix is.
+    const bool moves_anyway = !is_first && !has_prefix(first);
+    return moves_anyway || holder->load + relief <= first->load ? holder
+                                                                : first;
 }
 
 const directory::known_upstream*
--- a/lib/routing/upstream_gate.cpp
+++ b/lib/routing/upstream_gate.cpp
@@ -40,6 +40,17 @@
 /// An upstream that stayed up this long starts with a short hold-down again.
 constexpr duration calm_after = 120s;
 
+/// Returns by how much `count` is above `known`.
+constexpr std::uint32_t excess(std::uint32_t count, std::uint32_t known)
+{
+    return count > known ? count - known : 0;
+}
+
+constexpr std::uint32_t without_one(std::uint32_t count)
+{
+    return excess(count, 1);
+}
+
 } // namespace
 
 gate_options make_gate_options(const config::service& service)
@@ -73,10 +84,8 @@
     const bool first = warmth_ == warmth::unknown;
     const bool restarted = !first && report.incarnation != incarnation_;
     incarnation_ = report.incarnation;
-    const auto known = recent_permits(now);
-    unexplained_ = report.running > known ? report.running - known : 0;
-    const auto lasting = lasting_permits(now);
-    unconfirmed_ = lasting > report.running ? lasting - report.running : 0;
+    unexplained_ = excess(report.running, recent_permits(now));
+    unconfirmed_ = excess(lasting_permits(now), report.running);
     reported_ = report.running;
     net_grants_since_report_ = 0;
     if (report.cold || restarted)
@@ -115,19 +124,15 @@
 
 void upstream_gate::granted(time_point now)
 {
-    note_permits(now);
-    ++permits_;
     ++net_grants_since_report_;
-    note_permits(now);
+    set_permits(now, permits_ + 1);
 }
 
 void upstream_gate::registered(time_point now)
 {
     if (unexplained_ > 0)
         --unexplained_;
-    note_permits(now);
-    ++permits_;
-    note_permits(now);
+    set_permits(now, permits_ + 1);
 }
 
 void upstream_gate::released(time_point now, outcome how, double first_token_ms,
@@ -156,30 +161,24 @@
 
 void upstream_gate::lapsed(time_point now)
 {
-    note_permits(now);
-    if (permits_ > 0)
-        --permits_;
     --net_grants_since_report_;
-    note_permits(now);
+    set_permits(now, without_one(permits_));
 }
 
 void upstream_gate::holder_lost(time_point now)
 {
-    if (permits_ > 0)
-        --permits_;
+    permits_ = without_one(permits_);
     net_grants_since_report_ =
         std::min(net_grants_since_report_, std::int64_t{permits_});
     // Reports of a while ago did not hold its request any more.
     for (auto& slot : history_)
     {
-        slot.permits -= std::min(slot.permits, 1U);
-        slot.fewest -= std::min(slot.fewest, 1U);
+        slot.permits = without_one(slot.permits);
+        slot.fewest = without_one(slot.fewest);
     }
-    const auto known = recent_permits(now);
-    if (reported_ > known)
-        unexplained_ = std::max(unexplained_, reported_ - known);
-    if (unconfirmed_ > 0)
-        --unconfirmed_;
+    unexplained_ =
+        std::max(unexplained_, excess(reported_, recent_permits(now)));
+    unconfirmed_ = without_one(unconfirmed_);
 }
 
 void upstream_gate::slow_first_token(time_point now, double waited_ms)
@@ -202,7 +201,7 @@
 std::uint32_t upstream_gate::confirmed_load() const
 {
     const auto known = permits_ + unexplained_;
-    return known - std::min(known, unconfirmed_);
+    return excess(known, unconfirmed_);
 }
 
 std::uint32_t upstream_gate::limit(time_point now) const
@@ -269,6 +268,14 @@
     return setbacks_;
 }
 
+void upstream_gate::set_permits(time_point now, std::uint32_t permits)
+{
+    // Both numbers were held within this slot.
+    note_permits(now);
+    permits_ = permits;
+    note_permits(now);
+}
+
 void upstream_gate::note_permits(time_point now)
 {
     const auto index = now.time_since_epoch() / report_lag_slot;
