--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -297,7 +297,7 @@
         EXPECT_LE(requests, bound - 1) << id;
 }
 
-/// Nine routers before engines that are being replaced. Routers learn an
+/// Routers before engines that are being replaced. Routers learn an
 /// engine's load only from the heads of its answers to themselves.
 class release_model
 {
@@ -310,16 +310,21 @@
         /// Engines are replaced one after the other, and old ones count until
         /// they end; else all at once.
         bool one_by_one = false;
+        int routers = 9;
+        int engines = 9;
+        /// Three requests come at once, so often in a millisecond.
+        double clumps_per_ms = 0.03;
+        std::uint64_t last_prefix = 60;
     };
 
     release_model(std::uint64_t seed, const pattern& played)
         : random_(seed), pattern_(played)
     {
-        for (int index = 0; index < routers; ++index)
+        for (int index = 0; index < pattern_.routers; ++index)
         {
             auto& state =
                 *states_.emplace_back(std::make_unique<directory_state>(codec));
-            for (int engine = 0; engine < old_engines; ++engine)
+            for (int engine = 0; engine < pattern_.engines; ++engine)
                 add(start - 60s, state, engine);
             state.begin_changes(last_);
             selectors_.push_back(std::make_unique<upstream_selector>(
@@ -346,8 +351,7 @@
             else if (ms == 2000)
                 replace_engines();
             finish_due(now);
-            // Bursts: three requests at once.
-            if (std::bernoulli_distribution{0.03}(random_))
+            if (std::bernoulli_distribution{pattern_.clumps_per_ms}(random_))
                 for (int clump = 0; clump < 3; ++clump)
                     above.push_back(arrive(now));
             if (ms % 5000 == 4999)
@@ -364,8 +368,6 @@
     }
 
 private:
-    static constexpr int routers = 9;
-    static constexpr int old_engines = 9;
     static constexpr int replaced = 4;
     static constexpr int least_counted = 20;
     static constexpr duration first_token = 75ms;
@@ -391,7 +393,7 @@
         {
             for (int engine = 0; engine < replaced; ++engine)
             {
-                add(start + 2s, *state, old_engines + engine);
+                add(start + 2s, *state, pattern_.engines + engine);
                 state->apply(start + 2s,
                              {"up/a/" + std::to_string(engine), "draining",
                               ++last_, false},
@@ -415,7 +417,7 @@
             for (auto& state : states_)
             {
                 if (since == 0)
-                    add(start + ms * 1ms, *state, old_engines + engine);
+                    add(start + ms * 1ms, *state, pattern_.engines + engine);
                 if (since == until_drain)
                     state->apply(start, {id, "draining", ++last_, false}, {});
                 if (since == until_end)
@@ -428,12 +430,13 @@
 
     bool arrive(time_point now)
     {
-        const auto router =
-            std::uniform_int_distribution<std::size_t>{0, routers - 1}(random_);
+        const auto router = std::uniform_int_distribution<std::size_t>{
+            0, selectors_.size() - 1}(random_);
         const auto prefix =
             std::bernoulli_distribution{pattern_.hot_share}(random_)
                 ? 0
-                : std::uniform_int_distribution<std::uint64_t>{0, 60}(random_);
+                : std::uniform_int_distribution<std::uint64_t>{
+                      0, pattern_.last_prefix}(random_);
         auto& selector = *selectors_[router];
         const auto chosen = selector.choose(
             now, {.service = &service, .affinity = prefix, .avoid = {}});
@@ -511,6 +514,21 @@
             << seed;
 }
 
+TEST(selector_load, pattern_hot_prefix_of_a_large_fleet_stays_below_the_bound)
+{
+    constexpr double bound = 0.03;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        EXPECT_LE(release_model(seed, {.hot_share = 0.1,
+                                       .one_by_one = true,
+                                       .routers = 91,
+                                       .engines = 60,
+                                       .clumps_per_ms = 0.17,
+                                       .last_prefix = 800})
+                      .play(),
+                  bound)
+            << seed;
+}
+
 RC_GTEST_PROP(selector_property, pattern_cold_return_keeps_the_fleet_bound, ())
 {
     // Every engine of the service is cold, and nine routers are busy.
