Own interface on the strict channels; descriptors by one epoll set; TLS streams

The router's own interface still ran on the HTTP library whose framing, connections and repetitions the platform's path had left behind. It now uses the same caller channels, upstream channels and pool as routed services:

- http: byte_stream with a TCP and a TLS form, caller_table, and the channel pool (moved here from relay).
A stream whose reader has its end marker gives its channel back once the body ends.
- net: fd_poller (one event source for all descriptors; the loop's own poll looked at each on every turn) and restartable_timer (a timeout between bytes cost an event source each).

Found on the way, with a test that failed first: the last answer on a connection was cut if it did not fit the system's buffers (the channel left the table and with it the unsent rest). Channels now stay until drained, or without progress for the idle time. And a connection that ended while not being read kept the loop busy.

--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -2,11 +2,14 @@
 // time, and writes whole or streamed answers.
 #pragma once
 
+#include "baobabloft/http/byte_stream.hpp"
 #include "baobabloft/http/message.hpp"
-#include "baobabloft/http/tcp_stream.hpp"
+#include "baobabloft/support/time.hpp"
 
 #include <boost/beast/http/parser.hpp>
 
+#include <functional>
+#include <memory>
 #include <optional>
 
 namespace baobabloft::http
@@ -39,11 +42,13 @@
         std::function<void()> on_gone;
         /// Everything written has left.
         std::function<void()> on_drained;
-        /// A request could not be read; `status` was answered.
-        std::function<void(unsigned status, std::string_view why)> on_rejected;
+        /// A request could not be read; returns the answer with `status`,
+        /// without a body if this is not set.
+        std::function<response(unsigned status, std::string_view why)>
+            on_rejected;
     };
 
-    caller_channel(std::shared_ptr<tcp_stream> stream, caller_limits limits,
+    caller_channel(std::shared_ptr<byte_stream> stream, caller_limits limits,
                    time_point now);
     ~caller_channel();
     caller_channel(const caller_channel&) = delete;
@@ -64,7 +69,8 @@
     /// Ends the connection so that an answer in progress cannot look whole.
     void abort();
 
-    /// Closes if no request is being read or served. Returns true if closed.
+    /// Closes if no request is being read or served, once the answer before has
+    /// left. Returns true if closed.
     bool close_if_idle();
 
     /// Applies timeouts; returns false once the connection is closed.
@@ -81,14 +87,19 @@
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void on_data(std::string_view bytes);
+    void on_drained();
     void parse_input();
     [[nodiscard]] bool has_unknown_coding() const;
     void reject(unsigned status, std::string_view why);
     void finish_answer(time_point now);
     void add_connection_fields(fields& all, bool keep) const;
+    /// Closes once the last answer has left.
     void close();
+    /// Gives up a caller that takes nothing of its last answer; returns false
+    /// once the connection is closed.
+    bool drains(time_point now);
 
-    std::shared_ptr<tcp_stream> stream_;
+    std::shared_ptr<byte_stream> stream_;
     caller_limits limits_;
     handlers handlers_;
     std::string input_;
@@ -100,7 +111,11 @@
     bool is_head_ = false;
     bool parsing_ = false;
     bool continue_sent_ = false;
-    /// Start of the present request, or of the idle time.
+    /// The last answer is written; the connection ends once it has left.
+    bool closing_ = false;
+    std::size_t unsent_before_ = 0;
+    /// Start of the present request, of the idle time, or of the time without
+    /// progress while closing.
     time_point since_;
 };
 
--- a/include/baobabloft/http/upstream_channel.hpp
+++ b/include/baobabloft/http/upstream_channel.hpp
@@ -78,6 +78,10 @@
     /// Drops the exchange and closes; no handler runs any more.
     void abandon();
 
+    /// Drops the exchange but reads its answer to the end, so that the channel
+    /// may carry another. Returns false if that cannot be.
+    bool discard_answer();
+
     void set_reading(bool enabled);
 
     /// Returns true once a byte of the present request left the process.
--- a/include/baobabloft/net/event_loop.hpp
+++ b/include/baobabloft/net/event_loop.hpp
@@ -2,6 +2,7 @@
 // and its state; other threads reach it only by post().
 #pragma once
 
+#include "baobabloft/net/fd_poller.hpp"
 #include "baobabloft/support/time.hpp"
 
 #include <functional>
@@ -77,6 +78,9 @@
     /// Cancels a timer that has not fired yet.
     void cancel(guint source);
 
+    /// Watches descriptors; own thread only.
+    fd_poller& poller();
+
     /// Returns the context, to attach sources to.
     [[nodiscard]] GMainContext* context() const;
 
@@ -98,6 +102,8 @@
 
     GMainContext* context_;
     GMainLoop* loop_;
+    /// Made with the first descriptor.
+    std::unique_ptr<fd_poller> poller_;
 };
 
 /// Returns the present by the monotonic clock.
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -7,17 +7,16 @@
 #include "baobabloft/dispatch/freshness.hpp"
 #include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
-#include "baobabloft/http/caller_channel.hpp"
+#include "baobabloft/http/caller_table.hpp"
+#include "baobabloft/http/channel_pool.hpp"
 #include "baobabloft/net/codec.hpp"
 #include "baobabloft/net/datagram_socket.hpp"
-#include "baobabloft/relay/channel_pool.hpp"
 #include "baobabloft/relay/ports.hpp"
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/settings.hpp"
 #include "baobabloft/routing/crash_tracker.hpp"
 
 #include <random>
-#include <unordered_set>
 
 namespace baobabloft::relay
 {
@@ -31,7 +30,7 @@
     const header_dialect& dialect;
     router::metrics& counters;
     directory::directory_follower follower;
-    channel_pool pool;
+    http::channel_pool pool;
     dispatch::upstream_selector selector;
     dispatch::arrival_budget budget;
     dispatch::freshness_bounds freshness;
@@ -79,10 +78,10 @@
     void reload(const router::settings& options);
 
 private:
-    using caller_ptr = std::shared_ptr<http::caller_channel>;
+    using caller_ptr = http::caller_table::caller_ptr;
 
-    void accept(std::shared_ptr<http::tcp_stream> stream);
-    void accept_page(std::shared_ptr<http::tcp_stream> stream);
+    void accept(std::shared_ptr<http::byte_stream> stream);
+    void accept_page(std::shared_ptr<http::byte_stream> stream);
     void serve_page(const caller_ptr& channel, const http::request& message);
     void begin_request(const caller_ptr& channel, http::request&& message);
     void sweep();
@@ -123,7 +122,7 @@
     directory_store& store_;
     relay_context context_;
     std::vector<std::unique_ptr<http::tcp_listener>> listeners_;
-    std::unordered_set<caller_ptr> callers_;
+    http::caller_table callers_;
     std::optional<net::datagram_keys> keys_;
     std::string linked_secret_;
     std::unique_ptr<net::datagram_socket> socket_;
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobabloft/dispatch/retry_rules.hpp"
+#include "baobabloft/net/restartable_timer.hpp"
 #include "baobabloft/relay/relay.hpp"
 #include "baobabloft/router/refusal.hpp"
 #include "baobabloft/router/sse.hpp"
@@ -11,7 +12,8 @@
 {
 
 /// Keeps itself alive until the request is over.
-class relay_session : public std::enable_shared_from_this<relay_session>
+class relay_session : public http::caller_session,
+                      public std::enable_shared_from_this<relay_session>
 {
 public:
     /// Serves `message`, which came on `caller`.
@@ -22,14 +24,10 @@
     relay_session(relay_context& context,
                   std::shared_ptr<http::caller_channel> caller,
                   http::request&& message);
-    ~relay_session();
-    relay_session(const relay_session&) = delete;
-    relay_session& operator=(const relay_session&) = delete;
+    ~relay_session() override;
 
-    /// The caller went away.
-    void caller_gone();
-    /// Everything sent to the caller has left.
-    void caller_drained();
+    void caller_gone() override;
+    void caller_drained() override;
 
 private:
     struct attempt
@@ -88,7 +86,6 @@
     void finish(std::string_view outcome);
 
     void arm(const attempt_ptr& at);
-    void disarm();
     [[nodiscard]] duration patience(time_point now) const;
     [[nodiscard]] std::uint32_t urgency() const;
 
@@ -110,7 +107,7 @@
     std::uint32_t arrivals_ = 0;
     std::vector<std::string> avoid_;
     attempt_ptr current_;
-    guint timer_ = 0;
+    net::restartable_timer timer_;
     router::sse_splitter splitter_;
     std::optional<std::uint64_t> last_event_;
     time_point last_progress_;
--- /dev/null
+++ b/include/baobabloft/router/pages.hpp
@@ -0,0 +1,20 @@
+// Pages that a worker serves beside requests: health, metrics, and what
+// operators and other routers ask for.
+#pragma once
+
+#include "baobabloft/router/worker.hpp"
+
+#include <string_view>
+
+namespace baobabloft::router
+{
+
+/// Returns true if `path`, without a query, is a page.
+bool is_page(std::string_view path);
+
+/// Answers a request for a page.
+void serve_page(worker_context& context,
+                const http::caller_table::caller_ptr& caller,
+                const http::request& message);
+
+} // namespace baobabloft::router
--- a/include/baobabloft/router/proxy_session.hpp
+++ b/include/baobabloft/router/proxy_session.hpp
@@ -1,7 +1,8 @@
 // One caller's request from its arrival to the last byte of its answer. A
-// session keeps itself alive through the operations it waits for.
+// session keeps itself alive until the request is over.
 #pragma once
 
+#include "baobabloft/net/restartable_timer.hpp"
 #include "baobabloft/router/request.hpp"
 #include "baobabloft/router/sse.hpp"
 #include "baobabloft/router/worker.hpp"
@@ -14,16 +15,23 @@
 {
 
 /// Takes a request through claim, permit, upstream and answer.
-class proxy_session : public std::enable_shared_from_this<proxy_session>
+class proxy_session : public http::caller_session,
+                      public std::enable_shared_from_this<proxy_session>
 {
 public:
-    /// Starts a session for `message`, whose body has been read.
-    static void start(worker_context& context, SoupServerMessage* message);
+    using caller_ptr = http::caller_table::caller_ptr;
 
-    proxy_session(worker_context& context, SoupServerMessage* message);
-    ~proxy_session();
-    proxy_session(const proxy_session&) = delete;
-    proxy_session& operator=(const proxy_session&) = delete;
+    /// Serves `message`, which came on `caller`.
+    static std::shared_ptr<proxy_session> start(worker_context& context,
+                                                const caller_ptr& caller,
+                                                http::request&& message);
+
+    proxy_session(worker_context& context, caller_ptr caller,
+                  http::request&& message);
+    ~proxy_session() override;
+
+    void caller_gone() override;
+    void caller_drained() override;
 
 private:
     /// One try at one upstream.
@@ -34,13 +42,14 @@
         bool has_permit = false;
         upstream_id upstream{};
         std::string upstream_name;
+        std::string address;
         std::string request_id;
-        net::object_ptr<SoupMessage> message;
-        net::object_ptr<GInputStream> body;
-        net::object_ptr<GCancellable> cancel;
+        std::shared_ptr<http::upstream_channel> channel;
+        http::response_head head;
         time_point started;
         std::uint16_t first_token_ms = 0;
-        /// A byte of the request may have reached a connection.
+        /// A byte of the request left the process; known once the attempt let
+        /// go of its connection.
         bool sent = false;
         /// The upstream sent a byte of its answer.
         bool answered = false;
@@ -48,77 +57,64 @@
         bool over = false;
     };
 
-    using self_ptr = std::shared_ptr<proxy_session>;
     using attempt_ptr = std::shared_ptr<attempt>;
 
-    /// Keeps session and attempt alive through one asynchronous operation.
-    struct operation
-    {
-        self_ptr session;
-        attempt_ptr at;
-    };
-
     void begin();
     void begin_claim();
     void on_claim(const ledger::claim_decision& decision);
     void seek_upstream(bool is_retry);
     void on_route(const attempt_ptr& at, const route_answer& answer);
-    void send(const attempt_ptr& at, const std::string& address);
-    void on_reply_headers(const attempt_ptr& at, const GError* error);
-    void read_more(const attempt_ptr& at);
-    void on_bytes(const attempt_ptr& at, GBytes* bytes, const GError* error);
+    void send(const attempt_ptr& at);
+    [[nodiscard]] http::request_head upstream_head(const attempt_ptr& at) const;
+
+    void on_head(const attempt_ptr& at, const http::response_head& head);
+    void on_body(const attempt_ptr& at, std::string_view bytes);
+    void on_complete(const attempt_ptr& at);
+    void on_failure(const attempt_ptr& at, http::exchange_failure why);
+    void on_timeout(const attempt_ptr& at);
+
     void on_stream_bytes(const attempt_ptr& at, std::string_view bytes);
-    void on_stream_end(const attempt_ptr& at);
     void on_whole_answer(const attempt_ptr& at);
-    bool deliver_event(const attempt_ptr& at, const sse_event& event,
-                       std::string& out);
-    void on_caller_ready();
+    /// Adds to `out` what the caller has not got of an event; returns true for
+    /// the end marker.
+    bool deliver_event(const sse_event& event, std::string& out);
 
+    [[nodiscard]] bool is_streaming(const attempt_ptr& at) const;
+    [[nodiscard]] static bool was_sent(const attempt_ptr& at);
     /// Ends the attempt and returns its permit.
     void end_attempt(const attempt_ptr& at, routing::outcome how);
+    /// Lets go of the attempt's connection.
+    void release_channel(const attempt_ptr& at, routing::outcome how);
     /// Ends a failed attempt, then retries or refuses.
     void fail_attempt(const attempt_ptr& at, routing::outcome how,
                       refusal_kind kind);
     [[nodiscard]] bool may_retry(const attempt_ptr& at) const;
+    [[nodiscard]] bool has_room_for_retry() const;
+
     void refuse(refusal_kind kind);
     [[nodiscard]] executed execution() const;
-    void respond_whole(unsigned status, const std::string& type,
-                       const std::string& body);
+    void respond_whole(unsigned status, std::string_view type,
+                       std::string body);
     void start_stream(const attempt_ptr& at);
     void end_stream();
-    void finish_claim(const attempt_ptr& at, unsigned status,
-                      const std::string& type);
-    void set_common_headers(const std::string& upstream_name);
+    void finish_claim(const attempt_ptr& at, std::string_view type);
     void count_answer(bool in_time);
     void count_objective(objective goal, bool missed);
+    /// Ends the session once nothing is left to do.
+    void finish();
 
     void arm(duration delay, const attempt_ptr& at);
-    void disarm();
-    void watch_caller();
-    void unwatch_caller();
-    void caller_left();
+    /// Arms the timer for the next byte of the answer.
+    void arm_for_progress(const attempt_ptr& at);
     [[nodiscard]] time_point now() const;
-    [[nodiscard]] bool has_room_for_retry() const;
-
-    static void on_headers_ready(GObject* source, GAsyncResult* result,
-                                 gpointer data);
-    static void on_bytes_ready(GObject* source, GAsyncResult* result,
-                               gpointer data);
-    static void on_starting(SoupMessage* message, gpointer data);
-    static void on_network_event(SoupMessage* message, GSocketClientEvent event,
-                                 GIOStream* stream, gpointer data);
-    static void on_chunk_written(SoupServerMessage* message, gpointer data);
-    static void on_finished(SoupServerMessage* message, gpointer data);
-    static gboolean on_caller_readable(GSocket* socket, GIOCondition condition,
-                                       gpointer data);
 
     worker_context& context_;
-    net::object_ptr<SoupServerMessage> caller_;
+    caller_ptr caller_;
+    http::request message_;
+    /// Headers of the answer that the session adds.
+    http::fields added_;
     routed_request request_;
     std::string request_id_;
-    std::string method_;
-    std::string content_type_;
-    std::string body_;
     time_point arrived_;
     time_point latest_;
     attempt_ptr current_;
@@ -134,17 +130,13 @@
     bool events_have_ids_ = true;
     bool stream_started_ = false;
     time_point last_token_;
-    guint timer_ = 0;
-    GSource* caller_watch_ = nullptr;
-    gulong finished_handler_ = 0;
-    gulong chunk_handler_ = 0;
+    net::restartable_timer timer_;
     bool waits_for_caller_ = false;
-    bool stream_over_ = false;
     bool responded_ = false;
     bool caller_gone_ = false;
     bool counted_ = false;
-    /// Holds the session while the caller's message lives.
-    self_ptr held_;
+    /// Holds the session until the request is over.
+    std::shared_ptr<proxy_session> held_;
 };
 
 } // namespace baobabloft::router
--- a/include/baobabloft/router/worker.hpp
+++ b/include/baobabloft/router/worker.hpp
@@ -1,9 +1,10 @@
-// A worker: one thread with its own HTTP server on the shared port and its own
-// connections to upstreams. It shares nothing with other workers and reaches
-// the control task by messages.
+// A worker: one thread with its own listener on the shared port and its own
+// connections to callers and upstreams. It shares nothing with other workers
+// and reaches the control task by messages.
 #pragma once
 
-#include "baobabloft/net/http_client.hpp"
+#include "baobabloft/http/caller_table.hpp"
+#include "baobabloft/http/channel_pool.hpp"
 #include "baobabloft/router/control_task.hpp"
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/settings.hpp"
@@ -25,10 +26,15 @@
     metrics& counters;
     net::event_loop loop{};
     reply_table replies{loop};
-    net::object_ptr<SoupSession> upstreams{};
+    http::channel_pool upstreams;
     published_state state{};
     std::mt19937_64 random{};
     std::atomic<std::size_t> in_progress{0};
+
+    worker_context(const settings& own_options, control_task& own_control,
+                   metrics& own_counters);
+
+    [[nodiscard]] bool is_leaving() const;
 };
 
 /// Serves callers on one thread.
@@ -53,22 +59,20 @@
     [[nodiscard]] std::size_t in_progress() const;
 
 private:
-    bool prepare(failure& reason);
+    using caller_ptr = http::caller_table::caller_ptr;
+
     bool listen(failure& reason);
     bool load_certificate(failure& reason);
-    void add_handlers();
-
-    static void on_early(SoupServer* server, SoupServerMessage* message,
-                         const char* path, GHashTable* query, gpointer data);
-    static void on_request(SoupServer* server, SoupServerMessage* message,
-                           const char* path, GHashTable* query, gpointer data);
-    static void on_page(SoupServer* server, SoupServerMessage* message,
-                        const char* path, GHashTable* query, gpointer data);
-    void serve_page(SoupServerMessage* message, std::string_view path);
-    [[nodiscard]] bool is_operator(SoupServerMessage* message) const;
+    void accept(std::shared_ptr<http::byte_stream> stream);
+    void sweep();
+    std::shared_ptr<http::caller_session> serve(const caller_ptr& caller,
+                                                http::request&& message);
+    http::response describe_rejection(unsigned status);
 
     worker_context context_;
-    net::object_ptr<SoupServer> server_;
+    http::tls_certificate certificate_;
+    std::unique_ptr<http::tcp_listener> listener_;
+    http::caller_table callers_;
     std::thread thread_;
 };
 
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -1,5 +1,7 @@
 #include "baobabloft/http/caller_channel.hpp"
 
+#include "baobabloft/net/event_loop.hpp"
+
 namespace baobabloft::http
 {
 
@@ -29,7 +31,7 @@
 
 } // namespace
 
-caller_channel::caller_channel(std::shared_ptr<tcp_stream> stream,
+caller_channel::caller_channel(std::shared_ptr<byte_stream> stream,
                                caller_limits limits, time_point now)
     : stream_(std::move(stream)), limits_(limits), since_(now)
 {
@@ -58,14 +60,23 @@
                            .on_drained =
                                [weak]
                            {
-                               if (const auto self = weak.lock();
-                                   self && self->handlers_.on_drained)
-                                   self->handlers_.on_drained();
+                               if (const auto self = weak.lock())
+                                   self->on_drained();
                            }});
 }
 
+void caller_channel::on_drained()
+{
+    const auto told = closing_ ? handlers_.on_gone : handlers_.on_drained;
+    if (told)
+        told();
+}
+
 void caller_channel::on_data(std::string_view bytes)
 {
+    // What follows the last answer belongs to no request.
+    if (closing_)
+        return;
     input_ += bytes;
     if (serving_)
     {
@@ -145,19 +156,16 @@
 void caller_channel::reject(unsigned status, std::string_view why)
 {
     const auto self = shared_from_this();
-    response message{static_cast<bhttp::status>(status), http_1_1};
+    const auto describe = handlers_.on_rejected;
+    auto message = describe ? describe(status, why) : response{};
+    message.result(status);
+    message.version(http_1_1);
     message.set(bhttp::field::connection, "close");
     message.prepare_payload();
     stream_->send(whole_bytes(message));
-    // The rest of the input belongs to no request.
     input_.clear();
     stream_->set_reading(false);
-    stream_->close_when_drained();
-    const auto tell = handlers_.on_rejected;
-    if (tell)
-        tell(status, why);
-    if (handlers_.on_gone)
-        handlers_.on_gone();
+    close();
 }
 
 void caller_channel::add_connection_fields(fields& all, bool keep) const
@@ -224,10 +232,12 @@
 
 void caller_channel::close()
 {
-    // Unread input would turn the close into a reset and could take the
-    // answer with it.
+    closing_ = true;
+    unsent_before_ = stream_->unsent();
+    since_ = net::boot_now();
+    // The answer may still be on its way out.
     stream_->close_when_drained();
-    if (handlers_.on_gone)
+    if (!stream_->is_open() && handlers_.on_gone)
         handlers_.on_gone();
 }
 
@@ -238,10 +248,11 @@
 
 bool caller_channel::close_if_idle()
 {
-    if (serving_ || parser_ || !input_.empty())
-        return false;
-    stream_->close_when_drained();
-    return true;
+    if (serving_ || closing_ || parser_ || !input_.empty())
+        return !stream_->is_open();
+    const auto self = shared_from_this();
+    close();
+    return !stream_->is_open();
 }
 
 bool caller_channel::check_timeouts(time_point now)
@@ -250,6 +261,8 @@
         return false;
     if (serving_)
         return true;
+    if (closing_)
+        return drains(now);
     if (parser_)
     {
         if (!parser_->is_header_done() && now - since_ > limits_.header_timeout)
@@ -261,6 +274,17 @@
     return stream_->is_open();
 }
 
+bool caller_channel::drains(time_point now)
+{
+    const auto unsent = stream_->unsent();
+    if (unsent < unsent_before_)
+        since_ = now;
+    unsent_before_ = unsent;
+    if (now - since_ > limits_.idle_timeout)
+        stream_->abort();
+    return stream_->is_open();
+}
+
 bool caller_channel::is_open() const
 {
     return stream_->is_open();
--- a/lib/relay/channel_pool.cpp
+++ b/lib/http/channel_pool.cpp
@@ -1,35 +1,24 @@
-#include "baobabloft/relay/channel_pool.hpp"
+#include "baobabloft/http/channel_pool.hpp"
 
 #include <algorithm>
 
-namespace baobabloft::relay
+namespace baobabloft::http
 {
 
 namespace
 {
 
-/// Sent bytes that stay unacknowledged for this long mean a dead connection.
-constexpr duration unacknowledged_timeout = 1500ms;
 /// A connection is not used in the last part of its announced idle time, when
 /// the upstream may be closing it.
 constexpr duration idle_margin = 300ms;
-/// Idle time that upstreams grant if they announce none: the announcement is
-/// in whole seconds, so theirs is shorter than one.
-constexpr duration unannounced_idle = 500ms;
-/// Longest time that a connection is kept idle.
-constexpr duration max_kept_idle = 8s;
+/// Time in which an answer that nobody waits for may end.
+constexpr duration ending_time = 1s;
 /// Part of an upstream's bound on connections that all routers use together.
 constexpr double used_part = 0.8;
 /// Connections that every router may open, whatever its share.
 constexpr std::size_t least_share = 2;
 
-duration usable_idle(const http::upstream_channel& channel)
-{
-    const auto announced = channel.announced_idle();
-    return announced ? *announced - idle_margin : unannounced_idle;
-}
-
-bool is_open(const std::weak_ptr<http::upstream_channel>& channel)
+bool is_open(const std::weak_ptr<upstream_channel>& channel)
 {
     const auto held = channel.lock();
     return held && held->is_open();
@@ -37,14 +26,42 @@
 
 } // namespace
 
-channel_pool::channel_pool(net::event_loop& loop) : loop_(loop) {}
+channel_pool::channel_pool(net::event_loop& loop,
+                           const channel_pool_options& options)
+    : loop_(loop), options_(options)
+{
+}
 
-std::shared_ptr<http::upstream_channel>
-channel_pool::acquire(time_point now,
-                      const directory::upstream_record& upstream,
-                      duration max_idle)
+duration channel_pool::usable_idle(const upstream_channel& channel) const
 {
-    auto& known = upstreams_[upstream.id];
+    const auto announced = channel.announced_idle();
+    return announced ? *announced - idle_margin : options_.unannounced_idle;
+}
+
+void channel_pool::keep_ended(time_point now, upstream_channels& known)
+{
+    std::erase_if(known.ending,
+                  [&](idle_channel& item)
+                  {
+                      if (item.channel->is_reusable())
+                      {
+                          known.idle.push_back({std::move(item.channel), now});
+                          return true;
+                      }
+                      const bool is_late = now - item.since > ending_time;
+                      if (is_late)
+                          item.channel->abandon();
+                      return is_late || !item.channel->is_open();
+                  });
+}
+
+std::shared_ptr<upstream_channel> channel_pool::acquire(time_point now,
+                                                        const std::string& id,
+                                                        const endpoint& address,
+                                                        duration max_idle)
+{
+    auto& known = upstreams_[id];
+    keep_ended(now, known);
     // The latest used is the least likely to have gone silent.
     while (!known.idle.empty())
     {
@@ -62,9 +79,7 @@
             break;
         }
     }
-    auto channel = http::upstream_channel::open(
-        loop_, upstream.address,
-        {.unacknowledged_timeout = unacknowledged_timeout});
+    auto channel = upstream_channel::open(loop_, address, options_.stream);
     if (!channel)
         return nullptr;
     std::erase_if(known.open, [](const auto& item) { return !is_open(item); });
@@ -73,21 +88,26 @@
     return channel;
 }
 
-void channel_pool::release(
-    time_point now, const std::string& id,
-    const std::shared_ptr<http::upstream_channel>& channel)
+void channel_pool::release(time_point now, const std::string& id,
+                           const std::shared_ptr<upstream_channel>& channel)
 {
-    if (!channel->is_reusable())
+    if (!channel->is_open())
         return;
     channel->set_reading(true);
-    upstreams_[id].idle.push_back({channel, now});
+    auto& known = upstreams_[id];
+    if (channel->is_reusable())
+        known.idle.push_back({channel, now});
+    else if (channel->discard_answer())
+        known.ending.push_back({channel, now});
+    else
+        channel->abandon();
 }
 
-bool channel_pool::has_room(const directory::upstream_record& upstream,
+bool channel_pool::has_room(const std::string& id,
                             std::uint32_t max_connections,
                             std::size_t routers) const
 {
-    const auto found = upstreams_.find(upstream.id);
+    const auto found = upstreams_.find(id);
     if (found == upstreams_.end() || !found->second.idle.empty() ||
         max_connections == 0)
         return true;
@@ -96,7 +116,7 @@
                  static_cast<std::size_t>(
                      used_part * max_connections /
                      static_cast<double>(std::max<std::size_t>(routers, 1))));
-    return open_count(upstream.id) < share;
+    return open_count(id) < share;
 }
 
 std::size_t channel_pool::open_count(const std::string& id) const
@@ -108,20 +128,21 @@
         found->second.open.begin(), found->second.open.end(), is_open));
 }
 
-void channel_pool::sweep(time_point now,
-                         const directory::directory_state& directory)
+void channel_pool::sweep(
+    time_point now, const std::function<bool(const std::string& id)>& is_listed)
 {
     for (auto item = upstreams_.begin(); item != upstreams_.end();)
     {
         auto& [id, known] = *item;
-        const bool gone = !directory.upstreams().contains(id);
+        const bool gone = !is_listed(id);
+        keep_ended(now, known);
         std::erase_if(known.idle,
                       [&](const idle_channel& idle)
                       {
                           const auto age = now - idle.since;
                           return gone || !idle.channel->is_reusable() ||
                                  age >= usable_idle(*idle.channel) ||
-                                 age >= max_kept_idle;
+                                 age >= options_.max_kept_idle;
                       });
         std::erase_if(known.open,
                       [](const auto& channel) { return !is_open(channel); });
@@ -137,4 +158,4 @@
     return opened_;
 }
 
-} // namespace baobabloft::relay
+} // namespace baobabloft::http
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -21,14 +21,10 @@
 constexpr int reads_per_turn = 4;
 /// Connections accepted in one turn of the loop.
 constexpr int accepts_per_turn = 64;
-constexpr int listen_backlog = 1024;
-
-struct stream_source
-{
-    GSource base;
-    tcp_stream* stream;
-    gpointer tag;
-};
+constexpr int listen_backlog = 4096;
+/// Interval and number of unanswered probes of a silent connection.
+constexpr int probe_interval_s = 2;
+constexpr int probes = 3;
 
 sockaddr_in to_sockaddr(const endpoint& address)
 {
@@ -51,6 +47,13 @@
     set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
     set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
                static_cast<int>(options.unacknowledged_timeout / 1ms));
+    if (options.probed_after == duration{})
+        return;
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE,
+               static_cast<int>(options.probed_after / 1s));
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, probes);
 }
 
 int open_socket()
@@ -65,26 +68,6 @@
 
 } // namespace
 
-gboolean dispatch_stream(GSource* source, GSourceFunc /*callback*/,
-                         gpointer /*data*/)
-{
-    auto* own = reinterpret_cast<stream_source*>(source);
-    own->stream->on_ready(g_source_query_unix_fd(source, own->tag));
-    return G_SOURCE_CONTINUE;
-}
-
-namespace
-{
-
-GSourceFuncs stream_functions{.prepare = nullptr,
-                              .check = nullptr,
-                              .dispatch = dispatch_stream,
-                              .finalize = nullptr,
-                              .closure_callback = nullptr,
-                              .closure_marshal = nullptr};
-
-} // namespace
-
 std::shared_ptr<tcp_stream> tcp_stream::connect(net::event_loop& loop,
                                                 const endpoint& peer,
                                                 const stream_options& options)
@@ -114,13 +97,7 @@
 tcp_stream::tcp_stream(net::event_loop& loop, int fd, bool connected)
     : loop_(loop), fd_(fd), connected_(connected)
 {
-    source_ = g_source_new(&stream_functions, sizeof(stream_source));
-    auto* own = reinterpret_cast<stream_source*>(source_);
-    own->stream = this;
-    own->tag =
-        g_source_add_unix_fd(source_, fd_, connected ? G_IO_IN : G_IO_OUT);
-    tag_ = own->tag;
-    g_source_attach(source_, loop_.context());
+    update_interest();
 }
 
 tcp_stream::~tcp_stream()
@@ -167,9 +144,9 @@
 {
     if (fd_ < 0)
         return;
-    g_source_destroy(source_);
-    g_source_unref(source_);
-    source_ = nullptr;
+    if (watch_)
+        loop_.poller().unwatch(*watch_);
+    watch_.reset();
     ::close(fd_);
     fd_ = -1;
     queue_.clear();
@@ -216,8 +193,21 @@
         end(stream_end::reset);
         return;
     }
-    if (fd_ >= 0 && (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0)
+    if (fd_ < 0 || (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR)) == 0)
+        return;
+    if (reading_)
         read_available();
+    else
+        pause_watch();
+}
+
+void tcp_stream::pause_watch()
+{
+    // The end is told over and over, and read once reading resumes.
+    if (unsent() > 0 || !watch_)
+        return;
+    loop_.poller().unwatch(*watch_);
+    watch_.reset();
 }
 
 void tcp_stream::finish_connect()
@@ -292,10 +282,7 @@
         queue_.clear();
         queue_start_ = 0;
         if (closing_)
-        {
             close();
-            return;
-        }
     }
     update_interest();
     if (wrote && unsent() == 0 && handlers_.on_drained)
@@ -314,7 +301,11 @@
         wanted |= G_IO_OUT;
     if (connected_ && reading_)
         wanted |= G_IO_IN;
-    g_source_modify_unix_fd(source_, tag_, static_cast<GIOCondition>(wanted));
+    const auto condition = static_cast<GIOCondition>(wanted);
+    if (watch_)
+        loop_.poller().change(*watch_, condition);
+    else
+        watch_ = loop_.poller().watch(fd_, condition, *this);
 }
 
 void tcp_stream::end(stream_end how)
@@ -329,7 +320,7 @@
 
 std::unique_ptr<tcp_listener> tcp_listener::open(net::event_loop& loop,
                                                  const endpoint& address,
-                                                 const stream_options& options,
+                                                 const listen_options& options,
                                                  accept_callback on_accept,
                                                  failure& reason)
 {
@@ -337,6 +328,8 @@
     const auto bound = to_sockaddr(address);
     if (fd >= 0)
         set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (fd >= 0 && options.shares_address)
+        set_option(fd, SOL_SOCKET, SO_REUSEPORT, 1);
     if (fd >= 0 &&
         bind(fd, reinterpret_cast<const sockaddr*>(&bound), sizeof bound) ==
             0 &&
@@ -353,7 +346,7 @@
 }
 
 tcp_listener::tcp_listener(net::event_loop& loop, int fd,
-                           stream_options options, accept_callback on_accept)
+                           listen_options options, accept_callback on_accept)
     : loop_(loop), fd_(fd), options_(options), on_accept_(std::move(on_accept))
 {
     source_ = g_unix_fd_source_new(fd_, G_IO_IN);
@@ -384,8 +377,20 @@
             accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
-        on_accept_(tcp_stream::adopt(loop_, fd, options_));
+        adopt(fd);
+    }
+}
+
+void tcp_listener::adopt(int fd)
+{
+    if (options_.certificate == nullptr)
+    {
+        on_accept_(tcp_stream::adopt(loop_, fd, options_.stream));
+        return;
     }
+    apply_options(fd, options_.stream);
+    if (auto stream = tls_stream::accept(loop_, fd, *options_.certificate))
+        on_accept_(std::move(stream));
 }
 
 } // namespace baobabloft::http
--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -139,6 +139,12 @@
     stream_->abort();
 }
 
+bool upstream_channel::discard_answer()
+{
+    handlers_.reset();
+    return busy_ && !spent_ && head_seen_ && !parser_->need_eof();
+}
+
 void upstream_channel::set_reading(bool enabled)
 {
     stream_->set_reading(enabled);
--- a/lib/net/event_loop.cpp
+++ b/lib/net/event_loop.cpp
@@ -42,6 +42,7 @@
 
 event_loop::~event_loop()
 {
+    poller_.reset();
     g_main_loop_unref(loop_);
     g_main_context_unref(context_);
 }
@@ -93,6 +94,13 @@
         g_source_destroy(found);
 }
 
+fd_poller& event_loop::poller()
+{
+    if (!poller_)
+        poller_ = std::make_unique<fd_poller>(context_);
+    return *poller_;
+}
+
 GMainContext* event_loop::context() const
 {
     return context_;
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -21,10 +21,16 @@
 constexpr duration follow_period = 10ms;
 /// A silent caller's connection is found out after this.
 constexpr duration caller_unacknowledged = 10s;
+/// Bytes sent to an upstream that stay unacknowledged for this long mean a
+/// dead connection.
+constexpr duration upstream_unacknowledged = 1500ms;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
 
+constexpr http::stream_options upstream_stream{.unacknowledged_timeout =
+                                                   upstream_unacknowledged};
+
 std::uint64_t random_seed()
 {
     std::uint64_t seed = 0;
@@ -74,7 +80,7 @@
                .follower = {codec,
                             {.router = options.router_name,
                              .data_centre = options.data_centre}},
-               .pool = channel_pool{loop},
+               .pool = http::channel_pool{loop, {.stream = upstream_stream}},
                .selector = {context_.follower.state(),
                             {.data_centre = options.data_centre,
                              .router = options.router_name,
@@ -85,7 +91,7 @@
                                    const directory::routed_service& service)
                             {
                                 return context_.pool.has_room(
-                                    upstream.record, service.max_connections,
+                                    upstream.record.id, service.max_connections,
                                     context_.routers());
                             }},
                .budget = {arrival_bound_of(options), net::boot_now()},
@@ -105,8 +111,8 @@
 
 bool relay::start(failure& reason)
 {
-    const http::stream_options to_callers{.unacknowledged_timeout =
-                                              caller_unacknowledged};
+    const http::listen_options to_callers{
+        .stream = {.unacknowledged_timeout = caller_unacknowledged}};
     const auto listen = [&](const endpoint& address, auto on_accept)
     {
         auto listener = http::tcp_listener::open(loop_, address, to_callers,
@@ -116,12 +122,12 @@
         listeners_.push_back(std::move(listener));
         return true;
     };
-    const auto pages = [this](std::shared_ptr<http::tcp_stream> stream)
+    const auto pages = [this](std::shared_ptr<http::byte_stream> stream)
     {
         accept_page(std::move(stream));
     };
     if (!listen(options_.listen,
-                [this](std::shared_ptr<http::tcp_stream> stream)
+                [this](std::shared_ptr<http::byte_stream> stream)
                 { accept(std::move(stream)); }))
         return false;
     if (options_.ready_listen && !listen(*options_.ready_listen, pages))
@@ -147,58 +153,36 @@
     return limits;
 }
 
-void relay::accept(std::shared_ptr<http::tcp_stream> stream)
+void relay::accept(std::shared_ptr<http::byte_stream> stream)
 {
-    const auto channel = std::make_shared<http::caller_channel>(
-        std::move(stream), caller_limits(), net::boot_now());
-    callers_.insert(channel);
-    const std::weak_ptr<http::caller_channel> weak = channel;
-    // The session of the request in progress, shared by the callbacks.
-    const auto session = std::make_shared<std::weak_ptr<relay_session>>();
-    channel->start({.on_request =
-                        [this, weak, session](http::request&& message)
-                    {
-                        if (const auto held = weak.lock())
-                            *session = relay_session::start(context_, held,
-                                                            std::move(message));
-                    },
-                    .on_gone =
-                        [this, weak, session]
-                    {
-                        if (const auto active = session->lock())
-                            active->caller_gone();
-                        callers_.erase(weak.lock());
-                    },
-                    .on_drained =
-                        [session]
-                    {
-                        if (const auto active = session->lock())
-                            active->caller_drained();
-                    },
-                    .on_rejected =
-                        [](unsigned status, std::string_view why)
-                    {
-                        log_event(log_level::info, "unreadable_request",
-                                  {{"status", std::to_string(status)},
-                                   {"why", std::string{why}}});
-                    }});
+    callers_.accept(
+        std::move(stream), caller_limits(),
+        {.on_request =
+             [this](const caller_ptr& channel, http::request&& message) {
+                 return relay_session::start(context_, channel,
+                                             std::move(message));
+             },
+         .on_rejected =
+             [](unsigned status, std::string_view why)
+         {
+             log_event(log_level::info, "unreadable_request",
+                       {{"status", std::to_string(status)},
+                        {"why", std::string{why}}});
+             return http::response{};
+         }});
 }
 
-void relay::accept_page(std::shared_ptr<http::tcp_stream> stream)
+void relay::accept_page(std::shared_ptr<http::byte_stream> stream)
 {
-    const auto channel = std::make_shared<http::caller_channel>(
-        std::move(stream), http::caller_limits{}, net::boot_now());
-    callers_.insert(channel);
-    const std::weak_ptr<http::caller_channel> weak = channel;
-    channel->start({.on_request =
-                        [this, weak](http::request&& message)
-                    {
-                        if (const auto held = weak.lock())
-                            serve_page(held, message);
-                    },
-                    .on_gone = [this, weak] { callers_.erase(weak.lock()); },
-                    .on_drained = nullptr,
-                    .on_rejected = nullptr});
+    callers_.accept(
+        std::move(stream), http::caller_limits{},
+        {.on_request =
+             [this](const caller_ptr& channel, http::request&& message)
+         {
+             serve_page(channel, message);
+             return nullptr;
+         },
+         .on_rejected = nullptr});
 }
 
 void relay::serve_page(const caller_ptr& channel, const http::request& message)
@@ -249,15 +233,10 @@
 void relay::sweep()
 {
     const auto now = net::boot_now();
-    std::vector<caller_ptr> closed;
-    for (const auto& channel : callers_)
-        closed.push_back(channel);
-    std::erase_if(closed, [now](const caller_ptr& channel)
-                  { return channel->check_timeouts(now); });
-    for (const auto& channel : closed)
-        callers_.erase(channel);
+    callers_.check_timeouts(now);
     const auto& state = context_.follower.state();
-    context_.pool.sweep(now, state);
+    context_.pool.sweep(now, [&state](const std::string& id)
+                        { return state.upstreams().contains(id); });
     if (state.generation() != seen_generation_)
     {
         seen_generation_ = state.generation();
@@ -332,14 +311,12 @@
     const auto waited = net::boot_now() - *context_.leaving_since;
     if (waited < context_.shutdown.notice)
         return;
-    for (const auto& channel : std::vector(callers_.begin(), callers_.end()))
-        if (channel->close_if_idle())
-            callers_.erase(channel);
+    callers_.close_idle();
     const bool too_long =
         waited >= context_.shutdown.limit - context_.shutdown.reserve;
-    if (!callers_.empty() && !too_long)
+    if (callers_.size() > 0 && !too_long)
         return;
-    const bool graceful = callers_.empty();
+    const bool graceful = callers_.size() == 0;
     if (lease_)
         store_.end_lease(*lease_, store_timeout);
     const auto done = std::exchange(on_left_, nullptr);
--- a/lib/relay/relay_directory.cpp
+++ b/lib/relay/relay_directory.cpp
@@ -100,8 +100,7 @@
 
 void relay::apply_caller_limits()
 {
-    for (const auto& channel : callers_)
-        channel->set_limits(caller_limits());
+    callers_.set_limits(caller_limits());
 }
 
 void relay::report_changes()
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -56,14 +56,13 @@
                              std::shared_ptr<http::caller_channel> caller,
                              http::request&& message)
     : context_(context), caller_(std::move(caller)),
-      message_(std::move(message))
+      message_(std::move(message)), timer_(context.loop)
 {
     context_.counters.requests_in_progress(1);
 }
 
 relay_session::~relay_session()
 {
-    disarm();
     context_.counters.requests_in_progress(-1);
 }
 
@@ -289,9 +288,9 @@
     current_ = at;
     splitter_ = {};
     const bool is_repeatable = route_->is_repeatable();
-    at->channel = context_.pool.acquire(now, upstream.record,
-                                        is_repeatable ? repeatable_idle
-                                                      : unrepeatable_idle);
+    at->channel = context_.pool.acquire(
+        now, upstream.record.id, upstream.record.address,
+        is_repeatable ? repeatable_idle : unrepeatable_idle);
     context_.selector.count_sent(now, at->upstream);
     if (!at->channel)
     {
@@ -343,26 +342,14 @@
 
 void relay_session::arm(const attempt_ptr& at)
 {
-    disarm();
-    const auto now = net::boot_now();
     const std::weak_ptr<relay_session> weak = weak_from_this();
-    timer_ = context_.loop.after(std::max<duration>(patience(now), 1ms),
-                                 [weak, at]
-                                 {
-                                     const auto self = weak.lock();
-                                     if (!self)
-                                         return;
-                                     self->timer_ = 0;
-                                     if (!at->over)
-                                         self->on_timeout(at);
-                                 });
-}
-
-void relay_session::disarm()
-{
-    if (timer_ != 0)
-        context_.loop.cancel(timer_);
-    timer_ = 0;
+    timer_.set(patience(net::boot_now()),
+               [weak, at]
+               {
+                   const auto self = weak.lock();
+                   if (self && !at->over)
+                       self->on_timeout(at);
+               });
 }
 
 void relay_session::on_failure(const attempt_ptr& at,
@@ -388,7 +375,7 @@
     if (at->over)
         return;
     at->over = true;
-    disarm();
+    timer_.clear();
     context_.selector.count_done(at->upstream);
     if (!at->channel)
         return;
@@ -481,7 +468,7 @@
     if (over_)
         return;
     over_ = true;
-    disarm();
+    timer_.clear();
     const auto now = net::boot_now();
     if (outcome == "broken_off")
         caller_->abort();
--- /dev/null
+++ b/lib/router/pages.cpp
@@ -0,0 +1,125 @@
+#include "baobabloft/router/pages.hpp"
+
+#include "baobabloft/router/refusal.hpp"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+
+namespace baobabloft::router
+{
+
+namespace
+{
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+constexpr std::string_view text_type = "text/plain; charset=utf-8";
+constexpr std::array<std::string_view, 6> pages{
+    "/healthz", "/readyz", "/metrics", "/status", "/burn", "/control/preset"};
+
+std::string_view path_of(const http::request& message)
+{
+    const auto target = http::view_of(message.target());
+    return target.substr(0, target.find('?'));
+}
+
+void respond(const worker_context& context, http::caller_channel& caller,
+             unsigned status, std::string_view type, std::string body)
+{
+    http::response out;
+    out.result(status);
+    out.set("Content-Type", http::beast_view(type));
+    out.body() = std::move(body);
+    caller.respond(net::boot_now(), std::move(out), !context.is_leaving());
+}
+
+void respond_not_allowed(worker_context& context, http::caller_channel& caller)
+{
+    constexpr auto kind = refusal_kind::not_allowed;
+    context.counters.refused(kind);
+    respond(context, caller, row_of(kind).status, "application/problem+json",
+            problem_json(kind, executed::no, ""));
+}
+
+bool is_operator(const worker_context& context, const http::request& message)
+{
+    const auto& token = context.options.operator_token;
+    if (token.empty())
+        return true;
+    const auto given = http::field_of(message, "Authorization");
+    const auto expected = "Bearer " + token;
+    return given.size() == expected.size() &&
+           sodium_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
+void respond_readiness(const worker_context& context,
+                       http::caller_channel& caller)
+{
+    const auto readiness = context.state.readiness;
+    const bool is_ready = readiness == fleet::readiness::ready;
+    respond(context, caller, is_ready ? status_ok : status_unavailable,
+            text_type,
+            std::string{name_in(fleet::readiness_names, readiness)} + "\n");
+}
+
+/// Answers with what the control task knows.
+void respond_rendered(worker_context& context,
+                      const http::caller_table::caller_ptr& caller,
+                      control_task::page which)
+{
+    const std::weak_ptr<http::caller_channel> weak = caller;
+    context.control.render(context.loop, which,
+                           [&context, weak](const std::string& text)
+                           {
+                               if (const auto held = weak.lock())
+                                   respond(context, *held, status_ok,
+                                           "application/json", text);
+                           });
+}
+
+} // namespace
+
+bool is_page(std::string_view path)
+{
+    return std::find(pages.begin(), pages.end(), path) != pages.end();
+}
+
+void serve_page(worker_context& context,
+                const http::caller_table::caller_ptr& caller,
+                const http::request& message)
+{
+    const auto path = path_of(message);
+    if (path == "/healthz")
+    {
+        respond(context, *caller, status_ok, text_type, "ok\n");
+        return;
+    }
+    if (path == "/readyz")
+    {
+        respond_readiness(context, *caller);
+        return;
+    }
+    if (path == "/control/preset")
+    {
+        const auto mac = http::field_of(message, "X-Fleet-Mac");
+        if (context.control.verify_peer("GET /control/preset", mac))
+            respond_rendered(context, caller,
+                             control_task::page::preset_envelope);
+        else
+            respond_not_allowed(context, *caller);
+        return;
+    }
+    if (!is_operator(context, message))
+        respond_not_allowed(context, *caller);
+    else if (path == "/metrics")
+        respond(context, *caller, status_ok, "text/plain; version=0.0.4",
+                context.counters.text());
+    else
+        respond_rendered(context, caller,
+                         path == "/burn" ? control_task::page::burn
+                                         : control_task::page::status);
+}
+
+} // namespace baobabloft::router
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -1,6 +1,8 @@
 // Both sides of HTTP/1.1 against hostile and odd framings: what is read as a
 // request or an answer, what is refused, and what is known to have been sent.
-#include "baobabloft/http/caller_channel.hpp"
+#include "baobabloft/http/caller_table.hpp"
+#include "baobabloft/http/channel_pool.hpp"
+#include "baobabloft/http/tcp_stream.hpp"
 #include "baobabloft/http/upstream_channel.hpp"
 
 #include <gtest/gtest.h>
@@ -82,6 +84,7 @@
                             [this](unsigned status, std::string_view)
                         {
                             rejected = status;
+                            return response{};
                         }});
     }
 
@@ -162,6 +165,7 @@
                         [&](unsigned code, std::string_view)
                     {
                         status = code;
+                        return response{};
                     }});
         write_all(ends[0], bytes);
         settle(loop);
@@ -280,6 +284,71 @@
     settle(loop);
 }
 
+/// A caller whose last answer does not fit the system's buffers.
+class last_answer_test : public testing::Test
+{
+protected:
+    static constexpr std::size_t size = 5'000'000;
+
+    last_answer_test()
+    {
+        std::array<int, 2> ends{};
+        EXPECT_EQ(
+            socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()),
+            0);
+        peer = ends[0];
+        callers.accept(tcp_stream::adopt(loop, ends[1], {}), {},
+                       {.on_request =
+                            [](const auto& caller, request&&)
+                        {
+                            response out;
+                            out.result(200);
+                            out.body() = std::string(size, 'x');
+                            caller->respond(net::boot_now(), std::move(out),
+                                            false);
+                            return nullptr;
+                        },
+                        .on_rejected = nullptr});
+        write_all(peer, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        settle(loop);
+    }
+
+    ~last_answer_test() override
+    {
+        ::close(peer);
+    }
+
+    net::event_loop loop;
+    caller_table callers;
+    int peer = -1;
+};
+
+TEST_F(last_answer_test, leaves_whole_before_the_connection_ends)
+{
+    EXPECT_EQ(callers.size(), 1U);
+    std::string seen;
+    for (int turn = 0; turn < 1000 && callers.size() > 0; ++turn)
+    {
+        seen += read_all(peer);
+        settle(loop);
+    }
+    seen += read_all(peer);
+    EXPECT_GT(seen.size(), size);
+    EXPECT_EQ(callers.size(), 0U);
+    EXPECT_TRUE(is_closed(peer));
+}
+
+TEST_F(last_answer_test, is_given_up_if_the_caller_takes_none_of_it)
+{
+    const auto now = net::boot_now();
+    callers.check_timeouts(now + 5s);
+    EXPECT_EQ(callers.size(), 1U);
+    callers.close_idle();
+    EXPECT_EQ(callers.size(), 1U);
+    callers.check_timeouts(now + 30s);
+    EXPECT_EQ(callers.size(), 0U);
+}
+
 /// An upstream whose bytes the test writes.
 class upstream_test : public testing::Test
 {
@@ -522,6 +591,92 @@
     listener = socket(AF_INET, SOCK_STREAM, 0);
 }
 
+TEST_F(upstream_test, an_answer_that_nobody_waits_for_frees_its_channel)
+{
+    // A stream's reader is content with its end marker, which comes before
+    // the end of the body.
+    channel_pool pool{loop, {}};
+    const auto now = net::boot_now();
+    auto channel = pool.acquire(now, "up", target, 8s);
+    request_on(channel);
+    write_all(peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nhello\r\n");
+    run_until(loop, [this] { return body == "hello"; });
+    pool.release(now, "up", channel);
+    EXPECT_NE(pool.acquire(now, "up", target, 8s), channel);
+    write_all(peer, "0\r\n\r\n");
+    run_until(loop, [&] { return channel->is_reusable(); });
+    EXPECT_FALSE(complete);
+    EXPECT_EQ(pool.acquire(now, "up", target, 8s), channel);
+}
+
+TEST_F(upstream_test, an_answer_that_does_not_end_is_given_up)
+{
+    channel_pool pool{loop, {}};
+    const auto now = net::boot_now();
+    const auto channel = pool.acquire(now, "up", target, 8s);
+    request_on(channel);
+    write_all(peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nhello\r\n");
+    run_until(loop, [this] { return body == "hello"; });
+    pool.release(now, "up", channel);
+    const auto listed = [](const std::string&)
+    {
+        return true;
+    };
+    pool.sweep(now + 500ms, listed);
+    EXPECT_TRUE(channel->is_open());
+    pool.sweep(now + 2s, listed);
+    EXPECT_FALSE(channel->is_open());
+    EXPECT_EQ(pool.open_count("up"), 0U);
+}
+
+TEST_F(upstream_test, a_channel_whose_answer_has_not_begun_is_not_kept)
+{
+    channel_pool pool{loop, {}};
+    const auto now = net::boot_now();
+    const auto channel = pool.acquire(now, "up", target, 8s);
+    request_on(channel);
+    pool.release(now, "up", channel);
+    EXPECT_FALSE(channel->is_open());
+}
+
+TEST_F(upstream_test, channels_of_upstreams_that_are_gone_are_closed)
+{
+    channel_pool pool{loop, {}};
+    const auto now = net::boot_now();
+    auto channel = pool.acquire(now, "up", target, 8s);
+    request_on(channel);
+    reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    pool.release(now, "up", channel);
+    channel.reset();
+    EXPECT_EQ(pool.open_count("up"), 1U);
+    pool.sweep(now, [](const std::string&) { return false; });
+    EXPECT_EQ(pool.open_count("up"), 0U);
+}
+
+TEST(tcp_stream, an_ended_connection_that_is_not_read_costs_no_time)
+{
+    net::event_loop loop;
+    std::array<int, 2> ends{};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+    const auto stream = tcp_stream::adopt(loop, ends[1], {});
+    std::optional<stream_end> ended;
+    stream->set_handlers({.on_connected = nullptr,
+                          .on_data = nullptr,
+                          .on_end = [&](stream_end how) { ended = how; },
+                          .on_drained = nullptr});
+    stream->set_reading(false);
+    ::close(ends[0]);
+    settle(loop);
+    // Nothing is due any more, so the loop would sleep.
+    EXPECT_FALSE(g_main_context_iteration(loop.context(), FALSE));
+    EXPECT_FALSE(ended);
+    stream->set_reading(true);
+    settle(loop);
+    EXPECT_EQ(ended, stream_end::peer_closed);
+}
+
 TEST(message, connection_headers_are_not_forwarded)
 {
     fields all;
--- a/utils/fleet.py
+++ b/utils/fleet.py
@@ -59,8 +59,11 @@
 class Fleet:
     """Routers and stand-ins as processes of this one."""
 
-    def __init__(self, folder, routers=3, engines=9, services=3, engine_args=()):
+    def __init__(self, folder, routers=3, engines=9, services=3,
+                 engine_args=(), baobabd=None):
         self.folder = folder
+        self.baobabd = baobabd or os.path.join(
+            BUILD, "tools", "baobabd", "baobabd")
         self.engine_args = list(engine_args)
         self.processes = {}
         self.commands = {}
@@ -101,7 +104,7 @@
         self.start_process(
             f"router-{index}",
             [
-                os.path.join(BUILD, "tools", "baobabd", "baobabd"),
+                self.baobabd,
                 "--listen", f"127.0.0.1:{self.http_ports[index]}",
                 "--control-listen", f"127.0.0.1:{self.control_ports[index]}",
                 "--data-centre", DATA_CENTRES[index % 3],
