--- a/lib/net/etcd_client.cpp
+++ b/lib/net/etcd_client.cpp
@@ -69,6 +69,33 @@
             "check the service; routers go on with what they know"};
 }
 
+/// Converts an answer; nothing if a field has another type, which the library
+/// reports by an exception.
+template <typename Convert>
+auto read_as(Convert convert, const json& root)
+    -> std::optional<decltype(convert(root))>
+{
+    try
+    {
+        return convert(root);
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+/// The newest state in a line of a watch; nothing inside if it tells of no
+/// change.
+std::optional<kv_entry> to_newest(const json& root)
+{
+    const auto events =
+        root.value("/result/events"_json_pointer, json::array());
+    if (events.empty())
+        return std::nullopt;
+    return to_entry(events.back().at("kv"));
+}
+
 class etcd_client final : public kv_client
 {
 public:
@@ -202,15 +229,14 @@
         }
         const auto root = json::parse(line, nullptr, false);
         g_free(line);
-        const auto events =
-            root.value("/result/events"_json_pointer, json::array());
-        if (events.empty())
-        {
+        const auto newest = read_as(to_newest, root);
+        if (!newest)
+            (*self)->finish(std::nullopt,
+                            unavailable("watch line of another form"));
+        else if (!*newest)
             read_line(std::move(self));
-            return;
-        }
-        (*self)->finish(to_entry(events.back().value("kv", json::object())),
-                        {});
+        else
+            (*self)->finish(**newest, {});
     }
 
     template <typename Result, typename Convert>
@@ -240,7 +266,9 @@
                         unavailable("status " + std::to_string(reply->status)));
                     return;
                 }
-                done(convert(root), {});
+                const auto result = read_as(convert, root);
+                done(result, result ? failure{}
+                                    : unavailable("answer of another form"));
             });
     }
 
--- /dev/null
+++ b/unittests/router/kv_client_test.cpp
@@ -0,0 +1,140 @@
+// The client of the key-value service against answers of other forms.
+#include "baobabloft/http/caller_table.hpp"
+#include "baobabloft/http/tcp_stream.hpp"
+#include "baobabloft/net/kv_client.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace baobabloft::net
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// A service that gives one prepared answer to every call.
+class kv_client_test : public testing::Test
+{
+protected:
+    kv_client_test()
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* raw = reinterpret_cast<sockaddr*>(&address);
+        EXPECT_EQ(bind(fd, raw, size), 0);
+        EXPECT_EQ(getsockname(fd, raw, &size), 0);
+        ::close(fd);
+        const endpoint own_address{"127.0.0.1", ntohs(address.sin_port)};
+        failure reason;
+        listener = http::tcp_listener::open(
+            loop, own_address, {},
+            [this](std::shared_ptr<http::byte_stream> stream)
+            {
+                callers.accept(std::move(stream), {},
+                               {.on_request =
+                                    [this](const auto& caller, http::request&&)
+                                {
+                                    http::response out;
+                                    out.result(200);
+                                    out.body() = text;
+                                    caller->respond(boot_now(), std::move(out),
+                                                    true);
+                                    return nullptr;
+                                },
+                                .on_rejected = nullptr});
+            },
+            reason);
+        EXPECT_NE(listener, nullptr) << reason.text();
+        client = make_etcd_client(
+            {.base_url = "http://" + to_string(own_address), .timeout = 1s});
+    }
+
+    /// Runs the loop until a callback made by keep() ran.
+    void run()
+    {
+        const auto end = boot_now() + 3s;
+        while (!done && boot_now() < end)
+            g_main_context_iteration(loop.context(), TRUE);
+        EXPECT_TRUE(done);
+        done = false;
+    }
+
+    template <typename Result>
+    auto keep(std::optional<Result>& result)
+    {
+        return [this, &result](std::optional<Result> value, const failure&)
+        {
+            result = std::move(value);
+            done = true;
+        };
+    }
+
+    event_loop loop;
+    event_loop::scope own{loop};
+    std::unique_ptr<http::tcp_listener> listener;
+    http::caller_table callers;
+    std::unique_ptr<kv_client> client;
+    std::string text;
+    bool done = false;
+};
+
+TEST_F(kv_client_test, answers_of_another_form_are_no_answers)
+{
+    const std::vector<const char*> texts{
+        "", "[]", R"({"succeeded":"yes","kvs":{"a":1},"header":7})",
+        R"({"header":{"revision":null}})",
+        R"({"header":{"revision":{}},"kvs":[{"key":4,"value":null}]})"};
+    for (const auto* item : texts)
+    {
+        text = item;
+        std::optional<kv_range_result> entries;
+        client->read({.first = "a", .end = {}}, keep(entries));
+        run();
+        EXPECT_FALSE(entries) << item;
+        std::optional<kv_transaction_result> outcome;
+        client->commit({}, keep(outcome));
+        run();
+        EXPECT_FALSE(outcome) << item;
+    }
+}
+
+TEST_F(kv_client_test, watch_lines_of_another_form_end_the_watch)
+{
+    for (const auto* item :
+         {"[]", R"({"result":{"events":[7]}})", R"({"result":{"events":7}})",
+          R"({"result":{"events":[{"kv":{"key":1}}]}})"})
+    {
+        text = std::string{item} + "\n";
+        std::optional<kv_entry> entry;
+        client->wait_for_change("a", 1, keep(entry));
+        run();
+        EXPECT_FALSE(entry) << item;
+    }
+}
+
+TEST_F(kv_client_test, a_whole_answer_is_read)
+{
+    text = R"({"header":{"revision":"9"},
+               "kvs":[{"key":"YQ==","value":"aGVq","mod_revision":"8"}]})";
+    std::optional<kv_range_result> entries;
+    client->read({.first = "a", .end = {}}, keep(entries));
+    run();
+    ASSERT_TRUE(entries);
+    EXPECT_EQ(entries->revision, 9);
+    ASSERT_EQ(entries->entries.size(), 1U);
+    EXPECT_EQ(entries->entries[0].value, "hej");
+}
+
+} // namespace
+
+} // namespace baobabloft::net
