Directory and selector: no work per listed upstream while nothing happens

- tick looks only when the next lapse is due (test: lapses_end_each_at_its_time).
- Upstreams keep the hash of their id; standings are found by hash; a source of prefixes is looked up only if it scores best so far.

Ruled out: asks of other routers (1.6 a second) and the store's changes (middle router 27 kB/s).

--- a/benchmarks/decisions.cpp
+++ b/benchmarks/decisions.cpp
@@ -2,6 +2,7 @@
 // with upstreams and routers.
 #include "measure.hpp"
 
+#include "baobabloft/dispatch/upstream_selector.hpp"
 #include "baobabloft/routing/affinity.hpp"
 #include "baobabloft/routing/permit_owner.hpp"
 
@@ -154,6 +155,64 @@
             });
 }
 
+/// Reads every entry as an upstream of one service.
+class upstream_codec final : public directory::record_codec
+{
+public:
+    [[nodiscard]] directory::key_name
+    read_key(std::string_view key) const override
+    {
+        return {directory::key_kind::upstream, std::string{key}};
+    }
+
+    [[nodiscard]] directory::record
+    read(const directory::key_name& key,
+         const std::string& /*value*/) const override
+    {
+        directory::upstream_record upstream;
+        upstream.id = key.name;
+        upstream.service = "chat";
+        upstream.data_centre = "a";
+        return upstream;
+    }
+};
+
+/// One choice by a router that has heard of every upstream, and its end.
+void time_choice(figures& all, std::size_t upstreams)
+{
+    const upstream_codec codec;
+    const time_point now{duration{100'000'000}};
+    directory::directory_state state{codec};
+    for (std::size_t index = 0; index < upstreams; ++index)
+        state.apply(
+            now,
+            {"i-" + std::to_string(0xe1ae6e7000 + index), "", index + 1, false},
+            {});
+    dispatch::upstream_selector selector{
+        state,
+        {.data_centre = "a", .router = "router/0", .cold = {}, .started = {}},
+        [](const auto&, const auto&)
+        {
+            return true;
+        }};
+    for (const auto& [id, item] : state.upstreams())
+        selector.told(now, id, {.running = 1});
+    const directory::routed_service service{.name = "chat"};
+    time_it(all, "choose." + std::to_string(upstreams) + "_upstreams",
+            [&](std::uint64_t round)
+            {
+                const auto chosen =
+                    selector.choose(now, {.service = &service,
+                                          .affinity = round % 200,
+                                          .avoid = {}});
+                if (chosen.upstream == nullptr)
+                    std::abort();
+                const auto& id = chosen.upstream->record.id;
+                selector.count_sent(now, id);
+                selector.count_done(id);
+            });
+}
+
 } // namespace
 
 figures measure_decisions(const measure_options& /*options*/)
@@ -161,6 +220,8 @@
     figures all;
     for (const std::size_t upstreams : {9UL, 25UL, 100UL, 600UL})
         time_ranking(all, upstreams);
+    for (const std::size_t upstreams : {9UL, 25UL, 100UL, 600UL})
+        time_choice(all, upstreams);
     for (const std::size_t routers : {9UL, 50UL, 200UL, 390UL})
         time_owner(all, routers);
     time_permit(all);
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -15,6 +15,8 @@
 struct known_upstream
 {
     upstream_record record;
+    /// Hash of its id, for ranking.
+    std::uint64_t id_hash = 0;
     revision changed = 0;
     /// When this router first saw this lifetime of it; the epoch if it was
     /// listed already when the router began.
@@ -133,6 +135,8 @@
     const record_codec& codec_;
     config_snapshot config_;
     std::map<std::string, known_upstream> upstreams_;
+    /// No upstream that lapsed ends before this.
+    time_point next_lapse_ = time_point::max();
     std::map<std::string, revision> out_;
     std::map<std::string, router_record> routers_;
     std::string secret_;
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <span>
+#include <unordered_map>
 
 namespace baobabloft::dispatch
 {
@@ -201,7 +202,7 @@
     const directory::directory_state& directory_;
     selector_options options_;
     room_lookup has_room_;
-    std::map<std::string, standing> standings_;
+    std::unordered_map<std::string, standing> standings_;
     /// Prefixes at upstreams that this router sent there lately.
     routing::chat_memory cached_;
 };
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -1,5 +1,7 @@
 #include "baobabloft/directory/directory_state.hpp"
 
+#include "baobabloft/support/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -104,6 +106,8 @@
     const auto cold_until = now + record.cold_left;
     if (added || reborn || record.cold_left > duration{0})
         known.cold_until = cold_until;
+    if (added)
+        known.id_hash = hash_bytes(record.id);
     if (added || reborn)
         known.first_seen = complete_ ? now : time_point{};
     const bool was_lapsed = known.lapsed_until.has_value();
@@ -135,6 +139,7 @@
         if (lapse_until && *lapse_until > now)
         {
             found->second.lapsed_until = lapse_until;
+            next_lapse_ = std::min(next_lapse_, *lapse_until);
             note(belief_change::what::upstream_lapsed, key.name, {}, changed);
             return;
         }
@@ -192,11 +197,17 @@
 
 void directory_state::tick(time_point now)
 {
+    // Called a hundred times a second, and lapses are rare.
+    if (now < next_lapse_)
+        return;
+    next_lapse_ = time_point::max();
     for (auto item = upstreams_.begin(); item != upstreams_.end();)
     {
         const auto& until = item->second.lapsed_until;
         if (!until || *until > now)
         {
+            if (until)
+                next_lapse_ = std::min(next_lapse_, *until);
             ++item;
             continue;
         }
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -81,9 +81,10 @@
 }
 
 /// Names a prefix at an upstream.
-chat_id prefix_at(std::uint64_t affinity, std::string_view upstream)
+chat_id prefix_at(std::uint64_t affinity,
+                  const directory::known_upstream& upstream)
 {
-    return chat_id{hash_bytes(upstream, affinity)};
+    return chat_id{hash_combine(affinity, upstream.id_hash)};
 }
 
 } // namespace
@@ -151,7 +152,7 @@
     {
         // Too many routers to give each a share: a few are chosen.
         const auto chosen = static_cast<std::size_t>(bound / cold_router_rate);
-        const auto key = hash_bytes(item.upstream->record.id);
+        const auto key = item.upstream->id_hash;
         const auto own = rendezvous_score(key, hash_bytes(options_.router));
         std::size_t before = 0;
         for (const auto& [name, address] : directory_.routers())
@@ -171,9 +172,8 @@
     for (auto& item : options)
     {
         const auto& known = *item.upstream;
-        item.preference =
-            weighted_rendezvous_score(affinity, hash_bytes(known.record.id),
-                                      takeover_share(now, known, mean));
+        item.preference = weighted_rendezvous_score(
+            affinity, known.id_hash, takeover_share(now, known, mean));
     }
     std::sort(options.begin(), options.end(),
               [](const option& left, const option& right)
@@ -232,8 +232,7 @@
 {
     const auto has_prefix = [&](const option* item)
     {
-        return cached_.contains(now,
-                                prefix_at(affinity, item->upstream->record.id));
+        return cached_.contains(now, prefix_at(affinity, *item->upstream));
     };
     const option* holder = nullptr;
     for (const auto* item : fit.subspan(1))
@@ -260,7 +259,7 @@
     const auto key = hash_bytes(options_.router, affinity);
     const auto score = [key](const option* item)
     {
-        return rendezvous_score(key, hash_bytes(item->upstream->record.id));
+        return rendezvous_score(key, item->upstream->id_hash);
     };
     const auto top = fit.first(std::min(unheard_width, fit.size()));
     std::swap(fit.front(), *std::ranges::max_element(top, {}, score));
@@ -270,7 +269,7 @@
 upstream_selector::find_source(time_point now, std::uint64_t affinity,
                                const directory::known_upstream& chosen) const
 {
-    if (cached_.contains(now, prefix_at(affinity, chosen.record.id)))
+    if (cached_.contains(now, prefix_at(affinity, chosen)))
         return nullptr;
     const directory::known_upstream* best = nullptr;
     double best_score = 0;
@@ -279,17 +278,17 @@
         if (&item == &chosen || item.record.service != chosen.record.service ||
             directory_.is_out(item.record.data_centre) || item.cold_until > now)
             continue;
-        const auto state = standings_.find(id);
-        if (state != standings_.end() && state->second.avoid_until > now)
-            continue;
         // Known holders go before likely ones.
-        const bool is_known = cached_.contains(now, prefix_at(affinity, id));
+        const bool is_known = cached_.contains(now, prefix_at(affinity, item));
         const double score =
-            weighted_rendezvous_score(affinity, hash_bytes(id),
+            weighted_rendezvous_score(affinity, item.id_hash,
                                       takeover_share(now, item, 0)) +
             (is_known ? 1 : 0);
         if (score <= best_score)
             continue;
+        const auto state = standings_.find(id);
+        if (state != standings_.end() && state->second.avoid_until > now)
+            continue;
         best = &item;
         best_score = score;
     }
@@ -338,8 +337,7 @@
         if (!want.affinity)
             return result;
         result.prefix_source = find_source(now, *want.affinity, *item.upstream);
-        cached_.remember(now,
-                         prefix_at(*want.affinity, item.upstream->record.id));
+        cached_.remember(now, prefix_at(*want.affinity, *item.upstream));
         return result;
     };
     if (!fit.empty())
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -207,6 +207,29 @@
     EXPECT_EQ(state.upstreams().at("a").cold_until, start + 1s);
 }
 
+TEST(directory_state, lapses_end_each_at_its_time)
+{
+    directory_state state{codec};
+    const time_point now{100s};
+    for (const auto* key : {"up/1", "up/2", "up/3"})
+        state.apply(now, {key, "", 1, false}, {});
+    state.apply(now, {"up/1", "", 2, true}, now + 5s);
+    state.apply(now, {"up/2", "", 3, true}, now + 2s);
+    state.apply(now, {"up/3", "", 4, true}, now + 9s);
+    // Its server came back.
+    state.apply(now + 1s, {"up/3", "", 5, false}, {});
+    state.tick(now + 1999ms);
+    EXPECT_EQ(state.upstreams().size(), 3U);
+    state.tick(now + 2s);
+    EXPECT_EQ(state.upstreams().size(), 2U);
+    state.tick(now + 4999ms);
+    EXPECT_EQ(state.upstreams().size(), 2U);
+    state.tick(now + 5s);
+    EXPECT_EQ(state.upstreams().size(), 1U);
+    state.tick(now + 60s);
+    EXPECT_EQ(state.upstreams().size(), 1U);
+}
+
 TEST(directory_state, what_may_have_lapsed_stays_usable_for_a_while)
 {
     directory_state state{codec};
