--- a/include/baobabloft/http/tcp_stream.hpp
+++ b/include/baobabloft/http/tcp_stream.hpp
@@ -110,6 +110,9 @@
     tcp_listener(const tcp_listener&) = delete;
     tcp_listener& operator=(const tcp_listener&) = delete;
 
+    /// Returns the port that is listened on, also if any was asked for by 0.
+    [[nodiscard]] std::uint16_t port() const;
+
 private:
     static gboolean on_ready(gint fd, GIOCondition condition, gpointer data);
     void accept_waiting();
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -381,6 +381,15 @@
     }
 }
 
+std::uint16_t tcp_listener::port() const
+{
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    if (getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size) != 0)
+        return 0;
+    return ntohs(bound.sin_port);
+}
+
 void tcp_listener::adopt(int fd)
 {
     if (options_.certificate == nullptr)
--- a/unittests/http/tls_test.cpp
+++ b/unittests/http/tls_test.cpp
@@ -77,10 +77,8 @@
         EXPECT_TRUE(certificate.load(data_folder + "test.crt",
                                      data_folder + "test.key", reason))
             << reason.text();
-        // Two listeners may share the port, so a free one is found first.
-        port = find_free_port();
         listener = tcp_listener::open(
-            loop, {"127.0.0.1", port}, {.certificate = &certificate},
+            loop, {"127.0.0.1", 0}, {.certificate = &certificate},
             [this](std::shared_ptr<byte_stream> stream)
             {
                 callers.accept(std::move(stream), {},
@@ -88,20 +86,7 @@
             },
             reason);
         EXPECT_NE(listener, nullptr) << reason.text();
-    }
-
-    static std::uint16_t find_free_port()
-    {
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto* raw = reinterpret_cast<sockaddr*>(&address);
-        EXPECT_EQ(bind(fd, raw, size), 0);
-        EXPECT_EQ(getsockname(fd, raw, &size), 0);
-        ::close(fd);
-        return ntohs(address.sin_port);
+        port = listener->port();
     }
 
     /// Runs the loop while a client calls on another thread.
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -9,11 +9,6 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace baobabloft::platform
 {
 
@@ -22,30 +17,15 @@
 
 using nlohmann::json;
 
-std::uint16_t find_free_port()
-{
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    auto* raw = reinterpret_cast<sockaddr*>(&address);
-    EXPECT_EQ(bind(fd, raw, size), 0);
-    EXPECT_EQ(getsockname(fd, raw, &size), 0);
-    ::close(fd);
-    return ntohs(address.sin_port);
-}
-
 /// A store that gives one prepared answer to every call.
 class store_test : public testing::Test
 {
 protected:
     store_test()
     {
-        const endpoint address{"127.0.0.1", find_free_port()};
         failure reason;
         listener = http::tcp_listener::open(
-            loop, address, {},
+            loop, {"127.0.0.1", 0}, {},
             [this](std::shared_ptr<http::byte_stream> stream)
             {
                 callers.accept(
@@ -62,7 +42,8 @@
             },
             reason);
         EXPECT_NE(listener, nullptr) << reason.text();
-        client = std::make_unique<store_client>(loop, address);
+        client = std::make_unique<store_client>(
+            loop, endpoint{"127.0.0.1", listener->port()});
     }
 
     void answer(const http::caller_table::caller_ptr& caller)
--- a/unittests/router/kv_client_test.cpp
+++ b/unittests/router/kv_client_test.cpp
@@ -6,11 +6,6 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace baobabloft::net
 {
 
@@ -25,19 +20,9 @@
 protected:
     kv_client_test()
     {
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto* raw = reinterpret_cast<sockaddr*>(&address);
-        EXPECT_EQ(bind(fd, raw, size), 0);
-        EXPECT_EQ(getsockname(fd, raw, &size), 0);
-        ::close(fd);
-        const endpoint own_address{"127.0.0.1", ntohs(address.sin_port)};
         failure reason;
         listener = http::tcp_listener::open(
-            loop, own_address, {},
+            loop, {"127.0.0.1", 0}, {},
             [this](std::shared_ptr<http::byte_stream> stream)
             {
                 callers.accept(std::move(stream), {},
@@ -56,7 +41,8 @@
             reason);
         EXPECT_NE(listener, nullptr) << reason.text();
         client = make_etcd_client(
-            {.base_url = "http://" + to_string(own_address), .timeout = 1s});
+            {.base_url = "http://127.0.0.1:" + std::to_string(listener->port()),
+             .timeout = 1s});
     }
 
     /// Runs the loop until a callback made by keep() ran.
