Clean-up: one seed function, one step of an attempt, one end of an ask

Found on reading the whole change again; behaviour is the same.

- random_seed stood three times (worker, relay, control task); it is net's now.
- Both kinds of session wrapped each callback and the timer in the same check that session and attempt still live: http::attempt_step.
- directory_follower ended an ask in two places alike: end_ask.
- channel_pool::keep_ended changed the items inside the predicate of erase_if; it is a loop and a plain predicate now.
- Whether a request asks for a page is decided from the request in one place; the wait for a stream's first byte and for the next share one function.
- Tests: one body for the two properties of a router that is cut from the store, with the same draws, bounds and assertions.

Left: tcp_stream and tls_stream each keep their own queue of unsent bytes.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -132,6 +132,9 @@
     void note_return(time_point now, time_point as_of);
     void proved(time_point as_of);
     void forget_read();
+    /// Ends the ask in progress and returns the router that was asked; empty if
+    /// the answer belongs to no ask.
+    std::string end_ask(time_point now, std::uint32_t sequence);
     /// Another router's proof of this age says that the store answered it.
     void note_alive(std::uint32_t proof_age_ms);
     /// Returns the age of this router's proof as it is told to others, ms.
--- a/include/baobabloft/net/event_loop.hpp
+++ b/include/baobabloft/net/event_loop.hpp
@@ -75,7 +75,7 @@
     /// Runs `work` every `period` until the loop ends; own thread only.
     void every(duration period, task work);
 
-    /// Cancels a timer that has not fired yet.
+    /// Cancels a timer that has not fired yet; 0 stands for none.
     void cancel(guint source);
 
     /// Watches descriptors; own thread only.
--- /dev/null
+++ b/include/baobabloft/net/random_seed.hpp
@@ -0,0 +1,12 @@
+// Seeds for random number generators that no caller can foresee.
+#pragma once
+
+#include <cstdint>
+
+namespace baobabloft::net
+{
+
+/// Returns 64 bits from the system's source of randomness.
+std::uint64_t random_seed();
+
+} // namespace baobabloft::net
--- a/include/baobabloft/router/pages.hpp
+++ b/include/baobabloft/router/pages.hpp
@@ -4,13 +4,11 @@
 
 #include "baobabloft/router/worker.hpp"
 
-#include <string_view>
-
 namespace baobabloft::router
 {
 
-/// Returns true if `path`, without a query, is a page.
-bool is_page(std::string_view path);
+/// Returns true if `message` asks for a page.
+bool is_page(const http::request& message);
 
 /// Answers a request for a page.
 void serve_page(worker_context& context,
--- a/include/baobabloft/router/proxy_session.hpp
+++ b/include/baobabloft/router/proxy_session.hpp
@@ -104,7 +104,8 @@
     void finish();
 
     void arm(duration delay, const attempt_ptr& at);
-    /// Arms the timer for the next byte of the answer.
+    /// Arms the timer for the next byte, which a stream owes within `longest`.
+    void arm_for_silence(duration longest, const attempt_ptr& at);
     void arm_for_progress(const attempt_ptr& at);
     [[nodiscard]] time_point now() const;
 
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -241,14 +241,23 @@
     parts_.clear();
 }
 
-bool directory_follower::part_arrived(time_point now, const entry_part& part)
+std::string directory_follower::end_ask(time_point now, std::uint32_t sequence)
 {
-    if (!out_ || asked_.empty() || part.sequence != sequence_ || !long_entry_)
-        return false;
+    if (!out_ || asked_.empty() || sequence != sequence_)
+        return {};
     out_ = false;
-    const auto from = std::exchange(asked_, {});
     unanswered_ = 0;
     due_ = now;
+    return std::exchange(asked_, {});
+}
+
+bool directory_follower::part_arrived(time_point now, const entry_part& part)
+{
+    if (!long_entry_)
+        return false;
+    const auto from = end_ask(now, part.sequence);
+    if (from.empty())
+        return false;
     note_alive(part.proof_age_ms);
     if (part.changed < long_entry_->changed || part.bytes.empty())
     {
@@ -274,12 +283,9 @@
 bool directory_follower::router_answered(time_point now,
                                          const change_answer& answer)
 {
-    if (!out_ || asked_.empty() || answer.sequence != sequence_)
+    const auto from = end_ask(now, answer.sequence);
+    if (from.empty())
         return false;
-    out_ = false;
-    const auto from = std::exchange(asked_, {});
-    unanswered_ = 0;
-    due_ = now;
     const duration told_age = answer.proof_age_ms * 1ms;
     if (!answer.known || told_age > options_.max_told_age)
     {
--- a/lib/http/channel_pool.cpp
+++ b/lib/http/channel_pool.cpp
@@ -40,19 +40,14 @@
 
 void channel_pool::keep_ended(time_point now, upstream_channels& known)
 {
-    std::erase_if(known.ending,
-                  [&](idle_channel& item)
-                  {
-                      if (item.channel->is_reusable())
-                      {
-                          known.idle.push_back({std::move(item.channel), now});
-                          return true;
-                      }
-                      const bool is_late = now - item.since > ending_time;
-                      if (is_late)
-                          item.channel->abandon();
-                      return is_late || !item.channel->is_open();
-                  });
+    for (const auto& [channel, since] : known.ending)
+        if (channel->is_reusable())
+            known.idle.push_back({channel, now});
+        else if (now - since > ending_time)
+            channel->abandon();
+    std::erase_if(
+        known.ending, [](const idle_channel& item)
+        { return item.channel->is_reusable() || !item.channel->is_open(); });
 }
 
 std::shared_ptr<upstream_channel> channel_pool::acquire(time_point now,
--- a/lib/http/tls_stream.cpp
+++ b/lib/http/tls_stream.cpp
@@ -135,8 +135,7 @@
 {
     if (!open_)
         return;
-    if (handshake_timer_ != 0)
-        loop_.cancel(std::exchange(handshake_timer_, 0));
+    loop_.cancel(std::exchange(handshake_timer_, 0));
     if (!good)
     {
         end(stream_end::reset);
@@ -287,8 +286,7 @@
     open_ = false;
     destroy_source(input_source_);
     destroy_source(output_source_);
-    if (handshake_timer_ != 0)
-        loop_.cancel(std::exchange(handshake_timer_, 0));
+    loop_.cancel(std::exchange(handshake_timer_, 0));
     g_cancellable_cancel(cancel_.get());
     queue_.clear();
     queue_start_ = 0;
--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -2,6 +2,8 @@
 
 #include "baobabloft/support/numbers.hpp"
 
+#include <utility>
+
 namespace baobabloft::http
 {
 
@@ -57,9 +59,7 @@
 
 void upstream_channel::stop_connect_timer()
 {
-    if (connect_timer_ != 0)
-        loop_.cancel(connect_timer_);
-    connect_timer_ = 0;
+    loop_.cancel(std::exchange(connect_timer_, 0));
 }
 
 void upstream_channel::attach()
--- a/lib/net/event_loop.cpp
+++ b/lib/net/event_loop.cpp
@@ -90,6 +90,8 @@
 
 void event_loop::cancel(guint source)
 {
+    if (source == 0)
+        return;
     if (auto* found = g_main_context_find_source_by_id(context_, source))
         g_source_destroy(found);
 }
--- a/lib/net/restartable_timer.cpp
+++ b/lib/net/restartable_timer.cpp
@@ -10,8 +10,7 @@
 
 restartable_timer::~restartable_timer()
 {
-    if (source_ != 0)
-        loop_.cancel(source_);
+    loop_.cancel(source_);
 }
 
 void restartable_timer::set(duration delay, std::function<void()> work)
@@ -21,8 +20,7 @@
     work_ = std::move(work);
     if (source_ != 0 && fires_ <= due_)
         return;
-    if (source_ != 0)
-        loop_.cancel(std::exchange(source_, 0));
+    loop_.cancel(source_);
     start(due_ - now);
 }
 
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -2,11 +2,10 @@
 
 #include "store_timeout.hpp"
 
+#include "baobabloft/net/random_seed.hpp"
 #include "baobabloft/relay/relay_session.hpp"
 #include "baobabloft/router/log.hpp"
 
-#include <sodium.h>
-
 namespace baobabloft::relay
 {
 
@@ -31,13 +30,6 @@
 constexpr http::stream_options upstream_stream{.unacknowledged_timeout =
                                                    upstream_unacknowledged};
 
-std::uint64_t random_seed()
-{
-    std::uint64_t seed = 0;
-    randombytes_buf(&seed, sizeof seed);
-    return seed;
-}
-
 dispatch::freshness_bounds freshness_of(const router::settings& options)
 {
     return {.key_revocation = options.key_revocation_bound,
@@ -100,7 +92,7 @@
                .suspect_crash =
                    [this](fingerprint request, const std::string& upstream)
                { suspect_crash(request, upstream); },
-               .random = std::mt19937_64{random_seed()},
+               .random = std::mt19937_64{net::random_seed()},
                .shutdown = {.limit = options.shutdown_timeout},
                .leaving_since = std::nullopt},
       started_(net::boot_now())
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -1,5 +1,6 @@
 #include "session_text.hpp"
 
+#include "baobabloft/http/attempt_step.hpp"
 #include "baobabloft/relay/relay_session.hpp"
 #include "baobabloft/router/log.hpp"
 #include "baobabloft/support/hash.hpp"
@@ -303,15 +304,9 @@
     out.id_header = context_.dialect.request_id;
     out.id = request_id_;
     out.connect_timeout = connect_timeout;
-    const std::weak_ptr<relay_session> weak = weak_from_this();
-    const auto with = [weak, at](auto step)
+    const auto with = [this, &at](auto step)
     {
-        return [weak, at, step](auto&&... arguments)
-        {
-            const auto self = weak.lock();
-            if (self && !at->over)
-                ((*self).*step)(at, arguments...);
-        };
+        return http::attempt_step(weak_from_this(), at, step);
     };
     at->channel->exchange(std::move(out),
                           {.on_head = with(&relay_session::on_head),
@@ -342,14 +337,9 @@
 
 void relay_session::arm(const attempt_ptr& at)
 {
-    const std::weak_ptr<relay_session> weak = weak_from_this();
-    timer_.set(patience(net::boot_now()),
-               [weak, at]
-               {
-                   const auto self = weak.lock();
-                   if (self && !at->over)
-                       self->on_timeout(at);
-               });
+    timer_.set(
+        patience(net::boot_now()),
+        http::attempt_step(weak_from_this(), at, &relay_session::on_timeout));
 }
 
 void relay_session::on_failure(const attempt_ptr& at,
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -1,6 +1,7 @@
 #include "baobabloft/router/control_task.hpp"
 
 #include "baobabloft/config/preset_parser.hpp"
+#include "baobabloft/net/random_seed.hpp"
 #include "baobabloft/router/log.hpp"
 
 #include <nlohmann/json.hpp>
@@ -28,13 +29,6 @@
     return static_cast<std::uint64_t>(g_get_real_time() / 1000);
 }
 
-std::uint64_t random_seed()
-{
-    std::uint64_t seed = 0;
-    randombytes_buf(&seed, sizeof seed);
-    return seed;
-}
-
 router_id self_id(const settings& settings)
 {
     const auto host = parse_ipv4(settings.control_listen.host);
@@ -50,7 +44,7 @@
     options.self.http_port = settings.listen.port;
     options.data_centre = settings.data_centre;
     options.seeds = settings.peers;
-    options.seed = random_seed();
+    options.seed = net::random_seed();
     options.ledger_shards = settings.ledger_shards;
     options.ledger_writes_per_second = settings.ledger_writes_per_second;
     options.ledger_retention =
--- a/lib/router/pages.cpp
+++ b/lib/router/pages.cpp
@@ -81,9 +81,10 @@
 
 } // namespace
 
-bool is_page(std::string_view path)
+bool is_page(const http::request& message)
 {
-    return std::find(pages.begin(), pages.end(), path) != pages.end();
+    return std::find(pages.begin(), pages.end(), path_of(message)) !=
+           pages.end();
 }
 
 void serve_page(worker_context& context,
--- a/lib/router/proxy_session.cpp
+++ b/lib/router/proxy_session.cpp
@@ -1,5 +1,6 @@
 #include "baobabloft/router/proxy_session.hpp"
 
+#include "baobabloft/http/attempt_step.hpp"
 #include "baobabloft/support/endpoint.hpp"
 #include "baobabloft/support/hash.hpp"
 
@@ -270,15 +271,9 @@
                      refusal_kind::upstream_failed);
         return;
     }
-    const std::weak_ptr<proxy_session> weak = weak_from_this();
-    const auto with = [weak, at](auto step)
+    const auto with = [this, &at](auto step)
     {
-        return [weak, at, step](auto&&... arguments)
-        {
-            const auto self = weak.lock();
-            if (self && !at->over)
-                ((*self).*step)(at, arguments...);
-        };
+        return http::attempt_step(weak_from_this(), at, step);
     };
     http::outgoing_request out;
     out.head = upstream_head(at);
@@ -293,10 +288,7 @@
                            .on_failure = with(&proxy_session::on_failure)});
     if (at->over)
         return;
-    const auto left = latest_ - at->started;
-    arm(request_.streamed ? std::min(context_.options.first_byte_timeout, left)
-                          : left,
-        at);
+    arm_for_silence(context_.options.first_byte_timeout, at);
 }
 
 void proxy_session::on_head(const attempt_ptr& at,
@@ -547,22 +539,19 @@
 
 void proxy_session::arm(duration delay, const attempt_ptr& at)
 {
-    const std::weak_ptr<proxy_session> weak = weak_from_this();
-    timer_.set(delay,
-               [weak, at]
-               {
-                   const auto self = weak.lock();
-                   if (self && !at->over)
-                       self->on_timeout(at);
-               });
+    timer_.set(delay, http::attempt_step(weak_from_this(), at,
+                                         &proxy_session::on_timeout));
 }
 
 void proxy_session::arm_for_progress(const attempt_ptr& at)
+{
+    arm_for_silence(context_.options.progress_timeout, at);
+}
+
+void proxy_session::arm_for_silence(duration longest, const attempt_ptr& at)
 {
     const auto left = latest_ - now();
-    arm(request_.streamed ? std::min(context_.options.progress_timeout, left)
-                          : left,
-        at);
+    arm(request_.streamed ? std::min(longest, left) : left, at);
 }
 
 void proxy_session::caller_gone()
--- a/lib/router/worker.cpp
+++ b/lib/router/worker.cpp
@@ -1,11 +1,10 @@
 #include "baobabloft/router/worker.hpp"
 
+#include "baobabloft/net/random_seed.hpp"
 #include "baobabloft/router/log.hpp"
 #include "baobabloft/router/pages.hpp"
 #include "baobabloft/router/proxy_session.hpp"
 
-#include <sodium.h>
-
 namespace baobabloft::router
 {
 
@@ -30,13 +29,6 @@
                                                   unacknowledged_timeout,
                                               .probed_after = probed_after};
 
-std::uint64_t random_seed()
-{
-    std::uint64_t seed = 0;
-    randombytes_buf(&seed, sizeof seed);
-    return seed;
-}
-
 } // namespace
 
 worker_context::worker_context(const settings& own_options,
@@ -45,7 +37,7 @@
       upstreams(loop, {.stream = stream_options,
                        .unannounced_idle = upstream_idle,
                        .max_kept_idle = upstream_idle}),
-      random(random_seed())
+      random(net::random_seed())
 {
 }
 
@@ -150,8 +142,7 @@
 std::shared_ptr<http::caller_session> worker::serve(const caller_ptr& caller,
                                                     http::request&& message)
 {
-    const auto target = http::view_of(message.target());
-    if (!is_page(target.substr(0, target.find('?'))))
+    if (!is_page(message))
         return proxy_session::start(context_, caller, std::move(message));
     serve_page(context_, caller, message);
     return nullptr;
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -572,12 +572,11 @@
     RC_ASSERT(fleet.all_know(fleet.version()));
 }
 
-RC_GTEST_PROP(directory_follower,
-              a_router_cut_from_the_store_stays_fresh_through_others, ())
+/// Cuts one of `routers` from the store, while the configuration changes in one
+/// of `steps_per_change` steps on average.
+void expect_cut_router_stays_fresh(fleet_model& fleet, std::size_t routers,
+                                   int steps_per_change)
 {
-    constexpr std::size_t routers = 5;
-    fleet_model fleet{routers};
-    fleet.set_loss(false, 1);
     auto now = start;
     for (int step = 0; step < 300; ++step)
         fleet.step(now += 10ms);
@@ -586,7 +585,7 @@
     for (int step = 0; step < 1000; ++step)
     {
         fleet.step(now += 10ms);
-        if (*rc::gen::inRange(0, 100) == 0)
+        if (*rc::gen::inRange(0, steps_per_change) == 0)
             fleet.write_config(now);
         fleet.check();
         if (step > 400)
@@ -594,6 +593,15 @@
     }
 }
 
+RC_GTEST_PROP(directory_follower,
+              a_router_cut_from_the_store_stays_fresh_through_others, ())
+{
+    constexpr std::size_t routers = 5;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    expect_cut_router_stays_fresh(fleet, routers, 100);
+}
+
 RC_GTEST_PROP(directory_follower,
               a_router_cut_from_the_store_gets_long_configurations_from_others,
               ())
@@ -602,20 +610,7 @@
     fleet_model fleet{routers};
     fleet.set_loss(*rc::gen::arbitrary<bool>(), 20);
     fleet.set_config_bytes(*rc::gen::inRange<std::size_t>(0, 8'000));
-    auto now = start;
-    for (int step = 0; step < 300; ++step)
-        fleet.step(now += 10ms);
-    const auto cut = *rc::gen::inRange<std::size_t>(0, routers);
-    fleet.cut_from_store(cut);
-    for (int step = 0; step < 1000; ++step)
-    {
-        fleet.step(now += 10ms);
-        if (*rc::gen::inRange(0, 300) == 0)
-            fleet.write_config(now);
-        fleet.check();
-        if (step > 400)
-            RC_ASSERT(fleet.proof_age(now, cut) < 4s);
-    }
+    expect_cut_router_stays_fresh(fleet, routers, 300);
 }
 
 RC_GTEST_PROP(directory_follower,
