Logs tell a slow transfer of the store from a silent one

The logs did not distinguish its hypotheses: `store_lost` read the same for a store that was silent and for a response that was still arriving, and a long value that was read from another router from the start again left no trace.

No change of logic.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -169,6 +169,9 @@
     /// reported to other routers.
     [[nodiscard]] std::uint32_t reported_age_ms(time_point now) const;
     [[nodiscard]] bool store_failed_recently(time_point now) const;
+    /// Discards the received parts of the pending long entry, which is read
+    /// from the store next.
+    void restart_transfer(std::string_view reason);
     /// Applies the pending long entry, or its absence.
     void finish_long_entry(time_point now, const std::optional<entry>& item);
     [[nodiscard]] bool is_unresponsive(time_point now,
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -45,6 +45,8 @@
         /// for a grace period.
         upstream_expired,
         entry_unreadable,
+        /// The bytes received so far of a long entry were discarded.
+        transfer_restarted,
         data_centre_out_of_service,
         data_centre_back_in_service,
         router_added,
@@ -73,6 +75,8 @@
         directory_event::event_kind::upstream_expired, "upstream_lapsed"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::entry_unreadable, "entry_unreadable"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::transfer_restarted, "transfer_restarted"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::data_centre_out_of_service,
         "data_centre_out"},
@@ -135,6 +139,13 @@
     /// centres out of service.
     [[nodiscard]] std::uint64_t change_count() const;
 
+    /// Records that `discarded_bytes` of a value from another router were
+    /// discarded, and why.
+    void record_transfer_restart(const std::string& key,
+                                 std::size_t discarded_bytes,
+                                 std::string_view reason,
+                                 revision mod_revision);
+
     /// Returns and clears the events since the last call.
     std::vector<directory_event> take_events();
 
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -300,6 +300,16 @@
     return std::exchange(queried_router_, {});
 }
 
+void directory_follower::restart_transfer(std::string_view reason)
+{
+    if (!long_value_.empty())
+        state_.record_transfer_restart(pending_long_entry_->key,
+                                       long_value_.size(), reason,
+                                       long_value_revision_);
+    long_value_.clear();
+    read_long_entry_from_store_ = true;
+}
+
 bool directory_follower::handle_part(time_point now, const entry_part& part)
 {
     if (!pending_long_entry_)
@@ -312,8 +322,7 @@
         part.bytes.empty())
     {
         unresponsive_until_[responder] = now + options_.stale_router_pause;
-        long_value_.clear();
-        read_long_entry_from_store_ = true;
+        restart_transfer("the router has no such value");
         return true;
     }
     const bool is_replaced =
@@ -322,8 +331,8 @@
         (part.total_bytes > options_.max_value_bytes_from_router &&
          !store_failed_recently(now)))
     {
-        long_value_.clear();
-        read_long_entry_from_store_ = true;
+        restart_transfer(is_replaced ? "the value was replaced"
+                                     : "the value is read from the store");
         return true;
     }
     long_value_revision_ = part.mod_revision;
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -91,7 +91,9 @@
     }
     config_ = config;
     record_event(directory_event::event_kind::config_adopted,
-                 std::to_string(config->version), {}, item.mod_revision);
+                 std::to_string(config->version),
+                 std::to_string(item.value.size()) + " bytes",
+                 item.mod_revision);
     return true;
 }
 
@@ -273,6 +275,17 @@
     return change_count_;
 }
 
+void directory_state::record_transfer_restart(const std::string& key,
+                                              std::size_t discarded_bytes,
+                                              std::string_view reason,
+                                              revision mod_revision)
+{
+    record_event(directory_event::event_kind::transfer_restarted, key,
+                 std::string{reason} + ", " + std::to_string(discarded_bytes) +
+                     " bytes discarded",
+                 mod_revision);
+}
+
 std::vector<directory_event> directory_state::take_events()
 {
     return std::exchange(events_, {});
