A response of the store that keeps arriving is not given up

Cause: a call had 0.7 s for its whole response, however long. On a link of 10 Mbit/s 788 kB take 0.63 s and wait behind other bytes; the call was given up with 737 to 786 kB arrived, and the next one began at the first byte. Class: a fixed time limit on work that grows with data and starts from scratch.

--- a/include/baobabloft/relay/platform_interface.hpp
+++ b/include/baobabloft/relay/platform_interface.hpp
@@ -48,6 +48,10 @@
 
     virtual ~directory_store() = default;
 
+    /// In all calls, `timeout` is the longest time without progress: until the
+    /// response begins, and between its parts. The time that a response may
+    /// take as a whole is bounded as well.
+
     /// Reads the page of current entries whose keys follow `after`; an empty
     /// key starts at the beginning. The result is empty on failure.
     virtual void
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -50,12 +50,42 @@
     {
         if (unresponsive)
             return;
+        if (part_bytes > 0)
+        {
+            http::response_head head;
+            head.result(status);
+            caller->start_streamed_response(std::move(head), true);
+            send_parts(caller, 0);
+            return;
+        }
         http::response out;
         out.result(status);
         out.body() = response_body;
         caller->respond(net::boot_now(), std::move(out), true);
     }
 
+    /// Sends the response from `offset` on, one part every 20 ms, and then
+    /// blanks without end if `is_endless`.
+    void send_parts(const http::caller_table::caller_ptr& caller,
+                    std::size_t offset)
+    {
+        const bool is_sent = offset >= response_body.size();
+        if (is_sent && !is_endless)
+        {
+            caller->end_streamed_response(net::boot_now());
+            return;
+        }
+        caller->send_body_part(is_sent
+                                   ? " "
+                                   : response_body.substr(offset, part_bytes));
+        loop.run_after(20ms,
+                       [this, weak = std::weak_ptr{caller}, offset]
+                       {
+                           if (const auto open = weak.lock())
+                               send_parts(open, offset + part_bytes);
+                       });
+    }
+
     /// Returns a callback that stores the result and the reason and counts its
     /// runs.
     template <typename Result>
@@ -108,6 +138,9 @@
     std::string request_target;
     std::string request_body;
     bool unresponsive = false;
+    /// If not 0, the response is sent in parts of this size.
+    std::size_t part_bytes = 0;
+    bool is_endless = false;
     failure reason;
     int callbacks_run = 0;
 };
@@ -272,6 +305,35 @@
     EXPECT_FALSE(reason.text().empty());
 }
 
+// Guards against a long configuration that is never read because its transfer
+// takes longer than the timeout of a call.
+TEST_F(store_test, a_response_that_keeps_arriving_outlasts_the_timeout)
+{
+    std::optional<std::optional<std::optional<directory::entry>>> result;
+    response_body = R"({"key":"a","rev":3,"value":"aGVq"})";
+    part_bytes = 2;
+    client->read_entry("a", 100ms, capture(result));
+    wait_for_callback();
+    ASSERT_TRUE(result && *result && **result);
+    EXPECT_EQ((**result)->value, "hej");
+}
+
+TEST_F(store_test, a_response_without_end_fails_the_call)
+{
+    std::optional<std::optional<directory::entry_page>> result;
+    response_body = sample_page().dump();
+    part_bytes = 50;
+    is_endless = true;
+    const auto before = net::boot_now();
+    client->read_page("", 100ms, capture(result));
+    for (int round = 0; round < 3 && !result; ++round)
+        wait_for_callback();
+    ASSERT_TRUE(result);
+    EXPECT_FALSE(*result);
+    EXPECT_GE(net::boot_now() - before, 1s);
+    EXPECT_LE(net::boot_now() - before, 4s);
+}
+
 TEST_F(store_test, a_refused_connection_fails_the_call)
 {
     listener.reset();
