What other routers sent of a long configuration is kept while the store is away

What callers saw: while the store turns 27 of 78 routers away, these adopt no configuration of 319 kB until it serves them again 12 s later, though it was confirmed and 51 routers had it; 393 requests are refused as isolated. CONFIG allows 3 s, and 6 s more for such an outage.

Cause: without the store, a router reads a long value in parts of 1 kB from another one. One second after its last failed call it took the store for usable, discarded the parts for being "too long" and called the store, which failed again. So a value with more parts than fit into a second never arrived. A router that lacked the value discarded the parts of others, too. Class: progress that is thrown away by a retry on another path.

Change: parts are kept while the store has not responded since it failed, and when a router lacks the value or has an older one.

Test: a_disconnected_router_completes_a_configuration_of_many_parts, failed before on its first case.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -169,6 +169,9 @@
     /// reported to other routers.
     [[nodiscard]] std::uint32_t reported_age_ms(time_point now) const;
     [[nodiscard]] bool store_failed_recently(time_point now) const;
+    /// Returns false while the pending long entry should rather be read from
+    /// other routers, since the store does not respond to this one.
+    [[nodiscard]] bool may_read_value_from_store(time_point now) const;
     /// Discards the received parts of the pending long entry, which is read
     /// from the store next.
     void restart_transfer(std::string_view reason);
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -74,13 +74,20 @@
 
 const router_record* directory_follower::long_entry_source(time_point now) const
 {
-    if (store_failed_recently(now))
+    if (!may_read_value_from_store(now))
         return any_responsive_router(now);
     const bool is_late =
         now - long_entry_reported_at_ > options_.long_entry_timeout;
     return read_long_entry_from_store_ || is_late ? nullptr : watcher(now);
 }
 
+bool directory_follower::may_read_value_from_store(time_point now) const
+{
+    // While the store does not respond, what other routers have sent is kept.
+    return !store_failed_at_ ||
+           (!store_failed_recently(now) && long_value_.empty());
+}
+
 bool directory_follower::store_failed_recently(time_point now) const
 {
     return store_failed_at_ &&
@@ -263,6 +270,7 @@
                                       const std::optional<entry>& item)
 {
     call_in_progress_ = false;
+    store_failed_at_.reset();
     next_call_due_ = now;
     if (pending_long_entry_)
         finish_long_entry(now, item);
@@ -318,18 +326,20 @@
     if (responder.empty())
         return false;
     record_store_response(part.confirmation_age_ms);
-    if (part.mod_revision < pending_long_entry_->mod_revision ||
-        part.bytes.empty())
+    const auto wanted_revision = long_value_.empty()
+                                     ? pending_long_entry_->mod_revision
+                                     : long_value_revision_;
+    if (part.mod_revision < wanted_revision || part.bytes.empty())
     {
         unresponsive_until_[responder] = now + options_.stale_router_pause;
-        restart_transfer("the router has no such value");
+        read_long_entry_from_store_ = true;
         return true;
     }
     const bool is_replaced =
         part.mod_revision != long_value_revision_ && !long_value_.empty();
     if (is_replaced ||
         (part.total_bytes > options_.max_value_bytes_from_router &&
-         !store_failed_recently(now)))
+         may_read_value_from_store(now)))
     {
         restart_transfer(is_replaced ? "the value was replaced"
                                      : "the value is read from the store");
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -625,6 +625,41 @@
     expect_disconnected_router_stays_fresh(fleet, routers, 300);
 }
 
+/// Writes a long configuration, and again while `disconnected` reads it. Checks
+/// that the router adopts the last one within the bound of an installation
+/// whose store does not respond to every router: 3 s, and 6 s for the outage.
+void expect_long_configuration_in_time(fleet_model& fleet, time_point now,
+                                       std::size_t disconnected)
+{
+    constexpr int steps = 900;
+    const auto replaced_at_step = *rc::gen::inRange(10, 200);
+    fleet.write_config(now);
+    for (int step = 0; step < replaced_at_step + steps; ++step)
+    {
+        if (step == replaced_at_step)
+            fleet.write_config(now);
+        fleet.step(now += 10ms);
+    }
+    RC_ASSERT(fleet.state(disconnected).config()->version == fleet.version());
+}
+
+// Guards against a long configuration that starts again from its first byte
+// whenever the last failed call to the store is a second ago.
+RC_GTEST_PROP(directory_follower,
+              a_disconnected_router_completes_a_configuration_of_many_parts, ())
+{
+    constexpr std::size_t routers = 5;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    fleet.set_config_padding(*rc::gen::inRange<std::size_t>(50'000, 150'000));
+    auto now = start;
+    for (int step = 0; step < 300; ++step)
+        fleet.step(now += 10ms);
+    const auto disconnected = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.disconnect_from_store(disconnected);
+    expect_long_configuration_in_time(fleet, now, disconnected);
+}
+
 RC_GTEST_PROP(directory_follower,
               a_removal_is_no_expiry_while_the_store_responds_to_other_routers,
               ())
