A router that lost the history completes its state from other routers

Cause: a router whose watch answers "history lost" reads all entries again, and until that read has ended it calls only the store. Class: one way to recover, through the dependency that is away.

Change: while the store does not respond to it, such a router queries others from the revision up to which its state was complete. If they have the changes since then, its state is complete again.

Test: a_disconnected_router_that_lost_the_history_asks_others; failed before on its first case. a_confirmation_covers_every_earlier_write and the other tests of the follower pass as they were.

Ruled out: answering from a state that is not complete (confirmations still need a response with all changes).

--- a/include/baobabloft/relay/platform_interface.hpp
+++ b/include/baobabloft/relay/platform_interface.hpp
@@ -39,7 +39,9 @@
 };
 
 /// The platform's key-value store. Every callback runs exactly once, on the
-/// event loop's thread and within `timeout`.
+/// event loop's thread. `timeout` is the longest time without progress: until
+/// the response begins, and between its parts. The time of a whole response is
+/// bounded as well.
 class directory_store
 {
 public:
@@ -48,10 +50,6 @@
 
     virtual ~directory_store() = default;
 
-    /// In all calls, `timeout` is the longest time without progress: until the
-    /// response begins, and between its parts. The time that a response may
-    /// take as a whole is bounded as well.
-
     /// Reads the page of current entries whose keys follow `after`; an empty
     /// key starts at the beginning. The result is empty on failure.
     virtual void
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -41,8 +41,15 @@
         return std::nullopt;
     call_in_progress_ = true;
     call_sent_at_ = now;
-    if (!state_complete_)
+    // The state was complete up to the known revision, so the changes that
+    // another router knows complete it again.
+    const bool completes_from_router =
+        was_complete_ && !state_complete_ && store_failed_recently(now) &&
+        any_responsive_router(now) != nullptr;
+    if (!state_complete_ && !completes_from_router)
     {
+        pending_long_entry_.reset();
+        pending_confirmation_.reset();
         if (next_page_after_.empty())
             read_started_at_ = now;
         return read_page{next_page_after_};
@@ -180,6 +187,9 @@
 
 void directory_follower::record_confirmation(time_point sent_at)
 {
+    if (!state_complete_)
+        reset_full_read();
+    state_complete_ = true;
     if (!confirmed_at_ || sent_at > *confirmed_at_)
         confirmed_at_ = sent_at;
     failure_pause_ = duration{0};
@@ -196,6 +206,7 @@
 void directory_follower::handle_page(time_point now, const entry_page& page)
 {
     call_in_progress_ = false;
+    store_failed_at_.reset();
     next_call_due_ = now;
     record_store_return(now, read_started_at_);
     if (!read_revision_)
@@ -224,9 +235,8 @@
             next_call_due_ = now + options_.fleet_start_pause;
     }
     was_complete_ = true;
-    state_complete_ = true;
+    long_value_.clear();
     record_confirmation(read_started_at_);
-    reset_full_read();
 }
 
 void directory_follower::reset_full_read()
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -442,6 +442,14 @@
         return now - followers_[router]->confirmed_at().value_or(time_point{});
     }
 
+    /// Tells a router that the store has lost the history; the call in
+    /// progress has no result.
+    void lose_history(time_point now, std::size_t router)
+    {
+        pending_[router].reset();
+        followers_[router]->handle_history_loss(now);
+    }
+
     /// Returns the number of queries that the busiest router received.
     [[nodiscard]] std::size_t max_queries_received() const
     {
@@ -643,6 +651,25 @@
     RC_ASSERT(fleet.state(disconnected).config()->version == fleet.version());
 }
 
+// Guards against a router that has to read everything again and asks no other
+// router while the store does not respond to it.
+RC_GTEST_PROP(directory_follower,
+              a_disconnected_router_that_lost_the_history_asks_others, ())
+{
+    constexpr std::size_t routers = 5;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    fleet.set_config_padding(*rc::gen::inRange<std::size_t>(0, 8'000));
+    auto now = start;
+    for (int step = 0; step < 300; ++step)
+        fleet.step(now += 10ms);
+    const auto disconnected = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.lose_history(now, disconnected);
+    fleet.disconnect_from_store(disconnected);
+    expect_long_configuration_in_time(fleet, now, disconnected);
+    fleet.check_confirmations();
+}
+
 // Guards against a long configuration that starts again from its first byte
 // whenever the last failed call to the store is a second ago.
 RC_GTEST_PROP(directory_follower,
