A superseded configuration is not used past the bound of the newer one

What callers saw: a request sent after the bound was handled by an older configuration (CONFIG), by a router that was still reading the newer one.

Cause: only the age of the last confirmation limits the use of a configuration: with keys for 4.7 s, public routes without limit, while a change is due within 3 s. The router knew for over two seconds that a newer configuration existed. Class: a known fact that the decision does not take into account.

Change: once another router has reported a newer configuration, requests are refused as isolated (not run, come back at another router in 20 to 80 ms) as soon as the last confirmation is as old as the bound. The newer one was written after that confirmation, so no request is refused too early for its sake. If no newer one is known, as in an outage for all, nothing changes.

Tests: freshness.a_superseded_configuration_is_not_used_past_its_bound and directory_follower.a_configuration_is_superseded_until_the_new_one_is_read; the states that they ask for did not exist before.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -145,6 +145,10 @@
     /// or nothing before the first full read.
     [[nodiscard]] std::optional<time_point> confirmed_at() const;
 
+    /// Returns true while a newer configuration is known to exist and is not
+    /// read yet.
+    [[nodiscard]] bool is_config_superseded() const;
+
     /// Returns true after a full read, until the store loses the history.
     [[nodiscard]] bool has_complete_state() const;
 
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -126,6 +126,8 @@
 
     /// Returns the configuration in force, or null before one is known.
     [[nodiscard]] const config_snapshot& config() const;
+    /// Returns true if `item` is a configuration written after the one known.
+    [[nodiscard]] bool is_newer_config(const reported_entry& item) const;
     /// Returns the upstreams by id.
     [[nodiscard]] const std::map<std::string, known_upstream>&
     upstreams() const;
--- a/include/baobabloft/dispatch/freshness.hpp
+++ b/include/baobabloft/dispatch/freshness.hpp
@@ -25,6 +25,8 @@
 {
     /// Nothing: no configuration was ever confirmed.
     none,
+    /// Nothing: a newer configuration should be in force already.
+    superseded,
     /// Public routes only: too old to accept a key.
     routes_only,
     /// Serving requests, but too old to report that a route or a key does not
@@ -36,6 +38,7 @@
 
 inline constexpr std::array permitted_use_names{
     enum_name<permitted_use>{permitted_use::none, "none"},
+    enum_name<permitted_use>{permitted_use::superseded, "superseded"},
     enum_name<permitted_use>{permitted_use::routes_only, "routes_only"},
     enum_name<permitted_use>{permitted_use::serve, "serve"},
     enum_name<permitted_use>{permitted_use::full, "full"},
@@ -43,9 +46,12 @@
 
 /// Returns what a configuration last confirmed at `confirmed_at` may be used
 /// for at `now`. Without a value, no configuration was ever confirmed.
+/// `is_superseded` tells that a newer one is known to exist; it was written
+/// after `confirmed_at`.
 permitted_use permitted_use_at(time_point now,
                                std::optional<time_point> confirmed_at,
-                               const freshness_bounds& bounds);
+                               const freshness_bounds& bounds,
+                               bool is_superseded = false);
 
 /// Returns true if the router should take new connections: even without a
 /// further confirmation it could still accept keys until the load balancer has
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -43,9 +43,9 @@
     call_sent_at_ = now;
     // The state was complete up to the known revision, so the changes that
     // another router knows complete it again.
-    const bool completes_from_router =
-        was_complete_ && !state_complete_ && store_failed_recently(now) &&
-        any_responsive_router(now) != nullptr;
+    const bool completes_from_router = was_complete_ && !state_complete_ &&
+                                       store_failed_recently(now) &&
+                                       any_responsive_router(now) != nullptr;
     if (!state_complete_ && !completes_from_router)
     {
         pending_long_entry_.reset();
@@ -511,6 +511,11 @@
     return confirmed_at_;
 }
 
+bool directory_follower::is_config_superseded() const
+{
+    return pending_long_entry_ && state_.is_newer_config(*pending_long_entry_);
+}
+
 bool directory_follower::has_complete_state() const
 {
     return state_complete_;
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -250,6 +250,14 @@
     return config_;
 }
 
+bool directory_state::is_newer_config(const reported_entry& item) const
+{
+    const auto latest = latest_revisions_.find(item.key);
+    return codec_.read_key(item.key).kind == key_kind::config &&
+           (latest == latest_revisions_.end() ||
+            latest->second < item.mod_revision);
+}
+
 const std::map<std::string, known_upstream>& directory_state::upstreams() const
 {
     return upstreams_;
--- a/lib/dispatch/freshness.cpp
+++ b/lib/dispatch/freshness.cpp
@@ -21,11 +21,14 @@
 
 permitted_use permitted_use_at(time_point now,
                                std::optional<time_point> confirmed_at,
-                               const freshness_bounds& bounds)
+                               const freshness_bounds& bounds,
+                               bool is_superseded)
 {
     if (!confirmed_at)
         return permitted_use::none;
     const auto age = now - *confirmed_at;
+    if (is_superseded && age >= bounds.in_force)
+        return permitted_use::superseded;
     if (age >= bounds.key_revocation - key_margin)
         return permitted_use::routes_only;
     if (age >= bounds.in_force * deny_numerator / deny_denominator)
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -54,7 +54,8 @@
 dispatch::permitted_use
 relay_context::permitted_config_use(time_point now) const
 {
-    return dispatch::permitted_use_at(now, follower.confirmed_at(), freshness);
+    return dispatch::permitted_use_at(now, follower.confirmed_at(), freshness,
+                                      follower.is_config_superseded());
 }
 
 duration relay_context::confirmation_age(time_point now) const
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -107,6 +107,11 @@
         refuse(refusal_kind::not_ready, "no configuration yet");
         return false;
     }
+    if (config_use == dispatch::permitted_use::superseded)
+    {
+        refuse(refusal_kind::isolated, "a newer configuration is in force");
+        return false;
+    }
     // Only a fresh configuration shows that a route or an API key does not
     // exist.
     const bool may_deny = config_use == dispatch::permitted_use::full;
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -293,6 +293,41 @@
     EXPECT_TRUE(follower.state().upstreams().empty());
 }
 
+TEST(directory_follower,
+     a_configuration_is_superseded_until_the_new_one_is_read)
+{
+    directory_follower follower{codec, {.router = "r0", .data_centre = "dc"}};
+    fake_store store;
+    for (const auto& [key, value] :
+         {std::pair{"config", "1"}, {"secret", "s"}, {"router/r1", "dc"}})
+        store.write(key, value);
+    run_call(follower, store, start);
+    const auto query = [&](time_point now)
+    {
+        return std::get<change_query>(
+            std::get<query_router>(*follower.next_call(now)).message);
+    };
+    auto now = start + 1s;
+    ASSERT_FALSE(follower.is_watching_store(now));
+    change_response response{.sequence = query(now).sequence,
+                             .has_history = true,
+                             .as_of_revision = store.latest_revision() + 1,
+                             .entries = {}};
+    response.entries.push_back({.key = "config",
+                                .value = {},
+                                .mod_revision = store.latest_revision() + 1,
+                                .removed = false,
+                                .is_long = true});
+    EXPECT_FALSE(follower.is_config_superseded());
+    follower.handle_response(now, response);
+    EXPECT_TRUE(follower.is_config_superseded());
+    store.write("config", "2" + std::string(2'000, ' '));
+    for (int call = 0; call < 3 && follower.is_config_superseded(); ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_FALSE(follower.is_config_superseded());
+    EXPECT_EQ(follower.state().config()->version, 2U);
+}
+
 TEST(directory_follower, a_failed_call_confirms_nothing)
 {
     fake_store store;
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -884,6 +884,21 @@
     EXPECT_TRUE(budget.try_take_repeat(start + 10s, "s", 1));
 }
 
+// Guards against requests that are handled by a configuration that is known to
+// be replaced, after the bound for the newer one.
+TEST(freshness, a_superseded_configuration_is_not_used_past_its_bound)
+{
+    const freshness_bounds bounds{.key_revocation = 5s, .in_force = 2s};
+    EXPECT_EQ(permitted_use_at(start + 1999ms, start, bounds, true),
+              permitted_use::serve);
+    EXPECT_EQ(permitted_use_at(start + 2s, start, bounds, true),
+              permitted_use::superseded);
+    EXPECT_EQ(permitted_use_at(start + 60s, start, bounds, true),
+              permitted_use::superseded);
+    EXPECT_EQ(permitted_use_at(start + 2s, start, bounds, false),
+              permitted_use::serve);
+}
+
 TEST(freshness, permitted_use_shrinks_as_the_confirmation_ages)
 {
     const freshness_bounds bounds{.key_revocation = 5s, .in_force = 2s};
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -75,9 +75,8 @@
             caller->end_streamed_response(net::boot_now());
             return;
         }
-        caller->send_body_part(is_sent
-                                   ? " "
-                                   : response_body.substr(offset, part_bytes));
+        caller->send_body_part(
+            is_sent ? " " : response_body.substr(offset, part_bytes));
         loop.run_after(20ms,
                        [this, weak = std::weak_ptr{caller}, offset]
                        {
