Parts of prompts that crash upstreams are found and quarantined by the fleet

Cause: a request that crashes upstreams was recognized by a hash of path, customer and body. Requests that share only a part of their prompts have different hashes. Class: the identity by which a fault is recognized is narrower than the fault.

Change: a part of a prompt, all but the last, is charged with a crash if a request with it was just beginning there, and cleared by any request with it that ends well. No router sees enough of either, so three routers judge each part (rendezvous hash): they receive the reports, after three crashes of different requests ask all routers for successes since the first one, and quarantine the part 300 ms later if there are none. Requests with it are refused at once as not run, also before a second attempt. One router lets one request through after 10, 40, 160 s; a success anywhere ends the quarantine everywhere. A router that starts asks others for the parts in quarantine.

Before this change nothing remembered a part.

Ruled out: charging every part of everything that ran there (sound requests are quarantined); deciding at one router alone (a first part shared by a quarter of all requests is in every report, and 78 routers see a success with it once in two seconds each).

--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -27,16 +27,40 @@
     ledger::append_request, ledger::append_response, preset_notice,
     routing::load_digest, directory::change_query, directory::change_response,
     directory::change_notice, routing::crash_notice, directory::entry_query,
-    directory::entry_part, dispatch::traffic_report, dispatch::traffic_summary>;
+    directory::entry_part, dispatch::traffic_report, dispatch::traffic_summary,
+    routing::part_crash_report, routing::part_query, routing::part_cleared,
+    routing::part_quarantine, routing::quarantine_query>;
 
 /// Names of the message kinds for metrics, in the order of the variant.
-inline constexpr std::array message_names{
-    "ping",           "ping_ack",      "indirect_ping",   "join_request",
-    "member_list",    "permit_ask",    "permit_answer",   "permit_release",
-    "permit_hold",    "permit_cancel", "suspect_cleared", "slow_first_token",
-    "append_request", "append_reply",  "preset_notice",   "load_digest",
-    "change_ask",     "change_answer", "change_notice",   "crash_notice",
-    "entry_ask",      "entry_part",    "traffic_report",  "traffic_summary"};
+inline constexpr std::array message_names{"ping",
+                                          "ping_ack",
+                                          "indirect_ping",
+                                          "join_request",
+                                          "member_list",
+                                          "permit_ask",
+                                          "permit_answer",
+                                          "permit_release",
+                                          "permit_hold",
+                                          "permit_cancel",
+                                          "suspect_cleared",
+                                          "slow_first_token",
+                                          "append_request",
+                                          "append_reply",
+                                          "preset_notice",
+                                          "load_digest",
+                                          "change_ask",
+                                          "change_answer",
+                                          "change_notice",
+                                          "crash_notice",
+                                          "entry_ask",
+                                          "entry_part",
+                                          "traffic_report",
+                                          "traffic_summary",
+                                          "part_crash_report",
+                                          "part_query",
+                                          "part_cleared",
+                                          "part_quarantine",
+                                          "quarantine_query"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "message_names must have one name per message kind");
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -16,6 +16,7 @@
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/settings.hpp"
 #include "baobabloft/routing/crash_tracker.hpp"
+#include "baobabloft/routing/crashing_parts.hpp"
 
 #include <random>
 
@@ -24,6 +25,15 @@
 
 class relay_session;
 
+/// A request that was running when its upstream may have crashed.
+struct crash_suspect
+{
+    fingerprint request{};
+    /// Parts of its prompt that other requests may share; empty if the answer
+    /// was well under way.
+    std::vector<prompt_part_id> parts;
+};
+
 /// State of a relay that its sessions share.
 struct relay_context
 {
@@ -36,12 +46,16 @@
     dispatch::arrival_budget retry_budget;
     dispatch::freshness_bounds freshness;
     routing::crash_tracker crashes;
+    routing::crashing_parts crashing_parts;
     /// Bytes of responses that are not complete yet and not streamed.
     std::size_t buffered_response_bytes = 0;
     /// Schedules a check of whether `upstream` crashed while it ran the
     /// request.
-    std::function<void(fingerprint request, const std::string& upstream)>
+    std::function<void(const crash_suspect& suspect,
+                       const std::string& upstream)>
         schedule_crash_check;
+    /// Tells the other routers that parts are no longer in quarantine.
+    std::function<void(std::vector<prompt_part_id> parts)> announce_cleared;
     std::mt19937_64 random;
     dispatch::shutdown_times shutdown;
     /// Start of the shutdown, if one is in progress; from then on responses
@@ -119,22 +133,39 @@
     /// Ends the query to another router after its response has arrived.
     void end_router_query();
     void handle(router_id from, const routing::crash_notice& message);
+    void handle(router_id from, const routing::part_crash_report& message);
+    void handle(router_id from, const routing::part_query& message);
+    void handle(router_id from, const routing::part_cleared& message);
+    void handle(router_id from, const routing::part_quarantine& message);
+    void handle(router_id from, const routing::quarantine_query& message);
     void handle(router_id from, const dispatch::traffic_report& message);
     void handle(router_id from, const dispatch::traffic_summary& message);
     /// Reports what this router saw of the traffic to the router that watches
     /// the store for it.
     void send_traffic_report();
-    void schedule_crash_check(fingerprint request, const std::string& upstream);
+    void schedule_crash_check(const crash_suspect& suspect,
+                              const std::string& upstream);
     /// Records a crash if all connections to `upstream` are closed;
     /// `open_before` is the number that was open when the check was scheduled.
     /// If it is 0, opens a connection and records a crash if that is refused.
-    void check_crash(fingerprint request, const std::string& upstream,
+    void check_crash(const crash_suspect& suspect, const std::string& upstream,
                      std::size_t open_before);
-    /// Records a crash and notifies all other routers.
-    void record_crash(fingerprint request, const std::string& upstream);
+    /// Records a crash, notifies all other routers, and reports the suspect's
+    /// parts to their judges.
+    void record_crash(const crash_suspect& suspect,
+                      const std::string& upstream);
+    void report_to_judges(time_point now,
+                          const routing::part_crash_report& report);
+    /// Sends what is due of the parts that this router judges.
+    void judge_parts();
+    void quarantine_parts(std::span<const prompt_part_id> parts);
+    void announce_cleared(std::vector<prompt_part_id> parts);
+    /// Asks a few routers for the parts in quarantine.
+    void query_quarantine();
     /// Returns the id under which this router sends datagrams.
     [[nodiscard]] router_id self_id() const;
     void send_datagram(router_id to, const fleet::message& message);
+    void send_to_all(const fleet::message& message);
     /// Notifies the data centre's other routers that the directory changed, if
     /// this router watches the store for them.
     void notify_routers();
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -43,6 +43,8 @@
         time_point started;
         http::response_head head;
         std::string body;
+        /// Events received with content.
+        std::uint32_t events = 0;
         /// The response is forwarded event by event as it arrives.
         bool is_stream = false;
         /// The attempt has ended; later callbacks of it are ignored.
@@ -62,6 +64,12 @@
     /// leaves `service_` null if there is none.
     void choose_service();
 
+    /// Returns true if the prompt has a part that crashes upstreams. A trial
+    /// of the part may let a new request pass.
+    [[nodiscard]] bool is_quarantined(time_point now);
+    /// Records that the request ended well.
+    void record_success(const attempt_ptr& attempt);
+
     /// Starts an attempt at the upstream that the selector chooses, or ends the
     /// request if there is no time, upstream or retry budget left.
     void try_next_upstream();
@@ -126,6 +134,8 @@
     /// Id of the longest prompt prefix shared with other requests.
     std::optional<std::uint64_t> affinity_;
     std::uint32_t shared_prefix_tokens_ = 0;
+    /// Parts of the prompt that other requests may share.
+    std::vector<prompt_part_id> shared_parts_;
     /// Hash of the path, customer and body; the same for a repetition under a
     /// new request id.
     fingerprint fingerprint_{};
--- a/include/baobabloft/routing/messages.hpp
+++ b/include/baobabloft/routing/messages.hpp
@@ -194,4 +194,38 @@
     upstream_id upstream{};
 };
 
+/// Reports that a request with these prompt parts was running on `upstream`
+/// when the upstream crashed. Sent to the judges of the parts.
+struct part_crash_report
+{
+    fingerprint request{};
+    upstream_id upstream{};
+    std::vector<prompt_part_id> parts;
+};
+
+/// Asks every router whether a request with the part ended well in the last
+/// `within_ms`.
+struct part_query
+{
+    prompt_part_id part{};
+    std::uint32_t within_ms = 0;
+};
+
+/// Reports that requests with these parts ended well.
+struct part_cleared
+{
+    std::vector<prompt_part_id> parts;
+};
+
+/// Reports that these parts crash upstreams; requests with them are refused.
+struct part_quarantine
+{
+    std::vector<prompt_part_id> parts;
+};
+
+/// Asks for the parts in quarantine; sent by a router that has started.
+struct quarantine_query
+{
+};
+
 } // namespace baobabloft::routing
--- a/include/baobabloft/support/ids.hpp
+++ b/include/baobabloft/support/ids.hpp
@@ -37,6 +37,11 @@
 {
 };
 
+/// Identifies a part of prompts that several requests may share.
+enum class prompt_part_id : std::uint64_t
+{
+};
+
 /// Returns the integer value of an identifier.
 template <typename Id>
 constexpr auto raw(Id id)
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -207,6 +207,36 @@
     archive(object.request, object.upstream);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, part_crash_report& object)
+{
+    archive(object.request, object.upstream);
+    serialize_list(archive, object.parts);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, part_query& object)
+{
+    archive(object.part, object.within_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, part_cleared& object)
+{
+    serialize_list(archive, object.parts);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, part_quarantine& object)
+{
+    serialize_list(archive, object.parts);
+}
+
+template <typename Archive>
+void serialize(Archive& /*archive*/, quarantine_query& /*object*/)
+{
+}
+
 template <typename Archive>
 void serialize(Archive& archive, permit_request& object)
 {
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -98,9 +98,12 @@
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
           .freshness = freshness_of(options),
           .crashes = {},
+          .crashing_parts = routing::crashing_parts{},
           .schedule_crash_check =
-              [this](fingerprint request, const std::string& upstream)
-          { schedule_crash_check(request, upstream); },
+              [this](const crash_suspect& suspect, const std::string& upstream)
+          { schedule_crash_check(suspect, upstream); },
+          .announce_cleared = [this](std::vector<prompt_part_id> parts)
+          { announce_cleared(std::move(parts)); },
           .random = std::mt19937_64{net::random_seed()},
           .shutdown = {.limit = options.shutdown_timeout},
           .shutdown_started_at = std::nullopt},
@@ -247,6 +250,7 @@
         context_.selector.erase_removed_upstreams();
     }
     record_readiness();
+    judge_parts();
     maintain_registration();
     update_router_socket();
     check_shutdown();
@@ -270,6 +274,9 @@
                  static_cast<double>(context_.pool.total_opened()));
     counters.set("baobab_quarantined_requests",
                  static_cast<double>(context_.crashes.quarantined_count(now)));
+    counters.set(
+        "baobab_quarantined_parts",
+        static_cast<double>(context_.crashing_parts.quarantined(now).size()));
     counters.set("baobab_watches_store",
                  context_.follower.is_watching_store(now) ? 1 : 0);
     counters.set("baobab_log_lines_lost",
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -117,6 +117,7 @@
     while (const auto event = event_splitter_.next())
     {
         has_progress = has_progress || event->has_content;
+        attempt->events += event->has_content ? 1 : 0;
         if (!deliver_event(attempt, *event, out))
         {
             if (!out.empty())
@@ -187,6 +188,20 @@
         finish_buffered(attempt);
 }
 
+void relay_session::record_success(const attempt_ptr& attempt)
+{
+    const auto now = net::boot_now();
+    context_.selector.record_success(now, attempt->upstream);
+    context_.crashes.clear_suspicion(fingerprint_);
+    // Other responses need not have touched the prompt.
+    if (attempt->head.result_int() >= first_redirect)
+        return;
+    if (auto cleared =
+            context_.crashing_parts.record_success(now, shared_parts_);
+        !cleared.empty())
+        context_.announce_cleared(std::move(cleared));
+}
+
 void relay_session::finish_stream(const attempt_ptr& attempt)
 {
     if (event_splitter_.buffered_bytes() > 0)
@@ -195,8 +210,7 @@
                     "stream ended inside an event");
         return;
     }
-    context_.selector.record_success(net::boot_now(), attempt->upstream);
-    context_.crashes.clear_suspicion(fingerprint_);
+    record_success(attempt);
     close_attempt(attempt);
     if (!stream_started_)
         start_stream(attempt);
@@ -226,8 +240,7 @@
         end_attempt(attempt, attempt_end::failed, std::to_string(status));
         return;
     }
-    context_.selector.record_success(net::boot_now(), attempt->upstream);
-    context_.crashes.clear_suspicion(fingerprint_);
+    record_success(attempt);
     close_attempt(attempt);
     forward_response(attempt);
 }
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -1,5 +1,5 @@
-// The relay's exchange with other routers: directory queries and responses,
-// and notices of requests that crash upstreams.
+// The relay's exchange with other routers: directory queries and responses.
+#include "router_address.hpp"
 #include "store_timeout.hpp"
 
 #include "baobabloft/relay/relay.hpp"
@@ -20,14 +20,9 @@
 /// lost or the router is down.
 constexpr duration router_query_timeout = 120ms;
 constexpr std::size_t secret_bytes = 32;
-/// Within this time, resets of all other connections to a crashed upstream have
-/// arrived.
-constexpr duration crash_check_delay = 60ms;
-/// A crashed upstream refuses a new connection well within this time.
-constexpr duration crash_probe_timeout = 200ms;
 
-/// Returns the id of the router that receives datagrams at `address`, or an
-/// empty result if the host is not an IPv4 address.
+} // namespace
+
 std::optional<router_id> router_id_at(const endpoint& address)
 {
     const auto host = parse_ipv4(address.host);
@@ -36,8 +31,6 @@
     return make_router_id(*host, address.port);
 }
 
-} // namespace
-
 void relay::start_call(const directory::query_router& call)
 {
     const auto id = router_id_at(call.control_address);
@@ -86,6 +79,8 @@
             [this](router_id from, std::string_view bytes)
             { receive(from, bytes); },
             reason);
+    if (router_socket_)
+        query_quarantine();
     log_event(router_socket_ ? log_level::info : log_level::error,
               router_socket_ ? "linked" : "link_failed",
               {{"address", to_string(options_.control_listen)},
@@ -169,12 +164,6 @@
     follow_directory();
 }
 
-void relay::handle(router_id /*from*/, const routing::crash_notice& message)
-{
-    context_.crashes.record_crash(net::boot_now(), message.request,
-                                  message.upstream);
-}
-
 void relay::handle(router_id from, const dispatch::traffic_report& message)
 {
     send_datagram(from,
@@ -197,73 +186,6 @@
         send_datagram(*id, report);
 }
 
-void relay::schedule_crash_check(fingerprint request,
-                                 const std::string& upstream)
-{
-    const auto open_before = context_.pool.open_count(upstream);
-    loop_.run_after(crash_check_delay, [this, request, upstream, open_before]
-                    { check_crash(request, upstream, open_before); });
-}
-
-void relay::check_crash(fingerprint request, const std::string& upstream,
-                        std::size_t open_before)
-{
-    // A crash ends every connection to the upstream; a lost response only its
-    // own.
-    if (context_.pool.open_count(upstream) > 0)
-        return;
-    if (open_before > 0)
-    {
-        record_crash(request, upstream);
-        return;
-    }
-    const auto& known = context_.follower.state().upstreams();
-    const auto found = known.find(upstream);
-    if (found == known.end())
-        return;
-    const auto probe =
-        http::tcp_stream::connect(loop_, found->second.record.address, {});
-    if (!probe)
-        return;
-    probe->set_handlers(
-        {.on_connected =
-             [weak = std::weak_ptr{probe}]
-         {
-             if (const auto connection = weak.lock())
-                 connection->close();
-         },
-         .on_data = nullptr,
-         .on_end =
-             [this, request, upstream](http::stream_end_reason end)
-         {
-             if (end == http::stream_end_reason::connect_failed)
-                 record_crash(request, upstream);
-         },
-         .on_drained = nullptr});
-    // Keeps the probe alive until its result is known or the time is up.
-    loop_.run_after(crash_probe_timeout, [probe] { probe->close(); });
-}
-
-void relay::record_crash(fingerprint request, const std::string& upstream)
-{
-    const auto now = net::boot_now();
-    const routing::crash_notice notice{request, make_upstream_id(upstream)};
-    context_.crashes.record_crash(now, request, notice.upstream);
-    log_event(log_level::warning, "upstream_crashed",
-              {{"upstream", upstream},
-               {"fingerprint", std::to_string(raw(request))},
-               {"quarantined", context_.crashes.state_of(now, request) ==
-                                       routing::crash_state::quarantined
-                                   ? "yes"
-                                   : "no"}});
-    if (!router_socket_)
-        return;
-    for (const auto& [name, router] : context_.follower.state().routers())
-        if (const auto id = router_id_at(router.control_address);
-            id && name != options_.router_name)
-            send_datagram(*id, notice);
-}
-
 void relay::notify_routers()
 {
     if (!router_socket_ ||
@@ -279,4 +201,14 @@
     }
 }
 
+void relay::send_to_all(const fleet::message& message)
+{
+    if (!router_socket_)
+        return;
+    for (const auto& [name, router] : context_.follower.state().routers())
+        if (const auto id = router_id_at(router.control_address);
+            id && name != options_.router_name)
+            send_datagram(*id, message);
+}
+
 } // namespace baobabloft::relay
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -43,6 +43,9 @@
 constexpr double first_event_timeout_factor = 1.5;
 constexpr int event_gap_timeout_factor = 3;
 constexpr std::uint32_t max_urgency = 9;
+/// A request that crashes its upstream does so when its answer begins. An
+/// answer with more events than this is well under way.
+constexpr std::uint32_t max_events_of_suspect = 1;
 
 } // namespace
 
@@ -96,9 +99,22 @@
         refuse(refusal_kind::no_upstream, "service is not configured");
         return;
     }
+    if (is_quarantined(arrived_at_))
+    {
+        refuse(refusal_kind::quarantined, "prompt part crashes upstreams");
+        return;
+    }
     try_next_upstream();
 }
 
+bool relay_session::is_quarantined(time_point now)
+{
+    auto& parts = context_.crashing_parts;
+    const auto part = parts.find_quarantined(now, shared_parts_);
+    return part &&
+           (history_.attempts > 0 || !parts.try_begin_trial(now, *part));
+}
+
 bool relay_session::admit()
 {
     const auto config_use = context_.permitted_config_use(arrived_at_);
@@ -174,7 +190,10 @@
             affinity_ = parts.size() > 1 ? parts[parts.size() - 2].id
                                          : parts.front().id;
         for (std::size_t index = 0; index + 1 < parts.size(); ++index)
+        {
             shared_prefix_tokens_ += parts[index].tokens;
+            shared_parts_.push_back(prompt_part_id{parts[index].id});
+        }
     }
     std::uint64_t total = 0;
     for (const auto& item : route_->services)
@@ -220,6 +239,17 @@
                  "not enough time for another attempt");
         return;
     }
+    if (history_.attempts > 0 && is_quarantined(now))
+    {
+        if (stream_started_)
+            finish("broken_off");
+        else if (history_.runs > 0)
+            fail(refusal_kind::upstream_failed,
+                 "prompt part crashes upstreams");
+        else
+            refuse(refusal_kind::quarantined, "prompt part crashes upstreams");
+        return;
+    }
     const auto chosen = context_.selector.choose(
         now, {.service = service_,
               .affinity = affinity_,
@@ -430,7 +460,13 @@
         if (!reused)
             selector.record_failure(now, attempt->upstream);
         if (end == attempt_end::broken)
-            context_.schedule_crash_check(fingerprint_, attempt->upstream);
+        {
+            const bool is_under_way = attempt->events > max_events_of_suspect;
+            context_.schedule_crash_check(
+                {fingerprint_,
+                 is_under_way ? std::vector<prompt_part_id>{} : shared_parts_},
+                attempt->upstream);
+        }
         ++upstream_arrivals_;
         ++history_.runs;
         break;
--- a/lib/router/metrics.cpp
+++ b/lib/router/metrics.cpp
@@ -44,6 +44,7 @@
     metric_row{"baobab_permit_other_choices",
                "Requests that got a later choice since the start"},
     metric_row{"baobab_quarantined_requests", "Request bodies in quarantine"},
+    metric_row{"baobab_quarantined_parts", "Parts of prompts in quarantine"},
     metric_row{"baobab_ledger_writes", "Ledger entries written since start"},
     metric_row{"baobab_ledger_records", "Ledger records written since start"},
     metric_row{"baobab_ledger_lost_races",
--- a/unittests/net/codec_test.cpp
+++ b/unittests/net/codec_test.cpp
@@ -139,6 +139,18 @@
         round_trip(routing::crash_notice{fingerprint{3}, upstream_id{4}});
     EXPECT_EQ(crash.request, fingerprint{3});
     EXPECT_EQ(crash.upstream, upstream_id{4});
+    const std::vector parts{prompt_part_id{7}, prompt_part_id{8}};
+    const auto report = round_trip(
+        routing::part_crash_report{fingerprint{3}, upstream_id{4}, parts});
+    EXPECT_EQ(report.request, fingerprint{3});
+    EXPECT_EQ(report.upstream, upstream_id{4});
+    EXPECT_EQ(report.parts, parts);
+    const auto part_query = round_trip(routing::part_query{parts.front(), 900});
+    EXPECT_EQ(part_query.part, parts.front());
+    EXPECT_EQ(part_query.within_ms, 900U);
+    EXPECT_EQ(round_trip(routing::part_cleared{parts}).parts, parts);
+    EXPECT_EQ(round_trip(routing::part_quarantine{parts}).parts, parts);
+    round_trip(routing::quarantine_query{});
 }
 
 TEST(codec, size_of_an_empty_change_response_is_bounded)
