Errors inside a stream are not forwarded as events

Reported by operators of similar systems: a stream had begun and broke off, the next server answered with an error, and callers found the error's text, at times its whole head, in the middle of their stream, or a stream that ended there as if it were complete. Looked for all three reports in the routed path.

Can happen here, in two ways: a response without length or chunks goes on with another response's head and text, and a success that resumes a stream holds text without event ids. Both were forwarded, and the stream ended as complete.

Cause: the ids of events are compared only if an event has one.

Change: in a stream whose events have ids, a block without one that is neither a comment nor a reconnection time breaks the attempt; the stream is resumed elsewhere or broken off.

Tests, with a real router: relay.ErrorInStreamTest; two of its three cases failed before. An error status instead of the rest was handled already.

Ruled out, with new tests that passed on the code before: a repeated refusal on a kept connection, with and without an id (relay.LateRefusalTest: the answer that follows is delivered, or the request ends as "may have run", and runs once); a response that ends in its head (relay.CutHeadTest: 502).

--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -88,7 +88,7 @@
     /// Forwards the complete events received so far.
     void deliver_events(const attempt_ptr& attempt);
     /// Appends the event to `out`, unless the caller already has it. Returns
-    /// false if its id does not follow that of the last event.
+    /// false if its id does not follow that of the last event or is missing.
     bool deliver_event(const attempt_ptr& attempt,
                        const router::sse_event& event, std::string& out);
     void start_stream(const attempt_ptr& attempt);
--- a/include/baobabloft/router/sse.hpp
+++ b/include/baobabloft/router/sse.hpp
@@ -20,6 +20,9 @@
     /// True if it has an id or data; others, such as comments, only show that
     /// the connection is alive.
     bool has_content = false;
+    /// True if it consists of comments and reconnection times only, which a
+    /// stream may bring between its numbered events.
+    bool is_comment = false;
     /// True for the end marker "data: [DONE]" of a chat's stream.
     bool is_end = false;
 };
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -123,7 +123,7 @@
             if (!out.empty())
                 caller_->send_body_part(out);
             end_attempt(attempt, attempt_end::broken,
-                        "event id out of sequence");
+                        "event has no id or is out of sequence");
             return;
         }
     }
@@ -150,6 +150,9 @@
         if (*event.id != *last_event_id_ + 1)
             return false;
     }
+    // The text of an error, not a part of a stream whose events have ids.
+    if (!event.id && last_event_id_ && !event.is_comment)
+        return false;
     if (!event.has_content && !stream_started_)
         return true;
     const auto now = net::boot_now();
--- a/lib/router/sse.cpp
+++ b/lib/router/sse.cpp
@@ -1,5 +1,6 @@
 #include "baobabloft/router/sse.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace baobabloft::router
@@ -30,6 +31,19 @@
     return std::nullopt;
 }
 
+bool is_comment(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const auto line = event.substr(0, event.find('\n'));
+        if (!line.empty() && !line.starts_with(':') &&
+            !line.starts_with("retry:"))
+            return false;
+        event.remove_prefix(std::min(line.size() + 1, event.size()));
+    }
+    return true;
+}
+
 bool has_data(std::string_view event)
 {
     constexpr std::string_view field = "data";
@@ -56,6 +70,7 @@
     buffer_.erase(0, event.bytes.size());
     event.id = find_id(event.bytes);
     event.has_content = event.id || has_data(event.bytes);
+    event.is_comment = is_comment(event.bytes);
     event.is_end = event.bytes.find("data: [DONE]") != std::string::npos &&
                    event.bytes.find('{') == std::string::npos;
     return event;
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -178,6 +178,106 @@
         self.assertNotEqual(response.read(), b"first")
 
 
+REFUSAL = "503 Service Unavailable"
+# Statuses that promise that the request did not run.
+NOT_RUN = (429, 503)
+
+
+class LateRefusalTest(RelayTest):
+    """An upstream refuses "a", keeps the connection and repeats the refusal."""
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        refusal = head("a", "X-Not-Run: 1\r\nContent-Length: 4\r\n",
+                       REFUSAL) + b"full"
+        if request_id == "a":
+            connection.sendall(refusal)
+        elif request_id == "with-id":
+            connection.sendall(refusal)
+            time.sleep(0.2)
+            connection.sendall(head(request_id, "Content-Length: 4\r\n")
+                               + b"done")
+        else:
+            connection.sendall(refusal.replace(b"X-Request-Id: a\r\n", b""))
+
+    # Guards against "not run" for a request that the upstream runs, after a
+    # repeated refusal of an earlier one.
+    def test_a_repeated_refusal_is_no_answer_to_the_next_request(self):
+        self.assertIn(self.send("POST", "/unsafe/1", "a").status, NOT_RUN)
+        response = self.send("POST", "/unsafe/1", "with-id")
+        self.assertEqual((response.status, response.read()), (200, b"done"))
+        self.assertEqual(self.requests.count("with-id"), 1)
+
+    def test_a_repeated_refusal_without_an_id_does_not_say_not_run(self):
+        self.assertIn(self.send("POST", "/unsafe/1", "a").status, NOT_RUN)
+        self.assertEqual(self.send("POST", "/unsafe/1", "b").status, 502)
+        self.assertEqual(self.requests.count("b"), 1)
+
+
+class ErrorInStreamTest(RelayTest):
+    """A stream breaks off after its first event, as its request id says."""
+    upstreams = 2
+    error = b"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\nfailed\n\n"
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        attempts = self.requests.count(request_id)
+        chunked = "Transfer-Encoding: chunked\r\n"
+        if attempts == 1 and request_id == "unframed":
+            connection.sendall(head(request_id) + event(1) + self.error)
+        elif attempts == 1:
+            connection.sendall(head(request_id, chunked)
+                               + b"%x\r\n" % len(event(1)) + event(1) + b"\r\n")
+        elif request_id == "status":
+            connection.sendall(head(request_id, "Content-Length: 8\r\n",
+                                    "500 Error") + b"failed\n\n")
+        else:
+            connection.sendall(head(request_id) + b"data: failed\n\n")
+        connection.shutdown(socket.SHUT_RDWR)
+
+    # Guards against the text of an error in the middle of a stream, and against
+    # a stream that ends there as if it were complete.
+    def check_broken_off(self, request_id):
+        time.sleep(1)  # a router that has just started has no retry budget
+        response = self.send("POST", "/stream/1", request_id)
+        try:
+            body = response.read()
+            self.fail(f"the stream ended as complete: {body}")
+        except (http.client.IncompleteRead, ConnectionError) as error:
+            body = getattr(error, "partial", b"")
+        self.assertNotIn(b"failed", body)
+        self.assertNotIn(b"HTTP/1.1", body)
+        self.assertEqual(self.requests.count(request_id), 2)
+
+    def test_an_error_instead_of_the_rest_is_not_forwarded(self):
+        self.check_broken_off("status")
+
+    def test_events_without_ids_do_not_resume_a_stream(self):
+        self.check_broken_off("success")
+
+    def test_a_response_head_inside_a_stream_is_no_event(self):
+        self.check_broken_off("unframed")
+
+
+class CutHeadTest(RelayTest):
+    """An upstream closes in the middle of a response's head, or after it."""
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        whole = head(request_id)
+        cuts = {"status": whole[:17], "field": whole[:-10],
+                "blank-line": whole[:-2], "stream": whole}
+        connection.sendall(cuts[request_id])
+        connection.shutdown(socket.SHUT_RDWR)
+
+    # Guards against a success with an empty body for a response whose head did
+    # not arrive as a whole.
+    def test_a_response_that_ends_in_its_head_is_no_success(self):
+        for request_id in ("status", "field", "blank-line"):
+            response = self.send("POST", "/unsafe/1", request_id)
+            self.assertEqual(response.status, 502, request_id)
+
+
 class EndlessBodyTest(RelayTest):
     callers = 8
 
