A stream that ends without any event is not complete

Reported by operators of similar systems: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole. A head that is not complete was no success here already (see relay.CutHeadTest). One that is complete, announces neither a length nor chunks and is followed by nothing became an empty, complete stream.

Cause: only the end of the connection tells that such a response is whole, and a crash ends the connection as well.

Change: such a stream without any event counts as broken, so that it is repeated where the route allows it, or fails as "may have run".

Framed empty streams are delivered as before.

--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -213,6 +213,13 @@
                     "stream ended inside an event");
         return;
     }
+    const auto& head = attempt->head;
+    if (attempt->events == 0 && !head.has_content_length() && !head.chunked())
+    {
+        // Nothing but the connection's end tells that such a response is whole.
+        end_attempt(attempt, attempt_end::broken, "stream without any event");
+        return;
+    }
     record_success(attempt);
     close_attempt(attempt);
     if (!stream_started_)
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -277,6 +277,9 @@
             response = self.send("POST", "/unsafe/1", request_id)
             self.assertEqual(response.status, 502, request_id)
 
+    def test_a_stream_without_any_event_is_not_complete(self):
+        self.assertEqual(self.send("POST", "/stream/1", "stream").status, 502)
+
 
 class EndlessBodyTest(RelayTest):
     callers = 8
