A transfer from another router does not wait for a silent store

Change: while parts arrive and the store has not answered since it failed, the transfer goes on.

Test: a_silent_store_does_not_delay_a_transfer_after_a_loss_of_history, failed before (74th case of 200).

--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -44,7 +44,7 @@
     // The state was complete up to the known revision, so the changes that
     // another router knows complete it again.
     const bool completes_from_router = was_complete_ && !state_complete_ &&
-                                       store_failed_recently(now) &&
+                                       !may_read_value_from_store(now) &&
                                        any_responsive_router(now) != nullptr;
     if (!state_complete_ && !completes_from_router)
     {
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -485,6 +485,13 @@
         followers_[router]->handle_history_loss(now);
     }
 
+    /// From now on calls that the store does not answer last until their
+    /// timeout.
+    void set_store_silent()
+    {
+        store_is_silent_ = true;
+    }
+
     /// Returns the number of queries that the busiest router received.
     [[nodiscard]] std::size_t max_queries_received() const
     {
@@ -550,6 +557,8 @@
             ++store_calls_;
             call.lost = call.lost || store_unavailable_ ||
                         disconnected_router_ == index;
+            if (call.lost && store_is_silent_)
+                call.done_at = now + store_call_timeout;
             return;
         }
         const auto queried = std::stoul(query->router.substr(1));
@@ -598,7 +607,9 @@
     std::size_t config_padding_bytes_ = 0;
     std::size_t store_calls_ = 0;
     std::map<std::size_t, std::size_t> queries_received_;
+    static constexpr duration store_call_timeout = 700ms;
     bool store_unavailable_ = false;
+    bool store_is_silent_ = false;
     std::optional<std::size_t> disconnected_router_;
     bool lossy_ = true;
     int loss_one_in_ = 10;
@@ -705,6 +716,32 @@
     fleet.check_confirmations();
 }
 
+// Guards against a transfer from another router that waits for calls to a
+// silent store.
+RC_GTEST_PROP(directory_follower,
+              a_silent_store_does_not_delay_a_transfer_after_a_loss_of_history,
+              ())
+{
+    constexpr std::size_t routers = 5;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    fleet.set_store_silent();
+    fleet.set_config_padding(*rc::gen::inRange<std::size_t>(100'000, 120'000));
+    auto now = start;
+    for (int step = 0; step < 300; ++step)
+        fleet.step(now += 10ms);
+    const auto disconnected = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.disconnect_from_store(disconnected);
+    for (int step = 0; step < 200; ++step)
+        fleet.step(now += 10ms);
+    fleet.lose_history(now, disconnected);
+    fleet.write_config(now);
+    // 120 parts of at most 50 ms each, two calls to the store, and a query.
+    for (int step = 0; step < 800; ++step)
+        fleet.step(now += 10ms);
+    RC_ASSERT(fleet.state(disconnected).config()->version == fleet.version());
+}
+
 // Guards against a long configuration that starts again from its first byte
 // whenever the last failed call to the store is a second ago.
 RC_GTEST_PROP(directory_follower,
