Upstreams that announce their leave or ask for a pause get no requests

What callers would see: requests to an upstream that is about to end, from routers whose view of the store is old, and refusals by one that asked for no requests.

Cause: neither header was read. A declined upstream was tried again after 80 ms.

Change: both are facts of the selector about an upstream. A leave holds for the upstream's lifetime, whatever the store says; a pause, of a minute at most, ends at its time only. Neither such upstream is a last resort or the source of a cached prefix. If all are paused, requests are refused at once.

Tests: selector_test.a_leaving_upstream_gets_no_requests_in_this_lifetime, .a_requested_pause_ends_at_its_time_only, and relay.AnnouncementsTest with a real router, whose two cases failed before.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -135,6 +135,15 @@
     /// Records that a request at `id` failed. Pauses `id` after several
     /// failures in a row or if its failure rate is too high.
     void record_failure(time_point now, const std::string& id);
+    /// Records that `id` announced that it leaves: it gets no further requests
+    /// in this lifetime, whatever the directory says. Returns false if that is
+    /// known.
+    bool record_leaving(const std::string& id);
+    /// Records that `id` asked for no requests from this router for `pause`,
+    /// of which at most a minute is granted. No other report ends the pause
+    /// sooner.
+    void record_requested_pause(time_point now, const std::string& id,
+                                duration pause);
     /// Records that `id` declined a request, and pauses it briefly.
     void record_decline(time_point now, const std::string& id);
     /// Records that nothing could be sent to `id`, and pauses it.
@@ -169,6 +178,11 @@
         std::uint32_t consecutive_failures = 0;
         /// End of the current pause.
         time_point avoid_until;
+        /// End of the pause that the upstream asked for.
+        time_point requested_pause_until;
+        /// Lifetime in which the upstream announced that it leaves, as
+        /// upstream_record::started_ms.
+        std::optional<std::uint64_t> leaving_lifetime;
         /// Length of the last pause; zero after a success.
         duration backoff{0};
         /// Requests sent, counted against the cold-start limit.
@@ -201,6 +215,8 @@
         /// Paused after failures, or on trial after a pause and not available
         /// for this request.
         failing,
+        /// Asked for no requests from this router.
+        paused,
         /// Failed this request already, or has no capacity for a connection.
         excluded
     };
@@ -260,6 +276,9 @@
     /// Returns the estimated load of an upstream from all routers, in requests.
     [[nodiscard]] double estimated_load(time_point now,
                                         const upstream_state& state) const;
+    /// Returns true if the upstream announced that it leaves.
+    static bool is_leaving(const directory::known_upstream& item,
+                           const upstream_state& state);
     [[nodiscard]] bool is_cold(time_point now, const upstream_query& query,
                                const directory::known_upstream& item) const;
     /// Returns true if the cold `item` is below this router's share of its
--- a/include/baobabloft/relay/platform_interface.hpp
+++ b/include/baobabloft/relay/platform_interface.hpp
@@ -117,6 +117,8 @@
     std::string signature;
     /// Marks a response which states that the request did not run.
     std::string not_run;
+    /// Shows that the responding upstream leaves.
+    std::string leaving;
     /// Load of the responding upstream.
     std::string load;
     /// Time for which the upstream stays cold, in milliseconds.
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -99,6 +99,9 @@
     /// or it is signed by an upstream, carries the id of this request and has
     /// no content encoding.
     [[nodiscard]] bool is_genuine(const attempt_ptr& attempt) const;
+    /// Records that the upstream leaves, or asks for a pause, if its response
+    /// says so.
+    void record_announcements(const attempt_ptr& attempt);
     /// Returns true if the upstream states that it did not run the request.
     [[nodiscard]] bool reports_not_run(const attempt_ptr& attempt) const;
 
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -76,6 +76,8 @@
 constexpr duration max_failure_pause = 3s;
 constexpr duration declined_pause = 80ms;
 constexpr duration max_declined_pause = 500ms;
+/// Longest pause granted to an upstream that asks for one.
+constexpr duration max_requested_pause = 60s;
 /// Weight of the newest result in the moving average of failures.
 constexpr double failure_weight = 0.15;
 /// Failure rate above which an upstream is paused.
@@ -137,6 +139,12 @@
     return own_load + others_factor * others + std::min(own_load, others);
 }
 
+bool upstream_selector::is_leaving(const directory::known_upstream& item,
+                                   const upstream_state& state)
+{
+    return state.leaving_lifetime == item.record.started_ms;
+}
+
 bool upstream_selector::is_cold(time_point now, const upstream_query& query,
                                 const directory::known_upstream& item) const
 {
@@ -160,6 +168,8 @@
             directory_.is_out_of_service(item.record.data_centre))
             continue;
         auto& state = states_[id];
+        if (is_leaving(item, state))
+            continue;
         result.push_back({&item, &state, estimated_load(now, state)});
         const double load = result.back().load;
         sum += load;
@@ -268,6 +278,8 @@
             query.excluded_ids.end() ||
         !has_capacity_(*item.upstream, *query.service))
         return eligibility::excluded;
+    if (state.requested_pause_until > now)
+        return eligibility::paused;
     // After a pause one request at a time tests whether the upstream has
     // recovered.
     const bool on_trial = state.backoff > duration{0};
@@ -362,7 +374,10 @@
         if (score <= best_score)
             continue;
         const auto state = states_.find(id);
-        if (state != states_.end() && state->second.avoid_until > now)
+        if (state != states_.end() &&
+            (state->second.avoid_until > now ||
+             state->second.requested_pause_until > now ||
+             is_leaving(item, state->second)))
             continue;
         best = &item;
         best_score = score;
@@ -555,6 +570,26 @@
         back_off(now, state, failure_pause, max_failure_pause);
 }
 
+bool upstream_selector::record_leaving(const std::string& id)
+{
+    const auto known = directory_.upstreams().find(id);
+    if (known == directory_.upstreams().end())
+        return false;
+    auto& state = states_[id];
+    const bool is_new = !is_leaving(known->second, state);
+    state.leaving_lifetime = known->second.record.started_ms;
+    return is_new;
+}
+
+void upstream_selector::record_requested_pause(time_point now,
+                                               const std::string& id,
+                                               duration pause)
+{
+    auto& until = states_[id].requested_pause_until;
+    until = std::max(until, now + std::clamp<duration>(pause, duration{0},
+                                                       max_requested_pause));
+}
+
 void upstream_selector::record_decline(time_point now, const std::string& id)
 {
     back_off(now, states_[id], declined_pause, max_declined_pause);
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -7,6 +7,7 @@
 #include "baobabloft/support/numbers.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace baobabloft::relay
 {
@@ -32,6 +33,8 @@
 /// Limit of all responses that one router buffers, well below the memory of
 /// the smallest hosts.
 constexpr std::size_t max_buffered_bytes = std::size_t{48} * 1024 * 1024;
+/// Longer pauses that an upstream asks for are cut before they are converted.
+constexpr double max_pause_s = 3600;
 /// Retry-After of requests that another router may be able to serve: at least
 /// the minimum, plus a random part of the spread.
 constexpr duration min_other_router_retry = 20ms;
@@ -85,10 +88,34 @@
                     "response is unsigned, encoded or for another request");
         return;
     }
+    record_announcements(attempt);
     attempt->is_stream = route_->kind == directory::request_kind::streaming &&
                          head.result_int() == status_ok;
 }
 
+void relay_session::record_announcements(const attempt_ptr& attempt)
+{
+    const auto& head = attempt->head;
+    auto& selector = context_.selector;
+    if (http::field_value(head, context_.dialect.leaving) == "1" &&
+        selector.record_leaving(attempt->upstream))
+        log_event(log_level::info, "upstream_leaving",
+                  {{"request", request_id_}, {"upstream", attempt->upstream}});
+    const auto pause_s =
+        parse_number<double>(http::std_view(head[bhttp::field::retry_after]));
+    if (head.result_int() != status_unavailable || !pause_s ||
+        !std::isfinite(*pause_s) || *pause_s <= 0)
+        return;
+    selector.record_requested_pause(
+        net::boot_now(), attempt->upstream,
+        from_seconds(std::min(*pause_s, max_pause_s)));
+    log_event(log_level::info, "upstream_paused",
+              {{"request", request_id_},
+               {"upstream", attempt->upstream},
+               {"seconds",
+                std::string{http::std_view(head[bhttp::field::retry_after])}}});
+}
+
 void relay_session::on_body(const attempt_ptr& attempt, std::string_view bytes)
 {
     if (!attempt->is_stream)
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -124,6 +124,49 @@
     EXPECT_NE(id_of(choose(start, 42)), first);
 }
 
+// Guards against requests to an upstream that announced its leave to a router
+// whose view of the directory is old.
+TEST_F(selector_test, a_leaving_upstream_gets_no_requests_in_this_lifetime)
+{
+    add_engines(2);
+    const auto leaving = id_of(choose(start, 42));
+    EXPECT_TRUE(selector.record_leaving(leaving));
+    EXPECT_FALSE(selector.record_leaving(leaving));
+    EXPECT_FALSE(selector.record_leaving("up/a/unknown"));
+    // The directory contradicts it, it answers well, and it is cached.
+    add(leaving);
+    selector.record_success(start, leaving);
+    for (int count = 0; count < 10; ++count)
+    {
+        const auto chosen = choose(start + 1s, 42);
+        EXPECT_NE(id_of(chosen), leaving);
+        EXPECT_EQ(chosen.prefix_source, nullptr);
+    }
+    EXPECT_EQ(choose(start, 42, true, {id_of(choose(start, 42))}).upstream,
+              nullptr);
+}
+
+// Guards against requests to an upstream that asked for a pause, whatever else
+// would bring it back.
+TEST_F(selector_test, a_requested_pause_ends_at_its_time_only)
+{
+    add_engines(2);
+    const auto paused = id_of(choose(start, 42));
+    selector.record_requested_pause(start, paused, 5s);
+    selector.record_requested_pause(start, paused, 1s);
+    selector.record_success(start + 1s, paused);
+    selector.record_load(start + 1s, paused, {.running = 0});
+    const auto other = id_of(choose(start + 4999ms, 42));
+    EXPECT_NE(other, paused);
+    // Also as the last one left.
+    const auto last = choose(start + 4999ms, 42, true, {other});
+    EXPECT_EQ(last.upstream, nullptr);
+    EXPECT_EQ(last.reason, choice::all_busy);
+    EXPECT_EQ(id_of(choose(start + 5s, 42)), paused);
+    selector.record_requested_pause(start + 5s, paused, 9999s);
+    EXPECT_EQ(id_of(choose(start + 65s, 42)), paused);
+}
+
 TEST_F(selector_test, upstreams_draining_or_out_of_service_get_no_requests)
 {
     add("up/a/0");
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -281,6 +281,48 @@
         self.assertEqual(self.send("POST", "/stream/1", "stream").status, 502)
 
 
+class AnnouncementsTest(RelayTest):
+    """The first upstream to get a request announces that it leaves, or asks for
+    a pause of a second, as the request id says."""
+    upstreams = 2
+
+    def setUp(self):
+        self.ports = []
+        super().setUp()
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        self.ports.append(connection.getsockname()[1])
+        if request_id == "pause":
+            connection.sendall(head(
+                request_id, "X-Not-Run: 1\r\nRetry-After: 1\r\n"
+                "Content-Length: 0\r\n", REFUSAL))
+            return
+        leaving = "Server-Leaving: 1\r\n" if request_id == "leave" else ""
+        connection.sendall(head(request_id, leaving + "Content-Length: 0\r\n"))
+
+    def send_many(self):
+        for number in range(20):
+            self.assertEqual(
+                self.send("GET", "/safe/1", f"r{number}").status, 200)
+
+    # Guards against requests to an upstream that said in an answer that it
+    # leaves, while the store still lists it as ready.
+    def test_an_upstream_that_announced_its_leave_gets_no_more_requests(self):
+        self.send("POST", "/unsafe/1", "leave")
+        self.send_many()
+        self.assertNotIn(self.ports[0], self.ports[1:])
+
+    def test_an_upstream_gets_no_requests_in_the_pause_it_asked_for(self):
+        self.send("POST", "/unsafe/1", "pause")
+        time.sleep(0.6)
+        self.send_many()
+        self.assertNotIn(self.ports[0], self.ports[1:])
+        time.sleep(0.5)
+        self.send_many()
+        self.assertIn(self.ports[0], self.ports[1:])
+
+
 class EndlessBodyTest(RelayTest):
     callers = 8
 
