--- a/lib/relay/relay_crashes.cpp
+++ b/lib/relay/relay_crashes.cpp
@@ -27,6 +27,22 @@
 /// Routers asked for the parts in quarantine after a start.
 constexpr std::size_t max_routers_to_ask = 5;
 
+/// The names of all routers and their hashes, by which judges are ranked.
+struct router_names
+{
+    explicit router_names(const directory::directory_state& state)
+    {
+        for (const auto& [name, router] : state.routers())
+        {
+            names.push_back(name);
+            hashes.push_back(hash_bytes(name));
+        }
+    }
+
+    std::vector<std::string> names;
+    std::vector<std::uint64_t> hashes;
+};
+
 std::string joined(std::span<const prompt_part_id> parts)
 {
     std::string text;
@@ -106,26 +122,20 @@
 void relay::report_to_judges(time_point now,
                              const routing::part_crash_report& report)
 {
-    std::vector<std::string> names;
-    std::vector<std::uint64_t> hashes;
-    for (const auto& [name, router] : context_.follower.state().routers())
-    {
-        names.push_back(name);
-        hashes.push_back(hash_bytes(name));
-    }
+    const router_names routers{context_.follower.state()};
     std::map<std::string, routing::part_crash_report> by_judge;
     for (const auto part : report.parts)
-        for (const auto judge : routing::judges_of(part, hashes))
+        for (const auto judge : routing::judges_of(part, routers.hashes))
             by_judge
-                .try_emplace(names[judge],
+                .try_emplace(routers.names[judge],
                              routing::part_crash_report{
                                  report.request, report.upstream, {}})
                 .first->second.parts.push_back(part);
-    const auto& routers = context_.follower.state().routers();
+    const auto& records = context_.follower.state().routers();
     for (const auto& [name, judged] : by_judge)
         if (name == options_.router_name)
             context_.crashing_parts.record_crash(now, judged);
-        else if (const auto id = router_id_at(routers.at(name).control_address);
+        else if (const auto id = router_id_at(records.at(name).control_address);
                  id && router_socket_)
             send_datagram(*id, judged);
 }
@@ -145,19 +155,13 @@
 void relay::quarantine_parts(std::span<const prompt_part_id> parts)
 {
     const auto now = net::boot_now();
-    std::vector<std::string> names;
-    std::vector<std::uint64_t> hashes;
-    for (const auto& [name, router] : context_.follower.state().routers())
-    {
-        names.push_back(name);
-        hashes.push_back(hash_bytes(name));
-    }
+    const router_names routers{context_.follower.state()};
     std::vector<prompt_part_id> added;
     for (const auto part : parts)
     {
-        const auto judges = routing::judges_of(part, hashes);
-        const bool may_try =
-            !judges.empty() && names[judges.front()] == options_.router_name;
+        const auto judges = routing::judges_of(part, routers.hashes);
+        const bool may_try = !judges.empty() && routers.names[judges.front()] ==
+                                                    options_.router_name;
         if (context_.crashing_parts.quarantine(now, part, may_try))
             added.push_back(part);
     }
