--- a/include/baobabloft/dispatch/freshness.hpp
+++ b/include/baobabloft/dispatch/freshness.hpp
@@ -46,7 +46,7 @@
 
 /// Returns what a configuration last confirmed at `confirmed_at` may be used
 /// for at `now`. Without a value, no configuration was ever confirmed.
-/// `is_superseded` tells that a newer one is known to exist; it was written
+/// `is_superseded` is true if a newer one is known to exist; it was written
 /// after `confirmed_at`.
 permitted_use permitted_use_at(time_point now,
                                std::optional<time_point> confirmed_at,
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -54,7 +54,7 @@
     std::function<void(const crash_suspect& suspect,
                        const std::string& upstream)>
         schedule_crash_check;
-    /// Tells the other routers that parts are no longer in quarantine.
+    /// Reports to the other routers that parts are no longer in quarantine.
     std::function<void(std::vector<prompt_part_id> parts)> announce_cleared;
     std::mt19937_64 random;
     dispatch::shutdown_times shutdown;
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -64,8 +64,8 @@
     /// leaves `service_` null if there is none.
     void choose_service();
 
-    /// Returns true if the prompt has a part that crashes upstreams. A trial
-    /// of the part may let a new request pass.
+    /// Returns true if the prompt has a part in quarantine. Starts a trial and
+    /// returns false if one is due and this request has not been sent yet.
     [[nodiscard]] bool is_quarantined(time_point now);
     /// Records that the request ended well.
     void record_success(const attempt_ptr& attempt);
--- a/include/baobabloft/routing/crashing_parts.hpp
+++ b/include/baobabloft/routing/crashing_parts.hpp
@@ -64,7 +64,8 @@
     std::vector<prompt_part_id> record_crash(time_point now,
                                              const part_crash_report& report);
 
-    /// Returns what is due at `now`, once.
+    /// Returns the queries and quarantines that are due at `now`. Each is
+    /// returned once, but for repetitions of a quarantine.
     part_decisions take_decisions(time_point now);
 
     /// Returns the queried parts with which a request has ended well here.
@@ -88,6 +89,7 @@
     /// trial, and starts the trial.
     bool try_begin_trial(time_point now, prompt_part_id part);
 
+    /// Returns all parts in quarantine.
     [[nodiscard]] std::vector<prompt_part_id> quarantined(time_point now) const;
 
 private:
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -243,7 +243,8 @@
     const auto& head = attempt->head;
     if (attempt->events == 0 && !head.has_content_length() && !head.chunked())
     {
-        // Nothing but the connection's end tells that such a response is whole.
+        // Only the connection's end shows that such a response is whole, and a
+        // crash ends the connection, too.
         end_attempt(attempt, attempt_end::broken, "stream without any event");
         return;
     }
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -477,8 +477,8 @@
         return now - followers_[router]->confirmed_at().value_or(time_point{});
     }
 
-    /// Tells a router that the store has lost the history; the call in
-    /// progress has no result.
+    /// Makes the store's response to a router's next call a loss of the
+    /// history; the call in progress has no result.
     void lose_history(time_point now, std::size_t router)
     {
         pending_[router].reset();
