relay: logs why a stream was broken off and idle connections that end

A request that ends without an answer could not be traced to its cause: request_over gave broken_off alone if no further attempt was made, and the end of an idle connection was not logged. broken_off now has an event with the reason and the time left, idle_connection_closed one with the idle time, the limit and whether unread bytes were waiting.

--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -30,6 +30,16 @@
     duration idle_grace = 1s;
 };
 
+/// How a connection ended that had been idle for too long.
+struct idle_end
+{
+    duration idle_time;
+    /// Longest idle time when the connection ended.
+    duration limit;
+    /// The system held bytes that had not been read.
+    bool has_unread_bytes;
+};
+
 /// One caller's connection. Its table holds the shared pointer that keeps it
 /// alive, and every callback may release that pointer.
 class caller_channel : public std::enable_shared_from_this<caller_channel>
@@ -51,6 +61,9 @@
         /// set, the response has no body.
         std::function<response(unsigned status, std::string_view reason)>
             on_rejected;
+        /// The connection is about to be closed since no request arrived on it
+        /// within the idle timeout.
+        std::function<void(const idle_end&)> on_idle_timeout{};
     };
 
     caller_channel(std::shared_ptr<byte_stream> stream, caller_limits limits,
--- a/include/baobabloft/http/caller_table.hpp
+++ b/include/baobabloft/http/caller_table.hpp
@@ -40,6 +40,8 @@
         /// See caller_channel::handlers.
         std::function<response(unsigned status, std::string_view reason)>
             on_rejected;
+        /// See caller_channel::handlers.
+        std::function<void(const idle_end&)> on_idle_timeout{};
     };
 
     /// Adds a connection and serves its requests. Objects that `callbacks`
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -116,6 +116,8 @@
     void refuse(router::refusal_kind kind, std::string_view reason);
     /// Ends a request that may have run.
     void fail(router::refusal_kind kind, std::string_view reason);
+    /// Aborts a response that has begun.
+    void break_off(std::string_view reason);
     void respond_with_problem(router::refusal_kind kind, router::executed ran,
                               std::optional<duration> retry_after);
     /// Logs the end of the request and lets the session be destroyed.
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -298,8 +298,15 @@
             reject(status_request_timeout, "body stalled");
         return stream_->is_open();
     }
-    if (now - phase_start_ > limits_.idle_timeout + limits_.idle_grace)
-        stream_->close_when_drained();
+    const auto limit = limits_.idle_timeout + limits_.idle_grace;
+    if (now - phase_start_ <= limit)
+        return true;
+    if (handlers_.on_idle_timeout)
+        handlers_.on_idle_timeout(
+            {.idle_time = now - phase_start_,
+             .limit = limit,
+             .has_unread_bytes = stream_->has_unread_bytes()});
+    stream_->close_when_drained();
     return stream_->is_open();
 }
 
--- a/lib/http/caller_table.cpp
+++ b/lib/http/caller_table.cpp
@@ -38,7 +38,8 @@
              if (const auto current = session->lock())
                  current->on_caller_drained();
          },
-         .on_rejected = std::move(callbacks.on_rejected)});
+         .on_rejected = std::move(callbacks.on_rejected),
+         .on_idle_timeout = std::move(callbacks.on_idle_timeout)});
 }
 
 void caller_table::check_timeouts(time_point now)
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -175,6 +175,14 @@
                        {{"status", std::to_string(status)},
                         {"why", std::string{reason}}});
              return http::response{};
+         },
+         .on_idle_timeout =
+             [](const http::idle_end& end)
+         {
+             log_event(log_level::info, "idle_connection_closed",
+                       {{"idle_ms", std::to_string(end.idle_time / 1ms)},
+                        {"limit_ms", std::to_string(end.limit / 1ms)},
+                        {"unread", end.has_unread_bytes ? "yes" : "no"}});
          }});
 }
 
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -357,6 +357,19 @@
     finish("failed");
 }
 
+void relay_session::break_off(std::string_view reason)
+{
+    log_event(log_level::info, "broken_off",
+              {{"request", request_id_},
+               {"why", std::string{reason}},
+               {"attempts", std::to_string(history_.attempts)},
+               {"runs", std::to_string(history_.runs)},
+               {"left_ms", format_ms(deadline_ - net::boot_now())}});
+    // A reset, so that the caller does not take the stream for a complete one.
+    caller_->abort();
+    finish("broken_off");
+}
+
 void relay_session::respond_with_problem(refusal_kind kind,
                                          router::executed ran,
                                          std::optional<duration> retry_after)
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -242,7 +242,7 @@
     if (history_.attempts > 0 && is_quarantined(now))
     {
         if (stream_started_)
-            finish("broken_off");
+            break_off("prompt part crashes upstreams");
         else if (history_.runs > 0)
             fail(refusal_kind::upstream_failed,
                  "prompt part crashes upstreams");
@@ -260,7 +260,7 @@
     {
         if (stream_started_)
         {
-            finish("broken_off");
+            break_off(name_in(dispatch::choice_names, chosen.reason));
             return;
         }
         if (history_.runs > 0)
@@ -277,7 +277,7 @@
                                                context_.router_count()))
     {
         if (stream_started_)
-            finish("broken_off");
+            break_off("retry budget is used up");
         else if (history_.runs > 0)
             fail(refusal_kind::retries_spent, "retry budget is used up");
         else
@@ -516,7 +516,7 @@
              reason);
         return;
     case next_step::break_off:
-        finish("broken_off");
+        break_off(reason);
         return;
     }
 }
@@ -528,8 +528,6 @@
     finished_ = true;
     attempt_timer_.clear();
     const auto now = net::boot_now();
-    if (outcome == "broken_off")
-        caller_->abort();
     // Failed attempts, refusals and failures have log events of their own;
     // this one describes every request.
     log_event(
