relay: a silent upstream keeps its request unless another can take it

What callers saw: a stream that had begun was cut, or a safe request got 502, though its upstream would have gone on.

Cause: an attempt without progress for three times the route's objective was given up first; only then was it decided whether another one could start. If the retry budget was spent or no other upstream could take the request, the request ended. The upstreams may be silent for a second.

Evidence: OnlyUpstreamSilentTest and SpentRetryBudgetTest fail without the change: the stream is reset after 0.6 s of silence.

Change: when the time is up, the attempt ends only if the deadline has passed or a sound upstream, the retry budget and the time left allow another attempt at once. Otherwise it is kept and checked again after the same time (silent_attempt_kept).

Ruled out: a second connection while the first goes on; both would run the request.

--- a/include/baobabloft/dispatch/arrival_budget.hpp
+++ b/include/baobabloft/dispatch/arrival_budget.hpp
@@ -38,6 +38,10 @@
     bool try_take_repeat(time_point now, const std::string& service,
                          std::size_t router_count);
 
+    /// Returns true if try_take_repeat() would succeed.
+    [[nodiscard]] bool has_repeat(time_point now, const std::string& service,
+                                  std::size_t router_count);
+
     /// Replaces the bound. Services already counted keep the length of their
     /// windows.
     void set_bound(const arrival_bound& bound);
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -121,6 +121,11 @@
     /// record_sent().
     selection choose(time_point now, const upstream_query& query);
 
+    /// Returns true if an upstream that is neither failing nor paused could
+    /// take the request.
+    [[nodiscard]] bool has_sound_upstream(time_point now,
+                                          const upstream_query& query);
+
     /// Records that a request was sent to the upstream `id`, or will be at
     /// once.
     void record_sent(time_point now, const std::string& id);
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -73,6 +73,8 @@
     /// Starts an attempt at the upstream that the selector chooses, or ends the
     /// request if there is no time, upstream or retry budget left.
     void try_next_upstream();
+    [[nodiscard]] dispatch::upstream_query
+    make_query(std::span<const std::string> excluded_ids) const;
     void start_attempt(const directory::known_upstream& upstream,
                        const dispatch::selection& chosen);
     http::request_head upstream_head(const directory::upstream_record& target,
@@ -124,6 +126,11 @@
     void finish(std::string_view outcome);
 
     void arm_attempt_timer(const attempt_ptr& attempt);
+    /// Returns true if the request could go on at another upstream at once
+    /// after `attempt` has ended as `end`.
+    [[nodiscard]] bool can_move_from(const attempt_ptr& attempt,
+                                     dispatch::attempt_end end,
+                                     time_point now) const;
     /// Returns how long the current attempt may wait for its next progress.
     [[nodiscard]] duration attempt_timeout(time_point now) const;
     [[nodiscard]] std::uint32_t urgency() const;
--- a/lib/dispatch/arrival_budget.cpp
+++ b/lib/dispatch/arrival_budget.cpp
@@ -37,8 +37,8 @@
     counts_for(service).firsts.add(now);
 }
 
-bool arrival_budget::try_take_repeat(time_point now, const std::string& service,
-                                     std::size_t router_count)
+bool arrival_budget::has_repeat(time_point now, const std::string& service,
+                                std::size_t router_count)
 {
     auto& counts = counts_for(service);
     // What this router spent before a restart is unknown, so the fixed
@@ -50,9 +50,15 @@
         static_cast<double>(std::max<std::size_t>(router_count, 1));
     const double allowed =
         used_share * (bound_.ratio * counts.firsts.total(now) + slack_share);
-    if (counts.repeats.total(now) + 1.0 > allowed)
+    return counts.repeats.total(now) + 1.0 <= allowed;
+}
+
+bool arrival_budget::try_take_repeat(time_point now, const std::string& service,
+                                     std::size_t router_count)
+{
+    if (!has_repeat(now, service, router_count))
         return false;
-    counts.repeats.add(now);
+    counts_for(service).repeats.add(now);
     return true;
 }
 
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -465,6 +465,21 @@
             nullptr, 0, means.of_usable};
 }
 
+bool upstream_selector::has_sound_upstream(time_point now,
+                                           const upstream_query& query)
+{
+    load_means means;
+    return std::ranges::any_of(usable_candidates(now, query, means),
+                               [&](const candidate& item)
+                               {
+                                   const auto status = classify(
+                                       now, query, item,
+                                       std::numeric_limits<double>::infinity());
+                                   return status == eligibility::eligible ||
+                                          status == eligibility::cold;
+                               });
+}
+
 void upstream_selector::record_sent(time_point now, const std::string& id)
 {
     auto& state = states_[id];
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -42,6 +42,8 @@
 constexpr duration min_safe_timeout = 150ms;
 constexpr double first_event_timeout_factor = 1.5;
 constexpr int event_gap_timeout_factor = 3;
+/// A timer may fire this long before its time.
+constexpr duration timer_tolerance = 1ms;
 constexpr std::uint32_t max_urgency = 9;
 /// A request that crashes its upstream does so when its answer begins. An
 /// answer with more events than this is well under way.
@@ -250,12 +252,8 @@
             refuse(refusal_kind::quarantined, "prompt part crashes upstreams");
         return;
     }
-    const auto chosen = context_.selector.choose(
-        now, {.service = service_,
-              .affinity = affinity_,
-              .prefix_tokens = shared_prefix_tokens_,
-              .excluded_ids = tried_upstreams_,
-              .is_repeatable = route_->is_repeatable()});
+    const auto chosen =
+        context_.selector.choose(now, make_query(tried_upstreams_));
     if (chosen.upstream == nullptr)
     {
         if (stream_started_)
@@ -291,6 +289,16 @@
     start_attempt(*chosen.upstream, chosen);
 }
 
+dispatch::upstream_query
+relay_session::make_query(std::span<const std::string> excluded_ids) const
+{
+    return {.service = service_,
+            .affinity = affinity_,
+            .prefix_tokens = shared_prefix_tokens_,
+            .excluded_ids = excluded_ids,
+            .is_repeatable = route_->is_repeatable()};
+}
+
 http::request_head
 relay_session::upstream_head(const directory::upstream_record& target,
                              const dispatch::selection& chosen,
@@ -411,11 +419,42 @@
                 name_in(http::exchange_failure_names, reason));
 }
 
+bool relay_session::can_move_from(const attempt_ptr& attempt, attempt_end end,
+                                  time_point now) const
+{
+    const bool may_have_run = end == attempt_end::timed_out;
+    auto history = history_;
+    history.runs += may_have_run ? 1 : 0;
+    history.has_time = now + min_attempt_time < deadline_;
+    if (step_after(*route_, end, history) != next_step::try_other ||
+        context_.crashing_parts.find_quarantined(now, shared_parts_))
+        return false;
+    auto excluded_ids = tried_upstreams_;
+    excluded_ids.push_back(attempt->upstream);
+    if (!context_.selector.has_sound_upstream(now, make_query(excluded_ids)))
+        return false;
+    return (!may_have_run && upstream_arrivals_ == 0) ||
+           context_.retry_budget.has_repeat(now, service_->name,
+                                            context_.router_count());
+}
+
 void relay_session::on_timeout(const attempt_ptr& attempt)
 {
-    const bool sent = attempt->channel->has_sent_bytes();
-    end_attempt(attempt, sent ? attempt_end::timed_out : attempt_end::not_sent,
-                "attempt timed out");
+    const auto now = net::boot_now();
+    const auto end = attempt->channel->has_sent_bytes() ? attempt_end::timed_out
+                                                        : attempt_end::not_sent;
+    // The upstream may still answer, so that its silence ends nothing unless
+    // the request can go on elsewhere.
+    if (now + timer_tolerance < deadline_ && !can_move_from(attempt, end, now))
+    {
+        log_event(log_level::info, "silent_attempt_kept",
+                  {{"request", request_id_},
+                   {"upstream", attempt->upstream},
+                   {"left_ms", format_ms(deadline_ - now)}});
+        arm_attempt_timer(attempt);
+        return;
+    }
+    end_attempt(attempt, end, "attempt timed out");
 }
 
 void relay_session::close_attempt(const attempt_ptr& attempt)
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -124,6 +124,21 @@
     EXPECT_NE(id_of(choose(start, 42)), first);
 }
 
+// Guards against moves away from a silent upstream to one that fails.
+TEST_F(selector_test, a_paused_or_excluded_upstream_is_no_sound_one)
+{
+    add_engines(2);
+    const auto has_sound = [&](const std::vector<std::string>& excluded_ids)
+    {
+        return selector.has_sound_upstream(
+            start, {.service = &service, .excluded_ids = excluded_ids});
+    };
+    EXPECT_TRUE(has_sound({"up/a/0"}));
+    EXPECT_FALSE(has_sound({"up/a/0", "up/b/1"}));
+    selector.record_unreachable(start, "up/b/1");
+    EXPECT_FALSE(has_sound({"up/a/0"}));
+}
+
 // Guards against requests to an upstream that announced its leave to a router
 // whose view of the directory is old.
 TEST_F(selector_test, a_leaving_upstream_gets_no_requests_in_this_lifetime)
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -50,6 +50,7 @@
 class RelayTest(unittest.TestCase):
     """Starts a router and `upstreams` scripted upstreams."""
     upstreams = 1
+    settings = ""
 
     def setUp(self):
         store_port, listen, ready, control = free_ports(4)
@@ -76,7 +77,7 @@
                        f"ready-listen=127.0.0.1:{ready}\n"
                        f"control-listen=127.0.0.1:{control}\n"
                        f"directory=127.0.0.1:{store_port}\n"
-                       "shutdown-timeout=8\n")
+                       "shutdown-timeout=8\n" + self.settings)
         self.router = subprocess.Popen(
             [f"{BUILD}/tools/baobabd/baobabd", "--settings-file", path],
             stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
@@ -323,6 +324,41 @@
         self.assertIn(self.ports[0], self.ports[1:])
 
 
+class SilenceTest(RelayTest):
+    """The upstreams fall silent for a while and go on."""
+
+    def respond(self, connection, fields, number):
+        if fields["X-Request-Id"] == "s":
+            time.sleep(1.2)
+            connection.sendall(head("s", "Content-Length: 2\r\n") + b"ok")
+            return
+        connection.sendall(head(fields["X-Request-Id"]) + event(1))
+        time.sleep(1.2)
+        connection.sendall(event(2) + event(3))
+        connection.shutdown(socket.SHUT_RDWR)
+
+    def check_that_silence_ends_nothing(self):
+        self.assertEqual(self.send("POST", "/stream/1", "e").read(),
+                         event(1) + event(2) + event(3))
+        self.assertEqual(self.send("GET", "/safe/1", "s").read(), b"ok")
+        self.assertEqual(self.requests, ["e", "s"])
+
+
+class OnlyUpstreamSilentTest(SilenceTest):
+    # Guards against streams that are cut while their upstream is silent.
+    def test_a_silent_upstream_keeps_its_request_if_it_is_the_only_one(self):
+        self.check_that_silence_ends_nothing()
+
+
+class SpentRetryBudgetTest(SilenceTest):
+    upstreams = 2
+    settings = "retry-slack=0\n"
+
+    # Guards against requests that are cut because they cannot be repeated.
+    def test_a_silent_upstream_keeps_its_request_if_the_budget_is_spent(self):
+        self.check_that_silence_ends_nothing()
+
+
 class EndlessBodyTest(RelayTest):
     callers = 8
 
