http: timeouts of a caller wait for bytes that have arrived

What callers saw: a request that arrived in time met a connection that was closed with the request unread, so that it was reset: neither an answer nor a refusal. The rest of a slow request was rejected with 408 though it had arrived.

Cause: the timer that checks the timeouts is dispatched before the sockets are read and looked at the time only. A router that was busy with a long configuration, or suspended, found connections idle whose requests waited in the system's buffers. The check of a shutdown did look.

Evidence: an_unread_request_keeps_its_connection_open fails without the change: the connection is closed.

Change: no timeout of a caller's connection expires while unread bytes wait. They are read in the same iteration of the loop. The field 'unread' of idle_connection_closed goes, since it would always be no.

Ruled out: reading in the check, which would run requests inside it.

--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -36,8 +36,6 @@
     duration idle_time;
     /// Longest idle time when the connection ended.
     duration limit;
-    /// The system held bytes that had not been read.
-    bool has_unread_bytes;
 };
 
 /// One caller's connection. Its table holds the shared pointer that keeps it
@@ -95,8 +93,8 @@
     /// its first request. Returns true if it is closed.
     bool close_if_idle(time_point now);
 
-    /// Closes the connection if a timeout has expired. Returns false if it is
-    /// closed.
+    /// Closes the connection if a timeout has expired and no bytes wait to be
+    /// read. Returns false if it is closed.
     bool check_timeouts(time_point now);
 
     [[nodiscard]] bool is_open() const;
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -288,6 +288,10 @@
         return true;
     if (closing_)
         return check_drain_progress(now);
+    // While the loop was busy, bytes may have arrived in time that the handler
+    // of the socket has not read yet.
+    if (stream_->has_unread_bytes())
+        return true;
     if (parser_)
     {
         if (!parser_->is_header_done() &&
@@ -303,9 +307,7 @@
         return true;
     if (handlers_.on_idle_timeout)
         handlers_.on_idle_timeout(
-            {.idle_time = now - phase_start_,
-             .limit = limit,
-             .has_unread_bytes = stream_->has_unread_bytes()});
+            {.idle_time = now - phase_start_, .limit = limit});
     stream_->close_when_drained();
     return stream_->is_open();
 }
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -181,8 +181,7 @@
          {
              log_event(log_level::info, "idle_connection_closed",
                        {{"idle_ms", std::to_string(end.idle_time / 1ms)},
-                        {"limit_ms", std::to_string(end.limit / 1ms)},
-                        {"unread", end.has_unread_bytes ? "yes" : "no"}});
+                        {"limit_ms", std::to_string(end.limit / 1ms)}});
          }});
 }
 
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -299,6 +299,22 @@
     EXPECT_TRUE(channel->close_if_idle(net::boot_now()));
 }
 
+// Guards against requests that are closed unread, because the router was busy
+// and its timers ran before the socket was read.
+TEST_F(caller_test, an_unread_request_keeps_its_connection_open)
+{
+    feed("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    respond("one");
+    write_all(peer, "POST /2 HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 17s));
+    run_pending_events(loop);
+    write_all(peer, "cd");
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 17s));
+    run_pending_events(loop);
+    EXPECT_EQ(requests.size(), 2U);
+    EXPECT_EQ(rejected, 0U);
+}
+
 TEST_F(caller_test, idle_connections_outlast_the_announced_timeout)
 {
     EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15500ms));
