http: a lowered idle limit applies after the next response

What callers saw: requests on connections that had been idle for less time than the router had announced met a closed connection.

Cause: a configuration that lowers the idle limit applied at once to open connections, although the last response had promised the old limit in Keep-Alive. Callers reuse a connection for up to four fifths of what was promised.

Evidence: a_lowered_idle_limit_applies_after_the_next_response fails without the change: the connection is closed after 15 s where 15 s were announced and 1 s of grace is due.

Change: a connection stays open for the time that its last response promised, or that was in force when it was accepted; a raised limit applies at once.

Ruled out: an upper bound on the time after which a lowered limit holds; a connection that is idle for so long is closed after the old limit.

--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -101,7 +101,8 @@
     /// Returns the number of bytes written but not yet accepted by the system.
     [[nodiscard]] std::size_t unsent_bytes() const;
 
-    /// Replaces the limits; the size limits apply from the next request on.
+    /// Replaces the limits; the size limits apply from the next request on, a
+    /// lower idle timeout after the next response.
     void set_limits(const caller_limits& limits);
 
 private:
@@ -114,7 +115,7 @@
     [[nodiscard]] bool has_unsupported_transfer_coding() const;
     void reject(unsigned status, std::string_view reason);
     void finish_response(time_point now);
-    void add_connection_fields(fields& headers, bool keep_alive) const;
+    void add_connection_fields(fields& headers, bool keep_alive);
     /// Closes the connection once the last response has been sent.
     void close();
     /// Restarts the time within which a request's body must make progress, once
@@ -126,6 +127,9 @@
 
     std::shared_ptr<byte_stream> stream_;
     caller_limits limits_;
+    /// Idle timeout announced with the last response, or in force when the
+    /// connection was accepted. Callers rely on it.
+    duration promised_idle_timeout_;
     handlers handlers_;
     std::string input_;
     /// Present while a request is being received.
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -3,6 +3,8 @@
 
 #include "baobabloft/net/event_loop.hpp"
 
+#include <algorithm>
+
 namespace baobabloft::http
 {
 
@@ -41,7 +43,8 @@
 
 caller_channel::caller_channel(std::shared_ptr<byte_stream> stream,
                                caller_limits limits, time_point now)
-    : stream_(std::move(stream)), limits_(limits), phase_start_(now)
+    : stream_(std::move(stream)), limits_(limits),
+      promised_idle_timeout_(limits.idle_timeout), phase_start_(now)
 {
 }
 
@@ -185,14 +188,14 @@
     close();
 }
 
-void caller_channel::add_connection_fields(fields& headers,
-                                           bool keep_alive) const
+void caller_channel::add_connection_fields(fields& headers, bool keep_alive)
 {
     if (!keep_alive)
     {
         headers.set(bhttp::field::connection, "close");
         return;
     }
+    promised_idle_timeout_ = limits_.idle_timeout;
     headers.set(bhttp::field::keep_alive,
                 "timeout=" + std::to_string(limits_.idle_timeout / 1s));
 }
@@ -302,7 +305,8 @@
             reject(status_request_timeout, "body stalled");
         return stream_->is_open();
     }
-    const auto limit = limits_.idle_timeout + limits_.idle_grace;
+    const auto limit = std::max(limits_.idle_timeout, promised_idle_timeout_) +
+                       limits_.idle_grace;
     if (now - phase_start_ <= limit)
         return true;
     if (handlers_.on_idle_timeout)
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -315,6 +315,29 @@
     EXPECT_EQ(rejected, 0U);
 }
 
+// Guards against requests that meet a closing connection after the limit was
+// lowered: callers rely on the timeout announced with the last response.
+TEST_F(caller_test, a_lowered_idle_limit_applies_after_the_next_response)
+{
+    auto lowered = limits;
+    lowered.idle_timeout = 2s;
+    channel->set_limits(lowered);
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15s));
+    feed("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    respond("one");
+    EXPECT_NE(read_all(peer).find("timeout=2"), std::string::npos);
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 2500ms));
+    EXPECT_FALSE(channel->check_timeouts(net::boot_now() + 4s));
+}
+
+TEST_F(caller_test, a_raised_idle_limit_applies_at_once)
+{
+    auto raised = limits;
+    raised.idle_timeout = 60s;
+    channel->set_limits(raised);
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 50s));
+}
+
 TEST_F(caller_test, idle_connections_outlast_the_announced_timeout)
 {
     EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15500ms));
