relay: an attempt that was not sent uses no retry budget

What callers saw: a stream that had begun was cut with seconds left ('retry budget is used up'), though the repeat that it had been granted had reached no upstream.

Cause: each attempt after the first arrival took a repeat, also if the one before it had taken one and could not be sent. The budget bounds arrivals; in a disturbance, when many connections fail, it was used up by attempts that never arrived.

Evidence: UnreachableUpstreamTest fails without the change: the stream is reset after the connection to the second upstream is refused.

Change: a repeat that was taken is kept for the next attempt until one reaches an upstream.

--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -73,6 +73,9 @@
     /// Starts an attempt at the upstream that the selector chooses, or ends the
     /// request if there is no time, upstream or retry budget left.
     void try_next_upstream();
+    /// Takes a repeat from the retry budget if the next attempt needs one.
+    /// Returns false if the budget is used up.
+    bool take_repeat(time_point now);
     [[nodiscard]] dispatch::upstream_query
     make_query(std::span<const std::string> excluded_ids) const;
     void start_attempt(const directory::known_upstream& upstream,
@@ -156,6 +159,9 @@
     dispatch::attempt_history history_;
     /// Ended attempts whose request was sent to an upstream.
     std::uint32_t upstream_arrivals_ = 0;
+    /// A repeat was taken from the retry budget and has not reached an
+    /// upstream.
+    bool has_unused_repeat_ = false;
     /// Ids of the upstreams at which an attempt failed.
     std::vector<std::string> tried_upstreams_;
     attempt_ptr current_attempt_;
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -270,9 +270,7 @@
                    name_in(dispatch::choice_names, chosen.reason));
         return;
     }
-    if (upstream_arrivals_ > 0 &&
-        !context_.retry_budget.try_take_repeat(now, service_->name,
-                                               context_.router_count()))
+    if (!take_repeat(now))
     {
         if (stream_started_)
             break_off("retry budget is used up");
@@ -289,6 +287,15 @@
     start_attempt(*chosen.upstream, chosen);
 }
 
+bool relay_session::take_repeat(time_point now)
+{
+    if (upstream_arrivals_ == 0 || has_unused_repeat_)
+        return true;
+    has_unused_repeat_ = context_.retry_budget.try_take_repeat(
+        now, service_->name, context_.router_count());
+    return has_unused_repeat_;
+}
+
 dispatch::upstream_query
 relay_session::make_query(std::span<const std::string> excluded_ids) const
 {
@@ -433,7 +440,7 @@
     excluded_ids.push_back(attempt->upstream);
     if (!context_.selector.has_sound_upstream(now, make_query(excluded_ids)))
         return false;
-    return (!may_have_run && upstream_arrivals_ == 0) ||
+    return (!may_have_run && (upstream_arrivals_ == 0 || has_unused_repeat_)) ||
            context_.retry_budget.has_repeat(now, service_->name,
                                             context_.router_count());
 }
@@ -515,6 +522,8 @@
         ++history_.runs;
         break;
     }
+    if (end != attempt_end::not_sent)
+        has_unused_repeat_ = false;
     tried_upstreams_.push_back(attempt->upstream);
     history_.has_time = now + min_attempt_time < deadline_;
     const auto step = step_after(*route_, end, history_);
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -51,6 +51,7 @@
     """Starts a router and `upstreams` scripted upstreams."""
     upstreams = 1
     settings = ""
+    zones = "a"
 
     def setUp(self):
         store_port, listen, ready, control = free_ports(4)
@@ -62,10 +63,8 @@
         for index in range(self.upstreams):
             listener = socket.create_server(("127.0.0.1", 0))
             self.addCleanup(listener.close)
-            self.store.write(f"servers/i-{index}", json.dumps({
-                "service": "app", "zone": "a", "version": "v1", "slots": 8,
-                "address": f"127.0.0.1:{listener.getsockname()[1]}",
-                "phase": "ready", "coldLeftMs": 0, "seq": 1, "born": 1}))
+            self.add_upstream(index, listener.getsockname()[1],
+                              self.zones[index % len(self.zones)])
             threading.Thread(target=self.accept, args=(listener,),
                              daemon=True).start()
         self.folder = tempfile.TemporaryDirectory(prefix="baobab-relay-")
@@ -93,6 +92,12 @@
             time.sleep(0.05)
         self.fail("the router did not become ready")
 
+    def add_upstream(self, index, port, zone):
+        self.store.write(f"servers/i-{index}", json.dumps({
+            "service": "app", "zone": zone, "version": "v1", "slots": 8,
+            "address": f"127.0.0.1:{port}", "phase": "ready", "coldLeftMs": 0,
+            "seq": 1, "born": 1}))
+
     def accept(self, listener):
         while True:
             try:
@@ -359,6 +364,29 @@
         self.check_that_silence_ends_nothing()
 
 
+class UnreachableUpstreamTest(RelayTest):
+    upstreams = 2
+    zones = "ab"
+    # One repeat for each request.
+    settings = "retry-slack=0\nretry-ratio=1.4\n"
+
+    def respond(self, connection, fields, number):
+        fields = "Content-Length: 99\r\n" if number == 1 else ""
+        connection.sendall(head("a", fields) + event(number))
+        if number == 1:
+            # In the same data centre, so that it is the next one to be tried.
+            self.add_upstream(2, free_ports(1)[0], "a")
+            time.sleep(0.5)
+        connection.shutdown(socket.SHUT_RDWR)
+
+    # Guards against streams that are cut though the repeat that they were
+    # granted has reached no upstream.
+    def test_an_attempt_that_was_not_sent_uses_no_retry_budget(self):
+        time.sleep(1)  # the router watches the store by then
+        body = self.send("POST", "/stream/1", "a").read()
+        self.assertEqual(body, event(1) + event(2))
+
+
 class EndlessBodyTest(RelayTest):
     callers = 8
 
