relay: a stream that has begun waits for an upstream until its deadline

What callers saw: a stream that could be resumed was cut with seconds left because no upstream could take it at this moment: all others had declined, could not be reached or were excluded, five attempts were made, or the retry budget was used up.

Cause: these cases ended the request at once, which is right before the first byte, when the caller gets a refusal and may come again, but not after it, when all that is left is to cut the answer.

Evidence: BusyUpstreamsTest fails without the change: the stream is reset as the second upstream is busy for a moment.

Change: after a pause of 100 ms all upstreams may be chosen again, until the deadline (stream_waits). Runs are bounded as before, and every arrival is paid from the retry budget. Without enough time for another attempt a stream that has begun is now aborted; the answer 504 would have been written into it.

Ruled out: waiting when a part of the prompt is quarantined, as this would crash more upstreams.

--- a/include/baobabloft/dispatch/retry_rules.hpp
+++ b/include/baobabloft/dispatch/retry_rules.hpp
@@ -38,6 +38,9 @@
     /// Send the request to another upstream. This is a repeat arrival if the
     /// last attempt reached its upstream.
     try_other,
+    /// Send the request to another upstream after a pause, since a response
+    /// has begun that would have to be aborted otherwise.
+    try_later,
     /// Forward the upstream's error to the caller.
     forward,
     /// Refuse the request: it did not run and will not.
@@ -51,6 +54,7 @@
 
 inline constexpr std::array next_step_names{
     enum_name<next_step>{next_step::try_other, "try_other"},
+    enum_name<next_step>{next_step::try_later, "try_later"},
     enum_name<next_step>{next_step::forward, "forward"},
     enum_name<next_step>{next_step::refuse_not_run, "refuse_not_run"},
     enum_name<next_step>{next_step::fail_unknown, "fail_unknown"},
@@ -70,7 +74,8 @@
     bool has_time = true;
 };
 
-/// Limit on the attempts of one request, including those that did not run it.
+/// Limit on the attempts of one request without a pause, including those that
+/// did not run it.
 inline constexpr std::uint32_t max_attempts = 5;
 
 /// Returns the step after an attempt ended as `end`. If it is try_other and the
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -70,9 +70,12 @@
     /// Records that the request ended well.
     void record_success(const attempt_ptr& attempt);
 
-    /// Starts an attempt at the upstream that the selector chooses, or ends the
-    /// request if there is no time, upstream or retry budget left.
+    /// Starts an attempt at the upstream that the selector chooses. If there is
+    /// no upstream or retry budget left, tries again later if a response has
+    /// begun, or else ends the request.
     void try_next_upstream();
+    /// Starts the next attempt after a pause, at any upstream.
+    void try_later(std::string_view reason);
     /// Takes a repeat from the retry budget if the next attempt needs one.
     /// Returns false if the budget is used up.
     bool take_repeat(time_point now);
--- a/lib/dispatch/retry_rules.cpp
+++ b/lib/dispatch/retry_rules.cpp
@@ -11,10 +11,13 @@
                               end == attempt_end::failed;
     const bool may_repeat = !may_have_run || (route.is_repeatable() &&
                                               history.runs < route.max_runs);
-    if (may_repeat && history.has_time && history.attempts < max_attempts &&
-        (!history.response_started || route.is_repeatable()))
+    if (!may_repeat || !history.has_time ||
+        (history.response_started && !route.is_repeatable()))
+        return step_without_retry(end, history);
+    if (history.attempts < max_attempts)
         return next_step::try_other;
-    return step_without_retry(end, history);
+    return history.response_started ? next_step::try_later
+                                    : step_without_retry(end, history);
 }
 
 next_step step_without_retry(attempt_end end, const attempt_history& history)
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -42,6 +42,8 @@
 constexpr duration min_safe_timeout = 150ms;
 constexpr double first_event_timeout_factor = 1.5;
 constexpr int event_gap_timeout_factor = 3;
+/// Pause after which a stream that has begun looks for an upstream again.
+constexpr duration resume_pause = 100ms;
 /// A timer may fire this long before its time.
 constexpr duration timer_tolerance = 1ms;
 constexpr std::uint32_t max_urgency = 9;
@@ -233,7 +235,9 @@
     const auto now = net::boot_now();
     if (now + min_attempt_time >= deadline_ && history_.attempts > 0)
     {
-        if (history_.runs == 0)
+        if (stream_started_)
+            break_off("not enough time for another attempt");
+        else if (history_.runs == 0)
             refuse(refusal_kind::deadline_passed,
                    "not enough time for another attempt");
         else
@@ -258,7 +262,7 @@
     {
         if (stream_started_)
         {
-            break_off(name_in(dispatch::choice_names, chosen.reason));
+            try_later(name_in(dispatch::choice_names, chosen.reason));
             return;
         }
         if (history_.runs > 0)
@@ -273,7 +277,7 @@
     if (!take_repeat(now))
     {
         if (stream_started_)
-            break_off("retry budget is used up");
+            try_later("retry budget is used up");
         else if (history_.runs > 0)
             fail(refusal_kind::retries_spent, "retry budget is used up");
         else
@@ -287,6 +291,23 @@
     start_attempt(*chosen.upstream, chosen);
 }
 
+void relay_session::try_later(std::string_view reason)
+{
+    log_event(log_level::info, "stream_waits",
+              {{"request", request_id_},
+               {"why", std::string{reason}},
+               {"attempts", std::to_string(history_.attempts)},
+               {"left_ms", format_ms(deadline_ - net::boot_now())}});
+    // An upstream that declined or was unreachable may take it by then.
+    tried_upstreams_.clear();
+    attempt_timer_.set(resume_pause,
+                       [weak = weak_from_this()]
+                       {
+                           if (const auto self = weak.lock())
+                               self->try_next_upstream();
+                       });
+}
+
 bool relay_session::take_repeat(time_point now)
 {
     if (upstream_arrivals_ == 0 || has_unused_repeat_)
@@ -550,6 +571,9 @@
             name_in(dispatch::attempt_end_names, end));
         try_next_upstream();
         return;
+    case next_step::try_later:
+        try_later(reason);
+        return;
     case next_step::forward:
         forward_response(attempt);
         return;
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -1057,6 +1057,10 @@
               next_step::try_other);
     EXPECT_EQ(step_after(plain, attempt_end::broken, history),
               next_step::break_off);
+    const attempt_history many_attempts{
+        .runs = 1, .attempts = max_attempts, .response_started = true};
+    EXPECT_EQ(step_after(resumable, attempt_end::declined, many_attempts),
+              next_step::try_later);
     EXPECT_EQ(step_without_retry(attempt_end::failed, history),
               next_step::break_off);
 }
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -387,6 +387,25 @@
         self.assertEqual(body, event(1) + event(2))
 
 
+class BusyUpstreamsTest(RelayTest):
+    upstreams = 2
+
+    def respond(self, connection, fields, number):
+        if number in (2, 3, 4):
+            connection.sendall(head("a", "X-Not-Run: 1\r\nContent-Length: 0\r\n",
+                                    "503 Busy"))
+            return
+        fields = "Content-Length: 99\r\n" if number == 1 else ""
+        connection.sendall(head("a", fields) + event(min(number, 2)))
+        connection.shutdown(socket.SHUT_RDWR)
+
+    # Guards against streams that are cut because no upstream can take them at
+    # this moment.
+    def test_a_stream_that_has_begun_waits_for_an_upstream(self):
+        body = self.send("POST", "/stream/1", "a").read()
+        self.assertEqual(body, event(1) + event(2))
+
+
 class EndlessBodyTest(RelayTest):
     callers = 8
 
