--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -118,11 +118,11 @@
             except OSError:
                 pass  # the router closed the connection
 
-    def send(self, method, path, request_id):
+    def send(self, method, path, request_id, body=None):
         connection = http.client.HTTPConnection("127.0.0.1", self.listen,
                                                 timeout=10)
         self.addCleanup(connection.close)
-        connection.request(method, path, headers={
+        connection.request(method, path, body, {
             "Host": "relay.example", "X-Request-Id": request_id,
             "X-Deadline-Ms": "4000"})
         return connection.getresponse()
@@ -406,6 +406,24 @@
         self.assertEqual(body, event(1) + event(2))
 
 
+class SuspendedUpstreamTest(RelayTest):
+    size = 1_000_000
+
+    def serve(self, connection):
+        # The buffers are too small for the body.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        time.sleep(2)
+        super().serve(connection)
+
+    def respond(self, connection, fields, number):
+        connection.sendall(head("a", "Content-Length: 2\r\n") + b"ok")
+
+    # Guards against requests that fail because their upstream reads late.
+    def test_an_upstream_may_pause_while_a_long_request_is_sent(self):
+        response = self.send("POST", "/unsafe/1", "a", b"x" * self.size)
+        self.assertEqual((response.status, response.read()), (200, b"ok"))
+
+
 class EndlessBodyTest(RelayTest):
     callers = 8
 
