http: a request keeps the limits of its first byte

What callers saw: a request that was within the limits when it was sent got 408, 413 or 431 as a configuration lowered the limits meanwhile.

Cause: the timeouts and the limit of unparsed bytes were read from the newest configuration at each check, the other size limits at the first byte.

Evidence: a_request_keeps_the_limits_of_its_first_byte fails without the change: the request is rejected.

Change: all limits of a request are those at its first byte.

Ruled out: the larger of the old and the new limits, which would keep the fault for requests that span two changes.

--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -101,8 +101,8 @@
     /// Returns the number of bytes written but not yet accepted by the system.
     [[nodiscard]] std::size_t unsent_bytes() const;
 
-    /// Replaces the limits; the size limits apply from the next request on, a
-    /// lower idle timeout after the next response.
+    /// Replaces the limits; they apply from the next request on, a lower idle
+    /// timeout after the next response.
     void set_limits(const caller_limits& limits);
 
 private:
@@ -127,6 +127,9 @@
 
     std::shared_ptr<byte_stream> stream_;
     caller_limits limits_;
+    /// Limits of the request that is being received: those in force at its
+    /// first byte.
+    caller_limits request_limits_;
     /// Idle timeout announced with the last response, or in force when the
     /// connection was accepted. Callers rely on it.
     duration promised_idle_timeout_;
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -108,8 +108,9 @@
     if (!parser_)
     {
         parser_.emplace();
-        parser_->header_limit(limits_.header_bytes);
-        parser_->body_limit(limits_.body_bytes);
+        request_limits_ = limits_;
+        parser_->header_limit(request_limits_.header_bytes);
+        parser_->body_limit(request_limits_.body_bytes);
         parser_->eager(true);
         continue_sent_ = false;
         has_received_request_ = true;
@@ -136,7 +137,7 @@
         // The parser does not consume an incomplete header. It stays in the
         // input and is parsed again with the next bytes.
         // It does not consume an incomplete chunk header either.
-        if (input_.size() > limits_.header_bytes)
+        if (input_.size() > request_limits_.header_bytes)
             reject(parser_->is_header_done() ? status_bad_request
                                              : status_headers_too_large,
                    "header limit exceeded");
@@ -298,10 +299,10 @@
     if (parser_)
     {
         if (!parser_->is_header_done() &&
-            now - phase_start_ > limits_.header_timeout)
+            now - phase_start_ > request_limits_.header_timeout)
             reject(status_request_timeout, "headers took too long");
         else if (parser_->is_header_done() &&
-                 now - phase_start_ > limits_.idle_timeout)
+                 now - phase_start_ > request_limits_.idle_timeout)
             reject(status_request_timeout, "body stalled");
         return stream_->is_open();
     }
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -338,6 +338,23 @@
     EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 50s));
 }
 
+// Guards against requests that are rejected because a limit was lowered while
+// they arrived.
+TEST_F(caller_test, a_request_keeps_the_limits_of_its_first_byte)
+{
+    feed("POST / HTTP/1.1\r\nContent-Length: 4\r\n");
+    channel->set_limits({.header_bytes = 10,
+                         .body_bytes = 1,
+                         .header_timeout = 1s,
+                         .idle_timeout = 1s});
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 2s));
+    feed("\r\nab");
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 2s));
+    feed("cd");
+    EXPECT_EQ(requests.size(), 1U);
+    EXPECT_EQ(rejected, 0U);
+}
+
 TEST_F(caller_test, idle_connections_outlast_the_announced_timeout)
 {
     EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15500ms));
