http: the rest of a rejected request is accepted and discarded

What callers saw: a request that was refused with 408, 413 or 431 met a reset while it was still being sent, and the refusal could be lost.

Cause: the connection was closed right after the refusal, with bytes unread or still to come.

Evidence: the_rest_of_a_rejected_request_is_accepted fails without the change: sending the rest fails.

Change: the sending side is shut down, and what the caller sends is discarded until it closes its side, for at most a second. A TLS connection is closed as before: GIO cannot shut down one side of it.

Ruled out: the same for all closes. After a complete request nothing of it is still to come.

--- a/include/baobabloft/http/byte_stream.hpp
+++ b/include/baobabloft/http/byte_stream.hpp
@@ -51,6 +51,13 @@
     /// Closes in an orderly way once the send queue is empty. If bytes are
     /// queued, on_drained runs after the close.
     virtual void close_when_drained() = 0;
+    /// Like close_when_drained(), but where possible accepts and discards what
+    /// the peer still sends, for a bounded time: a reset could make the peer
+    /// lose the last bytes sent to it.
+    virtual void discard_and_close_when_drained()
+    {
+        close_when_drained();
+    }
     /// Closes immediately. The peer sees an orderly end, or a reset if bytes
     /// that it sent have not been read.
     virtual void close() = 0;
--- a/include/baobabloft/http/tcp_stream.hpp
+++ b/include/baobabloft/http/tcp_stream.hpp
@@ -48,6 +48,7 @@
     void send(std::string bytes) override;
     void set_reading(bool enabled) override;
     void close_when_drained() override;
+    void discard_and_close_when_drained() override;
     void close() override;
     void abort() override;
     [[nodiscard]] bool is_open() const override;
@@ -66,6 +67,8 @@
     void stop_watching();
     void write_queued();
     void update_interest();
+    /// Closes the connection, or leaves it to a discarding_close.
+    void finish_close();
     /// Closes the connection and runs on_end.
     void close_and_report(stream_end_reason reason);
 
@@ -75,6 +78,8 @@
     bool reading_ = true;
     /// Close once the queue is empty.
     bool closing_ = false;
+    /// Discard what the peer sends after the close.
+    bool discards_input_ = false;
     /// A send failed; the event loop reports the end later.
     bool send_failed_ = false;
     /// Empty while the descriptor is not watched.
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -186,6 +186,8 @@
     stream_->send(serialize_message(message));
     input_.clear();
     stream_->set_reading(false);
+    // The rest of the request is still to come.
+    stream_->discard_and_close_when_drained();
     close();
 }
 
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace baobabloft::http
 {
@@ -20,6 +21,8 @@
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// Reads of one connection per event, so that one peer cannot starve others.
 constexpr int reads_per_event = 4;
+/// Longest time for which the peer of a closed connection may go on sending.
+constexpr duration discard_time = 1s;
 /// Connections accepted per event.
 constexpr int accepts_per_event = 64;
 constexpr int listen_backlog = 4096;
@@ -69,6 +72,56 @@
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
 
+/// Shuts down the sending side of a connection and discards what the peer
+/// sends, until it closes its side or discard_time has passed.
+class discarding_close final : private net::fd_handler
+{
+public:
+    discarding_close(net::event_loop& loop, int fd) : loop_(loop), fd_(fd)
+    {
+        [[maybe_unused]] const int ignored = shutdown(fd_, SHUT_WR);
+        watch_ = loop_.poller().watch(fd_, G_IO_IN, *this);
+    }
+
+    ~discarding_close()
+    {
+        if (fd_ >= 0)
+            ::close(fd_);
+    }
+
+    discarding_close(const discarding_close&) = delete;
+    discarding_close& operator=(const discarding_close&) = delete;
+
+    void finish()
+    {
+        if (fd_ < 0)
+            return;
+        loop_.poller().unwatch(watch_);
+        ::close(fd_);
+        fd_ = -1;
+    }
+
+private:
+    void on_ready(GIOCondition /*ready*/) override
+    {
+        static thread_local std::array<char, read_size> buffer;
+        for (int reads = 0; reads < reads_per_event; ++reads)
+        {
+            const auto size =
+                recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (size > 0)
+                continue;
+            if (size == 0 || !would_block(errno))
+                finish();
+            return;
+        }
+    }
+
+    net::event_loop& loop_;
+    int fd_;
+    net::fd_poller::watch_id watch_{};
+};
+
 } // namespace
 
 std::shared_ptr<tcp_stream> tcp_stream::connect(net::event_loop& loop,
@@ -135,12 +188,31 @@
 
 void tcp_stream::close_when_drained()
 {
+    closing_ = true;
     if (unsent_bytes() == 0)
+        finish_close();
+}
+
+void tcp_stream::discard_and_close_when_drained()
+{
+    discards_input_ = true;
+    close_when_drained();
+}
+
+void tcp_stream::finish_close()
+{
+    if (!discards_input_ || fd_ < 0)
     {
         close();
         return;
     }
-    closing_ = true;
+    if (watch_)
+        loop_.poller().unwatch(*watch_);
+    watch_.reset();
+    // The timer owns it.
+    const auto closing =
+        std::make_shared<discarding_close>(loop_, std::exchange(fd_, -1));
+    loop_.run_after(discard_time, [closing] { closing->finish(); });
 }
 
 void tcp_stream::close()
@@ -294,7 +366,7 @@
         queue_.clear();
         queue_offset_ = 0;
         if (closing_)
-            close();
+            finish_close();
     }
     update_interest();
     if (wrote && unsent_bytes() == 0 && handlers_.on_drained)
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -355,6 +355,22 @@
     EXPECT_EQ(rejected, 0U);
 }
 
+// Guards against callers that lose the response since the rest of their request
+// meets a closed connection.
+TEST_F(caller_test, the_rest_of_a_rejected_request_is_accepted)
+{
+    feed("POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n");
+    EXPECT_EQ(rejected, 413U);
+    EXPECT_FALSE(channel->is_open());
+    write_all(peer, std::string(20000, 'x'));
+    run_pending_events(loop);
+    EXPECT_NE(read_all(peer).find("HTTP/1.1 413"), std::string::npos);
+    EXPECT_TRUE(is_closed(peer));
+    shutdown(peer, SHUT_WR);
+    run_pending_events(loop);
+    EXPECT_EQ(send(peer, "x", 1, MSG_NOSIGNAL), -1);
+}
+
 TEST_F(caller_test, idle_connections_outlast_the_announced_timeout)
 {
     EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15500ms));
