--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -30,6 +30,14 @@
     duration idle_grace = 1s;
 };
 
+/// How a connection ended that had been idle for too long.
+struct idle_end
+{
+    duration idle_time;
+    /// Longest idle time when the connection ended.
+    duration limit;
+};
+
 /// One caller's connection. Its table holds the shared pointer that keeps it
 /// alive, and every callback may release that pointer.
 class caller_channel : public std::enable_shared_from_this<caller_channel>
@@ -51,6 +59,9 @@
         /// set, the response has no body.
         std::function<response(unsigned status, std::string_view reason)>
             on_rejected;
+        /// The connection is about to be closed since no request arrived on it
+        /// within the idle timeout.
+        std::function<void(const idle_end&)> on_idle_timeout{};
     };
 
     caller_channel(std::shared_ptr<byte_stream> stream, caller_limits limits,
@@ -82,15 +93,16 @@
     /// its first request. Returns true if it is closed.
     bool close_if_idle(time_point now);
 
-    /// Closes the connection if a timeout has expired. Returns false if it is
-    /// closed.
+    /// Closes the connection if a timeout has expired and no bytes wait to be
+    /// read. Returns false if it is closed.
     bool check_timeouts(time_point now);
 
     [[nodiscard]] bool is_open() const;
     /// Returns the number of bytes written but not yet accepted by the system.
     [[nodiscard]] std::size_t unsent_bytes() const;
 
-    /// Replaces the limits; the size limits apply from the next request on.
+    /// Replaces the limits; they apply from the next request on, a lower idle
+    /// timeout after the next response.
     void set_limits(const caller_limits& limits);
 
 private:
@@ -103,7 +115,7 @@
     [[nodiscard]] bool has_unsupported_transfer_coding() const;
     void reject(unsigned status, std::string_view reason);
     void finish_response(time_point now);
-    void add_connection_fields(fields& headers, bool keep_alive) const;
+    void add_connection_fields(fields& headers, bool keep_alive);
     /// Closes the connection once the last response has been sent.
     void close();
     /// Restarts the time within which a request's body must make progress, once
@@ -115,6 +127,12 @@
 
     std::shared_ptr<byte_stream> stream_;
     caller_limits limits_;
+    /// Limits of the request that is being received: those in force at its
+    /// first byte.
+    caller_limits request_limits_;
+    /// Idle timeout announced with the last response, or in force when the
+    /// connection was accepted. Callers rely on it.
+    duration promised_idle_timeout_;
     handlers handlers_;
     std::string input_;
     /// Present while a request is being received.
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -70,9 +70,17 @@
     /// Records that the request ended well.
     void record_success(const attempt_ptr& attempt);
 
-    /// Starts an attempt at the upstream that the selector chooses, or ends the
-    /// request if there is no time, upstream or retry budget left.
+    /// Starts an attempt at the upstream that the selector chooses. If there is
+    /// no upstream or retry budget left, tries again later if a response has
+    /// begun, or else ends the request.
     void try_next_upstream();
+    /// Starts the next attempt after a pause, at any upstream.
+    void try_later(std::string_view reason);
+    /// Takes a repeat from the retry budget if the next attempt needs one.
+    /// Returns false if the budget is used up.
+    bool take_repeat(time_point now);
+    [[nodiscard]] dispatch::upstream_query
+    make_query(std::span<const std::string> excluded_ids) const;
     void start_attempt(const directory::known_upstream& upstream,
                        const dispatch::selection& chosen);
     http::request_head upstream_head(const directory::upstream_record& target,
@@ -116,12 +124,19 @@
     void refuse(router::refusal_kind kind, std::string_view reason);
     /// Ends a request that may have run.
     void fail(router::refusal_kind kind, std::string_view reason);
+    /// Aborts a response that has begun.
+    void break_off(std::string_view reason);
     void respond_with_problem(router::refusal_kind kind, router::executed ran,
                               std::optional<duration> retry_after);
     /// Logs the end of the request and lets the session be destroyed.
     void finish(std::string_view outcome);
 
     void arm_attempt_timer(const attempt_ptr& attempt);
+    /// Returns true if the request could go on at another upstream at once
+    /// after `attempt` has ended as `end`.
+    [[nodiscard]] bool can_move_from(const attempt_ptr& attempt,
+                                     dispatch::attempt_end end,
+                                     time_point now) const;
     /// Returns how long the current attempt may wait for its next progress.
     [[nodiscard]] duration attempt_timeout(time_point now) const;
     [[nodiscard]] std::uint32_t urgency() const;
@@ -147,6 +162,9 @@
     dispatch::attempt_history history_;
     /// Ended attempts whose request was sent to an upstream.
     std::uint32_t upstream_arrivals_ = 0;
+    /// A repeat was taken from the retry budget and has not reached an
+    /// upstream.
+    bool has_unused_repeat_ = false;
     /// Ids of the upstreams at which an attempt failed.
     std::vector<std::string> tried_upstreams_;
     attempt_ptr current_attempt_;
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -3,6 +3,8 @@
 
 #include "baobabloft/net/event_loop.hpp"
 
+#include <algorithm>
+
 namespace baobabloft::http
 {
 
@@ -41,7 +43,8 @@
 
 caller_channel::caller_channel(std::shared_ptr<byte_stream> stream,
                                caller_limits limits, time_point now)
-    : stream_(std::move(stream)), limits_(limits), phase_start_(now)
+    : stream_(std::move(stream)), limits_(limits),
+      promised_idle_timeout_(limits.idle_timeout), phase_start_(now)
 {
 }
 
@@ -105,8 +108,9 @@
     if (!parser_)
     {
         parser_.emplace();
-        parser_->header_limit(limits_.header_bytes);
-        parser_->body_limit(limits_.body_bytes);
+        request_limits_ = limits_;
+        parser_->header_limit(request_limits_.header_bytes);
+        parser_->body_limit(request_limits_.body_bytes);
         parser_->eager(true);
         continue_sent_ = false;
         has_received_request_ = true;
@@ -133,7 +137,7 @@
         // The parser does not consume an incomplete header. It stays in the
         // input and is parsed again with the next bytes.
         // It does not consume an incomplete chunk header either.
-        if (input_.size() > limits_.header_bytes)
+        if (input_.size() > request_limits_.header_bytes)
             reject(parser_->is_header_done() ? status_bad_request
                                              : status_headers_too_large,
                    "header limit exceeded");
@@ -182,17 +186,19 @@
     stream_->send(serialize_message(message));
     input_.clear();
     stream_->set_reading(false);
+    // The rest of the request is still to come.
+    stream_->discard_and_close_when_drained();
     close();
 }
 
-void caller_channel::add_connection_fields(fields& headers,
-                                           bool keep_alive) const
+void caller_channel::add_connection_fields(fields& headers, bool keep_alive)
 {
     if (!keep_alive)
     {
         headers.set(bhttp::field::connection, "close");
         return;
     }
+    promised_idle_timeout_ = limits_.idle_timeout;
     headers.set(bhttp::field::keep_alive,
                 "timeout=" + std::to_string(limits_.idle_timeout / 1s));
 }
@@ -288,18 +294,28 @@
         return true;
     if (closing_)
         return check_drain_progress(now);
+    // While the loop was busy, bytes may have arrived in time that the handler
+    // of the socket has not read yet.
+    if (stream_->has_unread_bytes())
+        return true;
     if (parser_)
     {
         if (!parser_->is_header_done() &&
-            now - phase_start_ > limits_.header_timeout)
+            now - phase_start_ > request_limits_.header_timeout)
             reject(status_request_timeout, "headers took too long");
         else if (parser_->is_header_done() &&
-                 now - phase_start_ > limits_.idle_timeout)
+                 now - phase_start_ > request_limits_.idle_timeout)
             reject(status_request_timeout, "body stalled");
         return stream_->is_open();
     }
-    if (now - phase_start_ > limits_.idle_timeout + limits_.idle_grace)
-        stream_->close_when_drained();
+    const auto limit = std::max(limits_.idle_timeout, promised_idle_timeout_) +
+                       limits_.idle_grace;
+    if (now - phase_start_ <= limit)
+        return true;
+    if (handlers_.on_idle_timeout)
+        handlers_.on_idle_timeout(
+            {.idle_time = now - phase_start_, .limit = limit});
+    stream_->close_when_drained();
     return stream_->is_open();
 }
 
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -26,9 +26,10 @@
 /// Time after which the connection of an unresponsive caller is treated as
 /// dead.
 constexpr duration caller_unacknowledged_timeout = 10s;
-/// Bytes sent to an upstream that stay unacknowledged for this long mean a
-/// dead connection.
-constexpr duration upstream_unacknowledged_timeout = 1500ms;
+/// Bytes sent to an upstream that stay unacknowledged, or cannot be sent as its
+/// buffers are full, for this long mean a dead connection. A sound upstream may
+/// be silent for a second or two, and TCP doubles the time between its tries.
+constexpr duration upstream_unacknowledged_timeout = 4s;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -175,6 +176,13 @@
                        {{"status", std::to_string(status)},
                         {"why", std::string{reason}}});
              return http::response{};
+         },
+         .on_idle_timeout =
+             [](const http::idle_end& end)
+         {
+             log_event(log_level::info, "idle_connection_closed",
+                       {{"idle_ms", std::to_string(end.idle_time / 1ms)},
+                        {"limit_ms", std::to_string(end.limit / 1ms)}});
          }});
 }
 
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -42,6 +42,10 @@
 constexpr duration min_safe_timeout = 150ms;
 constexpr double first_event_timeout_factor = 1.5;
 constexpr int event_gap_timeout_factor = 3;
+/// Pause after which a stream that has begun looks for an upstream again.
+constexpr duration resume_pause = 100ms;
+/// A timer may fire this long before its time.
+constexpr duration timer_tolerance = 1ms;
 constexpr std::uint32_t max_urgency = 9;
 /// A request that crashes its upstream does so when its answer begins. An
 /// answer with more events than this is well under way.
@@ -231,7 +235,9 @@
     const auto now = net::boot_now();
     if (now + min_attempt_time >= deadline_ && history_.attempts > 0)
     {
-        if (history_.runs == 0)
+        if (stream_started_)
+            break_off("not enough time for another attempt");
+        else if (history_.runs == 0)
             refuse(refusal_kind::deadline_passed,
                    "not enough time for another attempt");
         else
@@ -242,7 +248,7 @@
     if (history_.attempts > 0 && is_quarantined(now))
     {
         if (stream_started_)
-            finish("broken_off");
+            break_off("prompt part crashes upstreams");
         else if (history_.runs > 0)
             fail(refusal_kind::upstream_failed,
                  "prompt part crashes upstreams");
@@ -250,17 +256,13 @@
             refuse(refusal_kind::quarantined, "prompt part crashes upstreams");
         return;
     }
-    const auto chosen = context_.selector.choose(
-        now, {.service = service_,
-              .affinity = affinity_,
-              .prefix_tokens = shared_prefix_tokens_,
-              .excluded_ids = tried_upstreams_,
-              .is_repeatable = route_->is_repeatable()});
+    const auto chosen =
+        context_.selector.choose(now, make_query(tried_upstreams_));
     if (chosen.upstream == nullptr)
     {
         if (stream_started_)
         {
-            finish("broken_off");
+            try_later(name_in(dispatch::choice_names, chosen.reason));
             return;
         }
         if (history_.runs > 0)
@@ -272,12 +274,10 @@
                    name_in(dispatch::choice_names, chosen.reason));
         return;
     }
-    if (upstream_arrivals_ > 0 &&
-        !context_.retry_budget.try_take_repeat(now, service_->name,
-                                               context_.router_count()))
+    if (!take_repeat(now))
     {
         if (stream_started_)
-            finish("broken_off");
+            try_later("retry budget is used up");
         else if (history_.runs > 0)
             fail(refusal_kind::retries_spent, "retry budget is used up");
         else
@@ -291,6 +291,42 @@
     start_attempt(*chosen.upstream, chosen);
 }
 
+void relay_session::try_later(std::string_view reason)
+{
+    log_event(log_level::info, "stream_waits",
+              {{"request", request_id_},
+               {"why", std::string{reason}},
+               {"attempts", std::to_string(history_.attempts)},
+               {"left_ms", format_ms(deadline_ - net::boot_now())}});
+    // An upstream that declined or was unreachable may take it by then.
+    tried_upstreams_.clear();
+    attempt_timer_.set(resume_pause,
+                       [weak = weak_from_this()]
+                       {
+                           if (const auto self = weak.lock())
+                               self->try_next_upstream();
+                       });
+}
+
+bool relay_session::take_repeat(time_point now)
+{
+    if (upstream_arrivals_ == 0 || has_unused_repeat_)
+        return true;
+    has_unused_repeat_ = context_.retry_budget.try_take_repeat(
+        now, service_->name, context_.router_count());
+    return has_unused_repeat_;
+}
+
+dispatch::upstream_query
+relay_session::make_query(std::span<const std::string> excluded_ids) const
+{
+    return {.service = service_,
+            .affinity = affinity_,
+            .prefix_tokens = shared_prefix_tokens_,
+            .excluded_ids = excluded_ids,
+            .is_repeatable = route_->is_repeatable()};
+}
+
 http::request_head
 relay_session::upstream_head(const directory::upstream_record& target,
                              const dispatch::selection& chosen,
@@ -411,11 +447,42 @@
                 name_in(http::exchange_failure_names, reason));
 }
 
+bool relay_session::can_move_from(const attempt_ptr& attempt, attempt_end end,
+                                  time_point now) const
+{
+    const bool may_have_run = end == attempt_end::timed_out;
+    auto history = history_;
+    history.runs += may_have_run ? 1 : 0;
+    history.has_time = now + min_attempt_time < deadline_;
+    if (step_after(*route_, end, history) != next_step::try_other ||
+        context_.crashing_parts.find_quarantined(now, shared_parts_))
+        return false;
+    auto excluded_ids = tried_upstreams_;
+    excluded_ids.push_back(attempt->upstream);
+    if (!context_.selector.has_sound_upstream(now, make_query(excluded_ids)))
+        return false;
+    return (!may_have_run && (upstream_arrivals_ == 0 || has_unused_repeat_)) ||
+           context_.retry_budget.has_repeat(now, service_->name,
+                                            context_.router_count());
+}
+
 void relay_session::on_timeout(const attempt_ptr& attempt)
 {
-    const bool sent = attempt->channel->has_sent_bytes();
-    end_attempt(attempt, sent ? attempt_end::timed_out : attempt_end::not_sent,
-                "attempt timed out");
+    const auto now = net::boot_now();
+    const auto end = attempt->channel->has_sent_bytes() ? attempt_end::timed_out
+                                                        : attempt_end::not_sent;
+    // The upstream may still answer, so that its silence ends nothing unless
+    // the request can go on elsewhere.
+    if (now + timer_tolerance < deadline_ && !can_move_from(attempt, end, now))
+    {
+        log_event(log_level::info, "silent_attempt_kept",
+                  {{"request", request_id_},
+                   {"upstream", attempt->upstream},
+                   {"left_ms", format_ms(deadline_ - now)}});
+        arm_attempt_timer(attempt);
+        return;
+    }
+    end_attempt(attempt, end, "attempt timed out");
 }
 
 void relay_session::close_attempt(const attempt_ptr& attempt)
@@ -476,6 +543,8 @@
         ++history_.runs;
         break;
     }
+    if (end != attempt_end::not_sent)
+        has_unused_repeat_ = false;
     tried_upstreams_.push_back(attempt->upstream);
     history_.has_time = now + min_attempt_time < deadline_;
     const auto step = step_after(*route_, end, history_);
@@ -502,6 +571,9 @@
             name_in(dispatch::attempt_end_names, end));
         try_next_upstream();
         return;
+    case next_step::try_later:
+        try_later(reason);
+        return;
     case next_step::forward:
         forward_response(attempt);
         return;
@@ -516,7 +588,7 @@
              reason);
         return;
     case next_step::break_off:
-        finish("broken_off");
+        break_off(reason);
         return;
     }
 }
@@ -528,8 +600,6 @@
     finished_ = true;
     attempt_timer_.clear();
     const auto now = net::boot_now();
-    if (outcome == "broken_off")
-        caller_->abort();
     // Failed attempts, refusals and failures have log events of their own;
     // this one describes every request.
     log_event(
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -50,6 +50,8 @@
 class RelayTest(unittest.TestCase):
     """Starts a router and `upstreams` scripted upstreams."""
     upstreams = 1
+    settings = ""
+    zones = "a"
 
     def setUp(self):
         store_port, listen, ready, control = free_ports(4)
@@ -61,10 +63,8 @@
         for index in range(self.upstreams):
             listener = socket.create_server(("127.0.0.1", 0))
             self.addCleanup(listener.close)
-            self.store.write(f"servers/i-{index}", json.dumps({
-                "service": "app", "zone": "a", "version": "v1", "slots": 8,
-                "address": f"127.0.0.1:{listener.getsockname()[1]}",
-                "phase": "ready", "coldLeftMs": 0, "seq": 1, "born": 1}))
+            self.add_upstream(index, listener.getsockname()[1],
+                              self.zones[index % len(self.zones)])
             threading.Thread(target=self.accept, args=(listener,),
                              daemon=True).start()
         self.folder = tempfile.TemporaryDirectory(prefix="baobab-relay-")
@@ -76,7 +76,7 @@
                        f"ready-listen=127.0.0.1:{ready}\n"
                        f"control-listen=127.0.0.1:{control}\n"
                        f"directory=127.0.0.1:{store_port}\n"
-                       "shutdown-timeout=8\n")
+                       "shutdown-timeout=8\n" + self.settings)
         self.router = subprocess.Popen(
             [f"{BUILD}/tools/baobabd/baobabd", "--settings-file", path],
             stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
@@ -92,6 +92,12 @@
             time.sleep(0.05)
         self.fail("the router did not become ready")
 
+    def add_upstream(self, index, port, zone):
+        self.store.write(f"servers/i-{index}", json.dumps({
+            "service": "app", "zone": zone, "version": "v1", "slots": 8,
+            "address": f"127.0.0.1:{port}", "phase": "ready", "coldLeftMs": 0,
+            "seq": 1, "born": 1}))
+
     def accept(self, listener):
         while True:
             try:
@@ -112,11 +118,11 @@
             except OSError:
                 pass  # the router closed the connection
 
-    def send(self, method, path, request_id):
+    def send(self, method, path, request_id, body=None):
         connection = http.client.HTTPConnection("127.0.0.1", self.listen,
                                                 timeout=10)
         self.addCleanup(connection.close)
-        connection.request(method, path, headers={
+        connection.request(method, path, body, {
             "Host": "relay.example", "X-Request-Id": request_id,
             "X-Deadline-Ms": "4000"})
         return connection.getresponse()
@@ -323,6 +329,101 @@
         self.assertIn(self.ports[0], self.ports[1:])
 
 
+class SilenceTest(RelayTest):
+    """The upstreams fall silent for a while and go on."""
+
+    def respond(self, connection, fields, number):
+        if fields["X-Request-Id"] == "s":
+            time.sleep(1.2)
+            connection.sendall(head("s", "Content-Length: 2\r\n") + b"ok")
+            return
+        connection.sendall(head(fields["X-Request-Id"]) + event(1))
+        time.sleep(1.2)
+        connection.sendall(event(2) + event(3))
+        connection.shutdown(socket.SHUT_RDWR)
+
+    def check_that_silence_ends_nothing(self):
+        self.assertEqual(self.send("POST", "/stream/1", "e").read(),
+                         event(1) + event(2) + event(3))
+        self.assertEqual(self.send("GET", "/safe/1", "s").read(), b"ok")
+        self.assertEqual(self.requests, ["e", "s"])
+
+
+class OnlyUpstreamSilentTest(SilenceTest):
+    # Guards against streams that are cut while their upstream is silent.
+    def test_a_silent_upstream_keeps_its_request_if_it_is_the_only_one(self):
+        self.check_that_silence_ends_nothing()
+
+
+class SpentRetryBudgetTest(SilenceTest):
+    upstreams = 2
+    settings = "retry-slack=0\n"
+
+    # Guards against requests that are cut because they cannot be repeated.
+    def test_a_silent_upstream_keeps_its_request_if_the_budget_is_spent(self):
+        self.check_that_silence_ends_nothing()
+
+
+class UnreachableUpstreamTest(RelayTest):
+    upstreams = 2
+    zones = "ab"
+    # One repeat for each request.
+    settings = "retry-slack=0\nretry-ratio=1.4\n"
+
+    def respond(self, connection, fields, number):
+        fields = "Content-Length: 99\r\n" if number == 1 else ""
+        connection.sendall(head("a", fields) + event(number))
+        if number == 1:
+            # In the same data centre, so that it is the next one to be tried.
+            self.add_upstream(2, free_ports(1)[0], "a")
+            time.sleep(0.5)
+        connection.shutdown(socket.SHUT_RDWR)
+
+    # Guards against streams that are cut though the repeat that they were
+    # granted has reached no upstream.
+    def test_an_attempt_that_was_not_sent_uses_no_retry_budget(self):
+        time.sleep(1)  # the router watches the store by then
+        body = self.send("POST", "/stream/1", "a").read()
+        self.assertEqual(body, event(1) + event(2))
+
+
+class BusyUpstreamsTest(RelayTest):
+    upstreams = 2
+
+    def respond(self, connection, fields, number):
+        if number in (2, 3, 4):
+            connection.sendall(head("a", "X-Not-Run: 1\r\nContent-Length: 0\r\n",
+                                    "503 Busy"))
+            return
+        fields = "Content-Length: 99\r\n" if number == 1 else ""
+        connection.sendall(head("a", fields) + event(min(number, 2)))
+        connection.shutdown(socket.SHUT_RDWR)
+
+    # Guards against streams that are cut because no upstream can take them at
+    # this moment.
+    def test_a_stream_that_has_begun_waits_for_an_upstream(self):
+        body = self.send("POST", "/stream/1", "a").read()
+        self.assertEqual(body, event(1) + event(2))
+
+
+class SuspendedUpstreamTest(RelayTest):
+    size = 1_000_000
+
+    def serve(self, connection):
+        # The buffers are too small for the body.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        time.sleep(2)
+        super().serve(connection)
+
+    def respond(self, connection, fields, number):
+        connection.sendall(head("a", "Content-Length: 2\r\n") + b"ok")
+
+    # Guards against requests that fail because their upstream reads late.
+    def test_an_upstream_may_pause_while_a_long_request_is_sent(self):
+        response = self.send("POST", "/unsafe/1", "a", b"x" * self.size)
+        self.assertEqual((response.status, response.read()), (200, b"ok"))
+
+
 class EndlessBodyTest(RelayTest):
     callers = 8
 
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -299,6 +299,78 @@
     EXPECT_TRUE(channel->close_if_idle(net::boot_now()));
 }
 
+// Guards against requests that are closed unread, because the router was busy
+// and its timers ran before the socket was read.
+TEST_F(caller_test, an_unread_request_keeps_its_connection_open)
+{
+    feed("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    respond("one");
+    write_all(peer, "POST /2 HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 17s));
+    run_pending_events(loop);
+    write_all(peer, "cd");
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 17s));
+    run_pending_events(loop);
+    EXPECT_EQ(requests.size(), 2U);
+    EXPECT_EQ(rejected, 0U);
+}
+
+// Guards against requests that meet a closing connection after the limit was
+// lowered: callers rely on the timeout announced with the last response.
+TEST_F(caller_test, a_lowered_idle_limit_applies_after_the_next_response)
+{
+    auto lowered = limits;
+    lowered.idle_timeout = 2s;
+    channel->set_limits(lowered);
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15s));
+    feed("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    respond("one");
+    EXPECT_NE(read_all(peer).find("timeout=2"), std::string::npos);
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 2500ms));
+    EXPECT_FALSE(channel->check_timeouts(net::boot_now() + 4s));
+}
+
+TEST_F(caller_test, a_raised_idle_limit_applies_at_once)
+{
+    auto raised = limits;
+    raised.idle_timeout = 60s;
+    channel->set_limits(raised);
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 50s));
+}
+
+// Guards against requests that are rejected because a limit was lowered while
+// they arrived.
+TEST_F(caller_test, a_request_keeps_the_limits_of_its_first_byte)
+{
+    feed("POST / HTTP/1.1\r\nContent-Length: 4\r\n");
+    channel->set_limits({.header_bytes = 10,
+                         .body_bytes = 1,
+                         .header_timeout = 1s,
+                         .idle_timeout = 1s});
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 2s));
+    feed("\r\nab");
+    EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 2s));
+    feed("cd");
+    EXPECT_EQ(requests.size(), 1U);
+    EXPECT_EQ(rejected, 0U);
+}
+
+// Guards against callers that lose the response since the rest of their request
+// meets a closed connection.
+TEST_F(caller_test, the_rest_of_a_rejected_request_is_accepted)
+{
+    feed("POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n");
+    EXPECT_EQ(rejected, 413U);
+    EXPECT_FALSE(channel->is_open());
+    write_all(peer, std::string(20000, 'x'));
+    run_pending_events(loop);
+    EXPECT_NE(read_all(peer).find("HTTP/1.1 413"), std::string::npos);
+    EXPECT_TRUE(is_closed(peer));
+    shutdown(peer, SHUT_WR);
+    run_pending_events(loop);
+    EXPECT_EQ(send(peer, "x", 1, MSG_NOSIGNAL), -1);
+}
+
 TEST_F(caller_test, idle_connections_outlast_the_announced_timeout)
 {
     EXPECT_TRUE(channel->check_timeouts(net::boot_now() + 15500ms));
