Logs show entries that are ignored because their revision is older

The logs of a restored store showed neither which entries a router ignores nor why. Each entry whose revision is lower than one of the same key that was applied writes `entry_outdated`.

--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -45,6 +45,9 @@
         /// for a grace period.
         upstream_expired,
         entry_unreadable,
+        /// An entry was ignored, since its revision is lower than one of the
+        /// same key that was applied.
+        entry_outdated,
         /// The bytes received so far of a long entry were discarded.
         transfer_restarted,
         data_centre_out_of_service,
@@ -75,6 +78,8 @@
         directory_event::event_kind::upstream_expired, "upstream_lapsed"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::entry_unreadable, "entry_unreadable"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::entry_outdated, "entry_outdated"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::transfer_restarted, "transfer_restarted"},
     enum_name<directory_event::event_kind>{
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -24,6 +24,10 @@
     if (key.kind == key_kind::other)
         return;
     auto& latest = latest_revisions_[item.key];
+    if (item.mod_revision < latest)
+        record_event(directory_event::event_kind::entry_outdated, item.key,
+                     "revision " + std::to_string(latest) + " was applied",
+                     item.mod_revision);
     if (item.mod_revision <= latest)
         return;
     latest = item.mod_revision;
