directory test: a property whose failures were not reported

`pattern_large_data_centre_spreads_its_queries` called rc::check() inside a plain test and dropped its result, so no failure could make the test fail. It is a property of its own now, with the same model, steps and bound.

--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -820,23 +820,19 @@
     }
 }
 
-TEST(directory_follower, pattern_large_data_centre_spreads_its_queries)
+RC_GTEST_PROP(directory_follower, pattern_large_data_centre_spreads_its_queries,
+              ())
 {
-    rc::check(
-        []
-        {
-            constexpr std::size_t routers = 49;
-            fleet_model fleet{routers};
-            fleet.set_loss(false, 1);
-            auto now = start;
-            for (int step = 0; step < 1000; ++step)
-                fleet.step(now += 10ms);
-            // 2 kB per second at 65 bytes per response, headers included.
-            constexpr std::size_t seconds = 10;
-            constexpr std::size_t responses_per_second = 30;
-            RC_ASSERT(fleet.max_queries_received() <
-                      seconds * responses_per_second);
-        });
+    constexpr std::size_t routers = 49;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    auto now = start;
+    for (int step = 0; step < 1000; ++step)
+        fleet.step(now += 10ms);
+    // 2 kB per second at 65 bytes per response, headers included.
+    constexpr std::size_t seconds = 10;
+    constexpr std::size_t responses_per_second = 30;
+    RC_ASSERT(fleet.max_queries_received() < seconds * responses_per_second);
 }
 
 RC_GTEST_PROP(directory_follower,
