A restored store begins a new era of revisions

Cause: revisions were taken as only rising. A router ignored every entry with a revision that it had seen for the key, kept its known revision at the highest ever, and got 410 for it. It then read everything, ignored it, counted that as a confirmation, and began again 14 ms later. The class: an order of one history compared with numbers of another.

Change: each response of the store carries an era, and so do messages between routers. When it changes, nothing is compared with revisions of the era before, the log of changes starts anew, and all entries are read again.

Evidence: pattern_a_fleet_follows_a_store_that_was_restored (9, 91, 295 routers, one or two restores, losses) fails in its first case if the store reports no era, which is the code of before.

--- a/include/baobabloft/directory/change_log.hpp
+++ b/include/baobabloft/directory/change_log.hpp
@@ -22,6 +22,9 @@
     /// lowers it.
     void set_low_water_mark(revision low_water_mark);
 
+    /// Forgets all changes. The next low-water mark may be lower than before.
+    void clear();
+
     /// Returns the changes after the revision `after`, as many as fit a
     /// datagram. `as_of_revision` is the revision up to which the log is
     /// complete.
--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -1,6 +1,8 @@
 // Keeps the directory state up to date with the store: by a full read first,
 // then by paced watches, and by a full read again whenever the store has lost
-// the history. In each data centre a few routers watch the store and the others
+// the history. A store that returns from an older copy begins a new era:
+// nothing is compared with revisions of the era before, and all entries are
+// read again. In each data centre a few routers watch the store and the others
 // query them; a router that gets no fresh response calls the store itself. Does
 // no I/O: it returns the call to make next and handles the result.
 #pragma once
@@ -86,6 +88,9 @@
     /// A long value that is not complete after this time is read from the
     /// store.
     duration long_entry_timeout = 400ms;
+    /// Routers that learn of a new era from another router spread their full
+    /// reads over this time.
+    duration era_read_spread = 300ms;
     /// Pause after the first full read if it lists no other router, so that the
     /// first watch finds the other routers of a fleet that starts.
     duration fleet_start_pause = 700ms;
@@ -113,10 +118,11 @@
     /// These handle the result of the call in progress.
     void handle_page(time_point now, const entry_page& page);
     void handle_changes(time_point now, const entry_changes& changes);
-    void handle_history_loss(time_point now);
+    /// Handles a watch whose changes the store no longer has. `era` is empty if
+    /// the response did not arrive as a whole.
+    void handle_history_loss(time_point now, std::optional<store_era> era);
     void handle_call_failure(time_point now);
-    /// Handles the entry that was read, or nothing if it does not exist.
-    void handle_entry(time_point now, const std::optional<entry>& item);
+    void handle_entry(time_point now, const entry_lookup& lookup);
     /// Returns false if the response does not match the query in progress.
     bool handle_response(time_point now, const change_response& response);
     /// Returns false if the part does not match the query in progress.
@@ -128,6 +134,8 @@
                                           const change_query& query) const;
     [[nodiscard]] entry_part respond(time_point now,
                                      const entry_query& query) const;
+    /// Returns the notice with which other routers learn of this one's state.
+    [[nodiscard]] change_notice notice() const;
     /// Handles another router's notice of a change.
     void handle_notice(time_point now, const change_notice& notice);
     /// Returns true while this router watches the store for others.
@@ -138,8 +146,11 @@
     /// Returns true if the store has no fleet secret and this router should
     /// create one. A few routers suffice, since only the first write succeeds.
     [[nodiscard]] bool should_create_secret(time_point now) const;
-    /// Returns the revision up to which all changes are known.
+    /// Returns the revision of the latest era up to which all changes are
+    /// known.
     [[nodiscard]] revision known_revision() const;
+    /// Returns the store's latest known era; 0 before the first response.
+    [[nodiscard]] store_era era() const;
 
     /// Returns the send time of the read that last confirmed the known state,
     /// or nothing before the first full read.
@@ -156,6 +167,14 @@
     [[nodiscard]] const directory_state& state() const;
 
 private:
+    /// Begins an era of the store: all entries are to be read again.
+    void start_era(time_point now, store_era era);
+    /// Handles the era of a response of the store. Returns false if the
+    /// response is of no use, since the era has changed since the last read.
+    [[nodiscard]] bool accept_store_era(time_point now, store_era era);
+    /// Handles the era that another router knows. Returns false if this router
+    /// did not know of it.
+    [[nodiscard]] bool accept_router_era(time_point now, store_era era);
     /// Records the end of a store outage if the time from the store's last
     /// known response to `sent_at` is long enough for one.
     void record_store_return(time_point now, time_point sent_at);
@@ -197,6 +216,11 @@
     directory_state state_;
     /// A full read has ended, and the store has not lost the history since.
     bool state_complete_ = false;
+    /// The store's latest known era, once there was a first response.
+    std::optional<store_era> era_;
+    time_point era_started_at_;
+    /// A full read of the latest known era has ended.
+    bool era_was_complete_ = false;
     /// The first full read has ended.
     bool was_complete_ = false;
     time_point first_complete_at_;
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -53,7 +53,9 @@
         data_centre_out_of_service,
         data_centre_back_in_service,
         router_added,
-        router_removed
+        router_removed,
+        /// The store was restored from an older copy.
+        store_restored
     };
     event_kind kind{};
     /// Version, id, name or key of what changed.
@@ -92,6 +94,8 @@
         directory_event::event_kind::router_added, "router_added"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::router_removed, "router_removed"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::store_restored, "store_restored"},
 };
 
 /// The store's contents as known to this router.
@@ -100,6 +104,11 @@
 public:
     explicit directory_state(const record_codec& codec);
 
+    /// Begins a new era of the store: revisions known so far are not compared
+    /// with those of entries applied from now on, and no changes are kept for
+    /// other routers until begin_change_log().
+    void begin_era(store_era era);
+
     /// Applies one entry or its removal. A removal before `grace_until` may be
     /// an expired lease: the upstream stays usable until then.
     void apply(time_point now, const entry& item,
@@ -111,8 +120,8 @@
                          revision as_of_revision,
                          std::optional<time_point> grace_until);
 
-    /// Ends the first full read: from now on, changes after `as_of_revision`
-    /// are kept for other routers.
+    /// Ends the first full read of an era: from now on, changes after
+    /// `as_of_revision` are kept for other routers.
     void begin_change_log(revision as_of_revision);
 
     /// Returns the changes after the revision `after` for another router, up to
@@ -178,8 +187,14 @@
     std::map<std::string, router_record> routers_;
     std::string secret_;
     change_log log_;
-    /// Latest revision seen of each key, so that older ones are ignored.
-    std::map<std::string, revision> latest_revisions_;
+    /// What was last seen of a key.
+    struct seen_entry
+    {
+        /// Older revisions of the same era are ignored.
+        revision mod_revision = 0;
+        bool is_of_earlier_era = false;
+    };
+    std::map<std::string, seen_entry> seen_entries_;
     /// The first full read has ended.
     bool initial_read_done_ = false;
     std::uint64_t change_count_ = 0;
--- a/include/baobabloft/directory/messages.hpp
+++ b/include/baobabloft/directory/messages.hpp
@@ -16,6 +16,8 @@
     std::uint32_t sequence = 0;
     /// Changes with a higher revision are requested.
     std::uint64_t after = 0;
+    /// The store's era in which `after` counts.
+    std::uint64_t era = 0;
 };
 
 /// An entry of the store as sent between routers.
@@ -36,7 +38,7 @@
 {
     std::uint32_t sequence = 0;
     /// False if the sender does not have all changes after the queried
-    /// revision.
+    /// revision, or none of the queried era.
     bool has_history = false;
     /// There are more changes after the last entry.
     bool has_more = false;
@@ -45,6 +47,8 @@
     /// Time from the last confirmation of the sender's known state until the
     /// response was sent, ms.
     std::uint32_t confirmation_age_ms = 0;
+    /// The latest era of the store that the sender knows.
+    std::uint64_t era = 0;
     std::vector<reported_entry> entries;
 };
 
@@ -69,6 +73,8 @@
     std::uint32_t confirmation_age_ms = 0;
     /// Revision of the value; 0 if the sender does not have it.
     std::uint64_t mod_revision = 0;
+    /// The store's era in which `mod_revision` counts.
+    std::uint64_t era = 0;
     /// Bytes of the value from the queried offset.
     std::string bytes;
 };
@@ -79,6 +85,8 @@
 {
     /// Revision up to which the sender knows the changes.
     std::uint64_t revision = 0;
+    /// The store's era in which `revision` counts.
+    std::uint64_t era = 0;
 };
 
 } // namespace baobabloft::directory
--- a/include/baobabloft/directory/records.hpp
+++ b/include/baobabloft/directory/records.hpp
@@ -91,9 +91,15 @@
     std::string name;
 };
 
-/// The store's revision counter.
+/// The store's revision counter. Revisions of different eras are not
+/// comparable: a store that is restored gives out the same revisions again.
 using revision = std::uint64_t;
 
+/// Number of times that the store was restored from an older copy. After each
+/// time, entries written since the copy are missing until their writers write
+/// them again.
+using store_era = std::uint64_t;
+
 /// An entry of the store as written, or its removal.
 struct entry
 {
@@ -112,6 +118,7 @@
     bool has_more = false;
     /// The store's revision at the time of the read.
     revision as_of_revision = 0;
+    store_era era = 0;
 };
 
 /// The changes after a revision.
@@ -120,6 +127,15 @@
     std::vector<entry> entries;
     /// The entries are complete up to this revision.
     revision as_of_revision = 0;
+    store_era era = 0;
+};
+
+/// The result of reading one entry.
+struct entry_lookup
+{
+    /// Empty if the entry does not exist.
+    std::optional<entry> item;
+    store_era era = 0;
 };
 
 /// Parses keys and values of the store.
--- a/include/baobabloft/relay/platform_interface.hpp
+++ b/include/baobabloft/relay/platform_interface.hpp
@@ -39,6 +39,8 @@
     /// The changes were still arriving when the time was up. The current
     /// entries are shorter than all changes that led to them.
     bool is_too_long = false;
+    /// The store's era; empty unless the response arrived as a whole.
+    std::optional<directory::store_era> era;
 };
 
 /// The platform's key-value store. Every callback runs exactly once, on the
@@ -59,11 +61,10 @@
     read_page(const std::string& after, duration timeout,
               callback<std::optional<directory::entry_page>> done) = 0;
 
-    /// Reads one entry. The outer optional is empty on failure, the inner one
-    /// if the entry does not exist.
-    virtual void read_entry(
-        const std::string& key, duration timeout,
-        callback<std::optional<std::optional<directory::entry>>> done) = 0;
+    /// Reads one entry. The result is empty on failure.
+    virtual void
+    read_entry(const std::string& key, duration timeout,
+               callback<std::optional<directory::entry_lookup>> done) = 0;
 
     /// Waits up to `call.wait` for changes after the revision `call.after`.
     virtual void watch(const directory::watch_changes& call, duration timeout,
--- a/lib/directory/change_log.cpp
+++ b/lib/directory/change_log.cpp
@@ -49,6 +49,13 @@
     low_water_mark_ = std::max(low_water_mark_, low_water_mark);
 }
 
+void change_log::clear()
+{
+    entries_.clear();
+    long_values_.clear();
+    low_water_mark_ = 0;
+}
+
 change_response change_log::changes_after(revision after,
                                           revision as_of_revision) const
 {
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -43,7 +43,7 @@
     call_sent_at_ = now;
     // The state was complete up to the known revision, so the changes that
     // another router knows complete it again.
-    const bool completes_from_router = was_complete_ && !state_complete_ &&
+    const bool completes_from_router = era_was_complete_ && !state_complete_ &&
                                        !may_read_value_from_store(now) &&
                                        any_responsive_router(now) != nullptr;
     if (!state_complete_ && !completes_from_router)
@@ -75,8 +75,53 @@
     if (router == nullptr)
         return watch_changes{known_revision_, options_.watch_wait};
     queried_router_ = router->name;
-    return query_router{router->name, router->control_address,
-                        change_query{++query_sequence_, known_revision_}};
+    return query_router{
+        router->name, router->control_address,
+        change_query{++query_sequence_, known_revision_, era_.value_or(0)}};
+}
+
+void directory_follower::start_era(time_point now, store_era era)
+{
+    era_ = era;
+    era_started_at_ = now;
+    era_was_complete_ = false;
+    state_complete_ = false;
+    reset_full_read();
+    known_revision_ = 0;
+    pending_long_entry_.reset();
+    pending_confirmation_.reset();
+    long_value_.clear();
+    read_long_entry_from_store_ = false;
+    // Writers whose entries the copy does not have register again.
+    store_returned_at_ = now;
+    state_.begin_era(era);
+}
+
+bool directory_follower::accept_store_era(time_point now, store_era era)
+{
+    if (!era_)
+        era_ = era;
+    if (*era_ == era)
+        return true;
+    next_call_due_ = now;
+    // A response to a call that was sent before this router learned of the
+    // latest era may be of the one before.
+    if (call_sent_at_ > era_started_at_ || era > *era_)
+        start_era(now, era);
+    return false;
+}
+
+bool directory_follower::accept_router_era(time_point now, store_era era)
+{
+    if (!era_ || era <= *era_)
+        return true;
+    start_era(now, era);
+    constexpr std::uint64_t slots = 64;
+    next_call_due_ = now + options_.era_read_spread *
+                               static_cast<std::int64_t>(
+                                   hash_bytes(options_.router) % slots) /
+                               static_cast<std::int64_t>(slots);
+    return false;
 }
 
 const router_record* directory_follower::long_entry_source(time_point now) const
@@ -208,6 +253,8 @@
     call_in_progress_ = false;
     store_failed_at_.reset();
     next_call_due_ = now;
+    if (!accept_store_era(now, page.era))
+        return;
     record_store_return(now, read_started_at_);
     if (!read_revision_)
         read_revision_ = page.as_of_revision;
@@ -225,9 +272,10 @@
     // The pages are not one snapshot: changes after the first page's revision
     // are read next.
     known_revision_ = std::max(known_revision_, *read_revision_);
+    if (!era_was_complete_)
+        state_.begin_change_log(known_revision_);
     if (!was_complete_)
     {
-        state_.begin_change_log(known_revision_);
         first_complete_at_ = now;
         const auto& routers = state_.routers();
         if (!options_.router.empty() &&
@@ -235,6 +283,7 @@
             next_call_due_ = now + options_.fleet_start_pause;
     }
     was_complete_ = true;
+    era_was_complete_ = true;
     long_value_.clear();
     record_confirmation(read_started_at_);
 }
@@ -251,6 +300,8 @@
 {
     call_in_progress_ = false;
     store_failed_at_.reset();
+    if (!accept_store_era(now, changes.era))
+        return;
     record_store_return(now, call_sent_at_);
     for (const auto& item : changes.entries)
         state_.apply(now, item, grace_end(now));
@@ -259,9 +310,12 @@
     next_call_due_ = now + options_.watch_pause;
 }
 
-void directory_follower::handle_history_loss(time_point now)
+void directory_follower::handle_history_loss(time_point now,
+                                             std::optional<store_era> era)
 {
     call_in_progress_ = false;
+    if (era && !accept_store_era(now, *era))
+        return;
     state_complete_ = false;
     reset_full_read();
     next_call_due_ = now;
@@ -277,13 +331,13 @@
 }
 
 void directory_follower::handle_entry(time_point now,
-                                      const std::optional<entry>& item)
+                                      const entry_lookup& lookup)
 {
     call_in_progress_ = false;
     store_failed_at_.reset();
     next_call_due_ = now;
-    if (pending_long_entry_)
-        finish_long_entry(now, item);
+    if (accept_store_era(now, lookup.era) && pending_long_entry_)
+        finish_long_entry(now, lookup.item);
 }
 
 void directory_follower::finish_long_entry(time_point now,
@@ -336,10 +390,13 @@
     if (responder.empty())
         return false;
     record_store_response(part.confirmation_age_ms);
+    if (!accept_router_era(now, part.era))
+        return true;
     const auto wanted_revision = long_value_.empty()
                                      ? pending_long_entry_->mod_revision
                                      : long_value_revision_;
-    if (part.mod_revision < wanted_revision || part.bytes.empty())
+    if (part.era != era_ || part.mod_revision < wanted_revision ||
+        part.bytes.empty())
     {
         unresponsive_until_[responder] = now + options_.stale_router_pause;
         read_long_entry_from_store_ = true;
@@ -370,8 +427,13 @@
     const auto responder = end_query(now, response.sequence);
     if (responder.empty())
         return false;
+    // A response that was under way as the era changed is of no use.
+    if (!accept_router_era(now, response.era) ||
+        (response.era != era_ && call_sent_at_ <= era_started_at_))
+        return true;
     const duration reported_age = response.confirmation_age_ms * 1ms;
-    if (!response.has_history || reported_age > options_.max_reported_age)
+    if (!response.has_history || response.era != era_ ||
+        reported_age > options_.max_reported_age)
     {
         record_store_response(response.confirmation_age_ms);
         // Another router may have a fresher state. A router that should watch
@@ -445,12 +507,11 @@
                                             const change_query& query) const
 {
     change_response result;
-    if (was_complete_ && confirmed_at_)
-    {
+    if (era_was_complete_ && query.era == era_)
         result = state_.changes_after(query.after, known_revision_);
-        result.confirmation_age_ms = reported_age_ms(now);
-    }
+    result.confirmation_age_ms = reported_age_ms(now);
     result.sequence = query.sequence;
+    result.era = era_.value_or(0);
     return result;
 }
 
@@ -459,6 +520,7 @@
 {
     auto result = state_.part_for(query);
     result.confirmation_age_ms = reported_age_ms(now);
+    result.era = era_.value_or(0);
     return result;
 }
 
@@ -475,7 +537,9 @@
 void directory_follower::handle_notice(time_point now,
                                        const change_notice& notice)
 {
-    if (notice.revision > known_revision_)
+    if (!accept_router_era(now, notice.era))
+        return;
+    if (notice.era == era_ && notice.revision > known_revision_)
         next_call_due_ = std::min(next_call_due_, now);
 }
 
@@ -501,6 +565,16 @@
            now - first_complete_at_ > creation_patience;
 }
 
+change_notice directory_follower::notice() const
+{
+    return {.revision = known_revision_, .era = era_.value_or(0)};
+}
+
+store_era directory_follower::era() const
+{
+    return era_.value_or(0);
+}
+
 revision directory_follower::known_revision() const
 {
     return known_revision_;
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -17,24 +17,36 @@
     events_.push_back({kind, std::move(name), std::move(detail), mod_revision});
 }
 
+void directory_state::begin_era(store_era era)
+{
+    for (auto& [key, seen] : seen_entries_)
+        seen.is_of_earlier_era = true;
+    log_.clear();
+    record_event(directory_event::event_kind::store_restored,
+                 std::to_string(era));
+}
+
 void directory_state::apply(time_point now, const entry& item,
                             std::optional<time_point> grace_until)
 {
     const auto key = codec_.read_key(item.key);
     if (key.kind == key_kind::other)
         return;
-    auto& latest = latest_revisions_[item.key];
-    if (item.mod_revision < latest)
-        record_event(directory_event::event_kind::entry_outdated, item.key,
-                     "revision " + std::to_string(latest) + " was applied",
-                     item.mod_revision);
-    if (item.mod_revision <= latest)
+    auto& seen = seen_entries_[item.key];
+    if (!seen.is_of_earlier_era && item.mod_revision <= seen.mod_revision)
+    {
+        if (item.mod_revision < seen.mod_revision)
+            record_event(directory_event::event_kind::entry_outdated, item.key,
+                         "revision " + std::to_string(seen.mod_revision) +
+                             " was applied",
+                         item.mod_revision);
         return;
-    latest = item.mod_revision;
+    }
+    seen = {.mod_revision = item.mod_revision};
     if (item.removed)
     {
         remove(now, key, item.mod_revision, grace_until);
-        latest_revisions_.erase(item.key);
+        seen_entries_.erase(item.key);
         log_.add(item);
         return;
     }
@@ -189,8 +201,9 @@
                                       std::optional<time_point> grace_until)
 {
     std::vector<std::string> removed_keys;
-    for (const auto& [key, mod_revision] : latest_revisions_)
-        if (mod_revision <= as_of_revision && !listed.contains(key))
+    for (const auto& [key, seen] : seen_entries_)
+        if ((seen.is_of_earlier_era || seen.mod_revision <= as_of_revision) &&
+            !listed.contains(key))
             removed_keys.push_back(key);
     for (const auto& key : removed_keys)
     {
@@ -199,7 +212,7 @@
                   .value = {},
                   .mod_revision = as_of_revision,
                   .removed = true});
-        latest_revisions_.erase(key);
+        seen_entries_.erase(key);
     }
 }
 
@@ -256,10 +269,10 @@
 
 bool directory_state::is_newer_config(const reported_entry& item) const
 {
-    const auto latest = latest_revisions_.find(item.key);
+    const auto found = seen_entries_.find(item.key);
     return codec_.read_key(item.key).kind == key_kind::config &&
-           (latest == latest_revisions_.end() ||
-            latest->second < item.mod_revision);
+           (found == seen_entries_.end() || found->second.is_of_earlier_era ||
+            found->second.mod_revision < item.mod_revision);
 }
 
 const std::map<std::string, known_upstream>& directory_state::upstreams() const
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -59,7 +59,7 @@
 template <typename Archive>
 void serialize(Archive& archive, change_query& object)
 {
-    archive(object.sequence, object.after);
+    archive(object.sequence, object.after, object.era);
 }
 
 template <typename Archive>
@@ -74,14 +74,14 @@
 void serialize(Archive& archive, change_response& object)
 {
     archive(object.sequence, object.has_history, object.has_more,
-            object.as_of_revision, object.confirmation_age_ms);
+            object.as_of_revision, object.confirmation_age_ms, object.era);
     serialize_list(archive, object.entries);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, change_notice& object)
 {
-    archive(object.revision);
+    archive(object.revision, object.era);
 }
 
 template <typename Archive>
@@ -95,7 +95,7 @@
 void serialize(Archive& archive, entry_part& object)
 {
     archive(object.sequence, object.total_bytes, object.confirmation_age_ms,
-            object.mod_revision);
+            object.mod_revision, object.era);
     serialize_text(archive, object.bytes);
 }
 
--- a/lib/relay/relay_directory.cpp
+++ b/lib/relay/relay_directory.cpp
@@ -79,7 +79,7 @@
                      {
                          log_event(log_level::info, "store_history_lost",
                                    {{"reason", reason.message}});
-                         follower.handle_history_loss(now);
+                         follower.handle_history_loss(now, result.era);
                      }
                      else
                          follower.handle_call_failure(now);
@@ -94,7 +94,7 @@
 {
     store_.read_entry(
         call.key, store_timeout,
-        [this](const std::optional<std::optional<directory::entry>>& result,
+        [this](const std::optional<directory::entry_lookup>& result,
                const failure& reason)
         {
             const auto now = net::boot_now();
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -196,8 +196,7 @@
         const auto id = router_id_at(router.control_address);
         if (id && name != options_.router_name &&
             router.data_centre == options_.data_centre)
-            send_datagram(*id, directory::change_notice{
-                                   context_.follower.known_revision()});
+            send_datagram(*id, context_.follower.notice());
     }
 }
 
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -84,6 +84,23 @@
         history_.push_back({key, {}, ++revision_, true});
     }
 
+    /// Keeps a copy of the entries for restore().
+    void copy()
+    {
+        copy_ = entries_;
+        copied_revision_ = revision_;
+    }
+
+    /// Begins a new era with the entries and the revision of the copy.
+    void restore()
+    {
+        entries_ = copy_;
+        revision_ = copied_revision_;
+        std::erase_if(history_, [this](const entry& item)
+                      { return item.mod_revision > revision_; });
+        ++era_;
+    }
+
     void clear_history()
     {
         history_.clear();
@@ -96,27 +113,35 @@
         for (const auto& [key, item] : entries_)
             page.entries.push_back(item);
         page.as_of_revision = revision_;
+        page.era = era_;
         return page;
     }
 
     [[nodiscard]] std::optional<entry_changes>
     changes_after(revision after) const
     {
-        if (after < oldest_known_revision_)
+        if (after < oldest_known_revision_ || after > revision_)
             return std::nullopt;
         entry_changes changes;
         for (const auto& item : history_)
             if (item.mod_revision > after)
                 changes.entries.push_back(item);
         changes.as_of_revision = revision_;
+        changes.era = era_;
         return changes;
     }
 
-    [[nodiscard]] std::optional<entry> find(const std::string& key) const
+    [[nodiscard]] entry_lookup find(const std::string& key) const
     {
         const auto found = entries_.find(key);
-        return found == entries_.end() ? std::nullopt
-                                       : std::optional{found->second};
+        return {.item = found == entries_.end() ? std::nullopt
+                                                : std::optional{found->second},
+                .era = era_};
+    }
+
+    [[nodiscard]] store_era era() const
+    {
+        return era_;
     }
 
     [[nodiscard]] revision latest_revision() const
@@ -129,6 +154,9 @@
     std::vector<entry> history_;
     revision revision_ = 1;
     revision oldest_known_revision_ = 0;
+    std::map<std::string, entry> copy_;
+    revision copied_revision_ = 1;
+    store_era era_ = 0;
 };
 
 /// Makes the next call of `follower`, if one is due, and handles its result.
@@ -145,7 +173,7 @@
         if (const auto changes = store.changes_after(watch->after))
             follower.handle_changes(now, *changes);
         else
-            follower.handle_history_loss(now);
+            follower.handle_history_loss(now, store.era());
     }
     else if (const auto* read = std::get_if<read_entry>(&*call))
         follower.handle_entry(now, store.find(read->key));
@@ -394,12 +422,32 @@
         writes_.push_back({now, store_.latest_revision(), version_});
     }
 
+    /// Writes the latest configuration again.
+    void rewrite_config()
+    {
+        store_.write("config", std::to_string(version_) +
+                                   std::string(config_padding_bytes_, ' '));
+    }
+
     void step(time_point now)
     {
         for (std::size_t index = 0; index < followers_.size(); ++index)
             step_router(now, index);
     }
 
+    /// Runs the fleet for `length` and returns the time at its end.
+    time_point run(time_point now, duration length)
+    {
+        for (const auto end = now + length; now < end;)
+            step(now += 10ms);
+        return now;
+    }
+
+    fake_store& store()
+    {
+        return store_;
+    }
+
     /// Checks that the known state of each router includes every write made
     /// before the time at which the state was last confirmed.
     void check_confirmations() const
@@ -482,7 +530,7 @@
     void lose_history(time_point now, std::size_t router)
     {
         pending_[router].reset();
-        followers_[router]->handle_history_loss(now);
+        followers_[router]->handle_history_loss(now, store_.era());
     }
 
     /// From now on calls that the store does not answer last until their
@@ -592,7 +640,7 @@
             if (const auto changes = store_.changes_after(watch->after))
                 follower.handle_changes(now, *changes);
             else
-                follower.handle_history_loss(now);
+                follower.handle_history_loss(now, store_.era());
         }
         else
             follower.handle_entry(
@@ -697,6 +745,37 @@
     RC_ASSERT(fleet.state(disconnected).config()->version == fleet.version());
 }
 
+// Guards against routers that ignore what a restored store holds, since its
+// revisions were given out before.
+RC_GTEST_PROP(directory_follower,
+              pattern_a_fleet_follows_a_store_that_was_restored, ())
+{
+    fleet_model fleet{
+        *rc::gen::weightedElement<std::size_t>({{12, 9}, {3, 91}, {1, 295}})};
+    fleet.set_loss(*rc::gen::arbitrary<bool>(), 50);
+    fleet.set_config_padding(*rc::gen::inRange<std::size_t>(0, 3'000));
+    auto now = fleet.run(start, 3s);
+    fleet.store().copy();
+    fleet.write_config(now);
+    now = fleet.run(now, 2s);
+    const auto restores = *rc::gen::inRange(1, 3);
+    for (int restore = 0; restore < restores; ++restore)
+    {
+        fleet.write_config(now);
+        now = fleet.run(now, *rc::gen::inRange(0, 200) * 10ms);
+        fleet.set_store_unavailable(true);
+        now = fleet.run(now, *rc::gen::inRange(1, 200) * 10ms);
+        fleet.store().restore();
+        fleet.set_store_unavailable(false);
+        now = fleet.run(now, *rc::gen::inRange(0, 150) * 10ms);
+        fleet.rewrite_config();
+        now = fleet.run(now, *rc::gen::inRange(0, 300) * 10ms);
+    }
+    fleet.write_config(now);
+    fleet.run(now, 2s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+}
+
 // Guards against a router that has to read everything again and asks no other
 // router while the store does not respond to it.
 RC_GTEST_PROP(directory_follower,
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -61,6 +61,8 @@
         http::response out;
         out.result(status);
         out.body() = response_body;
+        if (!era.empty())
+            out.set("Store-Era", era);
         caller->respond(net::boot_now(), std::move(out), true);
     }
 
@@ -134,6 +136,7 @@
     std::unique_ptr<store_client> client;
     unsigned status = 200;
     std::string response_body;
+    std::string era;
     std::string request_target;
     std::string request_body;
     bool unresponsive = false;
@@ -240,9 +243,28 @@
     EXPECT_FALSE(reason.text().empty());
 }
 
+// Guards against taking revisions of a restored store for those of before.
+TEST_F(store_test, every_response_tells_the_era)
+{
+    era = "3";
+    EXPECT_EQ(read_page(R"({"entries":[],"asOf":9})")->era, 3U);
+    EXPECT_EQ(watch(R"({"events":[],"asOf":9})").changes->era, 3U);
+    status = 410;
+    EXPECT_EQ(watch("").era, 3U);
+    std::optional<std::optional<directory::entry_lookup>> entry;
+    status = 404;
+    client->read_entry("a", 500ms, capture(entry));
+    wait_for_callback();
+    ASSERT_TRUE(entry && *entry);
+    EXPECT_EQ((*entry)->era, 3U);
+    status = 200;
+    era = "three";
+    EXPECT_EQ(read_page(R"({"entries":[],"asOf":9})")->era, 0U);
+}
+
 TEST_F(store_test, read_entry_distinguishes_found_missing_and_failed)
 {
-    std::optional<std::optional<std::optional<directory::entry>>> result;
+    std::optional<std::optional<directory::entry_lookup>> result;
     const auto read = [&]
     {
         client->read_entry("a b", 500ms, capture(result));
@@ -251,11 +273,11 @@
     };
     response_body = R"({"key":"a b","rev":3,"value":"aGVq"})";
     ASSERT_TRUE(read());
-    EXPECT_EQ((**result)->value, "hej");
+    EXPECT_EQ((*result)->item->value, "hej");
     EXPECT_NE(request_target.find("a%20b"), std::string::npos);
     status = 404;
     ASSERT_TRUE(read());
-    EXPECT_FALSE(**result);
+    EXPECT_FALSE((*result)->item);
     status = 500;
     EXPECT_FALSE(read());
     status = 200;
@@ -308,13 +330,13 @@
 // takes longer than the timeout of a call.
 TEST_F(store_test, a_response_that_keeps_arriving_outlasts_the_timeout)
 {
-    std::optional<std::optional<std::optional<directory::entry>>> result;
+    std::optional<std::optional<directory::entry_lookup>> result;
     response_body = R"({"key":"a","rev":3,"value":"aGVq"})";
     part_bytes = 2;
     client->read_entry("a", 100ms, capture(result));
     wait_for_callback();
-    ASSERT_TRUE(result && *result && **result);
-    EXPECT_EQ((**result)->value, "hej");
+    ASSERT_TRUE(result && *result && (*result)->item);
+    EXPECT_EQ((*result)->item->value, "hej");
 }
 
 // Guards against a watch that never catches up with long values that change
@@ -397,7 +419,7 @@
         response_body.resize(
             *rc::gen::inRange<std::size_t>(0, response_body.size()));
     std::optional<std::optional<directory::entry_page>> page;
-    std::optional<std::optional<std::optional<directory::entry>>> entry;
+    std::optional<std::optional<directory::entry_lookup>> entry;
     std::optional<relay::watch_result> changes;
     std::optional<std::optional<relay::lease_id>> lease;
     client->read_page("", 500ms, capture(page));
