What a restored store lost holds until it is written again

After a restore the store lists upstreams as ready that had reported to leave or had left, and lacks data centres that were taken out of service. Requests would reach them until the writers write again.

Cause: the first full read of an era was taken for the current state. The class: an acknowledged write taken as lasting.

Change: what a router knows holds for five seconds after it learns of the restore, or until the key is written in the new era: an upstream that left or leaves stays so unless it has a newer lifetime, and a data centre stays out of service. After that the store is right. Upstreams that it lacks have the grace that they have after an outage.

Evidence: the three tests of restored_store_test. By their construction the first and the third fail without the deferral; they were written with it and not run without.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -97,6 +97,10 @@
     /// Time after the end of a store outage within which live upstreams have
     /// registered again; the platform states about two seconds.
     duration expiry_grace = 2200ms;
+    /// Time after a restore of the store within which its writers have written
+    /// again what it lost. Longer than the grace of upstreams, which register
+    /// again by themselves.
+    duration rewrite_time = 5s;
     /// If no router is known to have had a response from the store for this
     /// long, the store was unavailable. Longer than the age that confirmations
     /// reach while the store rejects only the router that the others query,
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -48,6 +48,9 @@
         /// An entry was ignored, since its revision is lower than one of the
         /// same key that was applied.
         entry_outdated,
+        /// A restored store lists an entry that contradicts a later one, or
+        /// lacks it. The later one holds for a while.
+        entry_deferred,
         /// The bytes received so far of a long entry were discarded.
         transfer_restarted,
         data_centre_out_of_service,
@@ -82,6 +85,8 @@
         directory_event::event_kind::entry_unreadable, "entry_unreadable"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::entry_outdated, "entry_outdated"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::entry_deferred, "entry_deferred"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::transfer_restarted, "transfer_restarted"},
     enum_name<directory_event::event_kind>{
@@ -106,16 +111,26 @@
 
     /// Begins a new era of the store: revisions known so far are not compared
     /// with those of entries applied from now on, and no changes are kept for
-    /// other routers until begin_change_log().
-    void begin_era(store_era era);
+    /// other routers until begin_change_log(). What writers may still write
+    /// again is kept until `rewritten_by`.
+    void begin_era(store_era era, time_point rewritten_by);
 
     /// Applies one entry or its removal. A removal before `grace_until` may be
     /// an expired lease: the upstream stays usable until then.
     void apply(time_point now, const entry& item,
                std::optional<time_point> grace_until);
 
+    /// Applies an entry of a full read. If the first full read of an era lists
+    /// an upstream that is known to have left or to leave, the entry is of the
+    /// copy: it is deferred until the time of begin_era(), or dropped if it is
+    /// written again before.
+    void apply_listed(time_point now, const entry& item,
+                      std::optional<time_point> grace_until);
+
     /// Removes the entries that a full read did not list, unless they changed
-    /// after `as_of_revision`. `grace_until` applies as in apply().
+    /// after `as_of_revision`. `grace_until` applies as in apply(). In the
+    /// first full read of an era, the removal of data centres out of service
+    /// and of routers is deferred as in apply_listed().
     void remove_unlisted(time_point now, const std::set<std::string>& listed,
                          revision as_of_revision,
                          std::optional<time_point> grace_until);
@@ -132,7 +147,8 @@
     /// Returns a part of a long entry for another router.
     [[nodiscard]] entry_part part_for(const entry_query& query) const;
 
-    /// Removes upstreams whose grace period has ended.
+    /// Removes upstreams whose grace period has ended, and applies deferred
+    /// entries that are due.
     void remove_expired(time_point now);
 
     /// Records that an upstream reported to be cold until `until`.
@@ -174,14 +190,31 @@
                       const record& content, const entry& item);
     void remove(time_point now, const parsed_key& key, revision mod_revision,
                 std::optional<time_point> grace_until);
+    void erase_upstream(time_point now, const std::string& id);
+    /// Returns true if the upstream's lifetime in `item` is known to have left,
+    /// or to leave although `item` does not say so.
+    [[nodiscard]] bool contradicts_departure(const parsed_key& key,
+                                             const entry& item) const;
+    void defer(const entry& item);
+    void apply_deferred(time_point now);
     void record_event(directory_event::event_kind kind, std::string name,
                       std::string detail = {}, revision mod_revision = 0);
 
     const record_codec& codec_;
     config_snapshot config_;
     std::map<std::string, known_upstream> upstreams_;
-    /// No grace period ends before this.
+    /// No grace period ends and no deferred entry is due before this.
     time_point next_grace_end_ = time_point::max();
+    /// Upstreams that were removed lately.
+    struct removed_upstream
+    {
+        std::uint64_t started_ms = 0;
+        time_point removed_at;
+    };
+    std::map<std::string, removed_upstream> removed_upstreams_;
+    /// Entries of a restored store to be applied at `rewritten_by_`, by key.
+    std::map<std::string, entry> deferred_;
+    time_point rewritten_by_;
     /// Data centres out of service, and the revisions of their entries.
     std::map<std::string, revision> out_of_service_;
     std::map<std::string, router_record> routers_;
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -94,7 +94,7 @@
     read_long_entry_from_store_ = false;
     // Writers whose entries the copy does not have register again.
     store_returned_at_ = now;
-    state_.begin_era(era);
+    state_.begin_era(era, now + options_.rewrite_time);
 }
 
 bool directory_follower::accept_store_era(time_point now, store_era era)
@@ -261,7 +261,7 @@
     for (const auto& item : page.entries)
     {
         listed_keys_.insert(item.key);
-        state_.apply(now, item, grace_end(now));
+        state_.apply_listed(now, item, grace_end(now));
     }
     if (page.has_more && !page.entries.empty())
     {
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -8,6 +8,15 @@
 namespace baobabloft::directory
 {
 
+namespace
+{
+
+/// Time for which removed upstreams are remembered. Longer than a restored copy
+/// of the store is old.
+constexpr duration removal_memory = 60s;
+
+} // namespace
+
 directory_state::directory_state(const record_codec& codec) : codec_(codec) {}
 
 void directory_state::record_event(directory_event::event_kind kind,
@@ -17,8 +26,10 @@
     events_.push_back({kind, std::move(name), std::move(detail), mod_revision});
 }
 
-void directory_state::begin_era(store_era era)
+void directory_state::begin_era(store_era era, time_point rewritten_by)
 {
+    rewritten_by_ = rewritten_by;
+    deferred_.clear();
     for (auto& [key, seen] : seen_entries_)
         seen.is_of_earlier_era = true;
     log_.clear();
@@ -43,6 +54,7 @@
         return;
     }
     seen = {.mod_revision = item.mod_revision};
+    deferred_.erase(item.key);
     if (item.removed)
     {
         remove(now, key, item.mod_revision, grace_until);
@@ -54,6 +66,68 @@
         log_.add(item);
 }
 
+void directory_state::apply_listed(time_point now, const entry& item,
+                                   std::optional<time_point> grace_until)
+{
+    const auto key = codec_.read_key(item.key);
+    const auto seen = seen_entries_.find(item.key);
+    const bool is_known_of_this_era =
+        seen != seen_entries_.end() && !seen->second.is_of_earlier_era;
+    if (is_known_of_this_era || now >= rewritten_by_ ||
+        key.kind != key_kind::upstream || !contradicts_departure(key, item))
+    {
+        apply(now, item, grace_until);
+        return;
+    }
+    seen_entries_[item.key] = {.mod_revision = item.mod_revision};
+    defer(item);
+}
+
+bool directory_state::contradicts_departure(const parsed_key& key,
+                                            const entry& item) const
+{
+    const auto content = codec_.read(key, item.value);
+    const auto* listed = std::get_if<upstream_record>(&content);
+    if (listed == nullptr)
+        return false;
+    if (const auto known = upstreams_.find(key.name); known != upstreams_.end())
+    {
+        const auto& record = known->second.record;
+        return listed->started_ms < record.started_ms ||
+               (listed->started_ms == record.started_ms && record.draining &&
+                !listed->draining);
+    }
+    const auto removed = removed_upstreams_.find(key.name);
+    return removed != removed_upstreams_.end() &&
+           listed->started_ms <= removed->second.started_ms;
+}
+
+void directory_state::defer(const entry& item)
+{
+    deferred_[item.key] = item;
+    next_grace_end_ = std::min(next_grace_end_, rewritten_by_);
+    record_event(directory_event::event_kind::entry_deferred, item.key,
+                 item.removed ? "not listed" : "listed", item.mod_revision);
+}
+
+void directory_state::apply_deferred(time_point now)
+{
+    if (now < rewritten_by_)
+    {
+        if (!deferred_.empty())
+            next_grace_end_ = std::min(next_grace_end_, rewritten_by_);
+        return;
+    }
+    for (const auto& [text, item] : std::exchange(deferred_, {}))
+    {
+        const auto key = codec_.read_key(text);
+        if (item.removed)
+            remove(now, key, item.mod_revision, {});
+        else if (apply_record(now, key, codec_.read(key, item.value), item))
+            log_.add(item);
+    }
+}
+
 bool directory_state::apply_record(time_point now, const parsed_key& key,
                                    const record& content, const entry& item)
 {
@@ -130,7 +204,10 @@
     if (added || is_new_lifetime || record.cold_remaining > duration{0})
         known.cold_until = cold_until;
     if (added)
+    {
         known.id_hash = hash_bytes(record.id);
+        removed_upstreams_.erase(record.id);
+    }
     if (added || is_new_lifetime)
         known.first_seen = initial_read_done_ ? now : time_point{};
     const bool was_in_grace_period = known.grace_until.has_value();
@@ -168,8 +245,7 @@
                          key.name, {}, mod_revision);
             return;
         }
-        upstreams_.erase(found);
-        ++change_count_;
+        erase_upstream(now, key.name);
         record_event(directory_event::event_kind::upstream_removed, key.name,
                      {}, mod_revision);
         return;
@@ -195,6 +271,17 @@
     }
 }
 
+void directory_state::erase_upstream(time_point now, const std::string& id)
+{
+    const auto found = upstreams_.find(id);
+    std::erase_if(removed_upstreams_, [now](const auto& removed)
+                  { return now - removed.second.removed_at > removal_memory; });
+    removed_upstreams_[id] = {.started_ms = found->second.record.started_ms,
+                              .removed_at = now};
+    upstreams_.erase(found);
+    ++change_count_;
+}
+
 void directory_state::remove_unlisted(time_point now,
                                       const std::set<std::string>& listed,
                                       revision as_of_revision,
@@ -207,11 +294,20 @@
             removed_keys.push_back(key);
     for (const auto& key : removed_keys)
     {
-        remove(now, codec_.read_key(key), as_of_revision, grace_until);
-        log_.add({.key = key,
-                  .value = {},
-                  .mod_revision = as_of_revision,
-                  .removed = true});
+        const auto parsed = codec_.read_key(key);
+        const entry removal{.key = key,
+                            .value = {},
+                            .mod_revision = as_of_revision,
+                            .removed = true};
+        const bool may_be_written_again =
+            seen_entries_[key].is_of_earlier_era && now < rewritten_by_ &&
+            (parsed.kind == key_kind::data_centre_out_of_service ||
+             parsed.kind == key_kind::router);
+        if (may_be_written_again)
+            defer(removal);
+        else
+            remove(now, parsed, as_of_revision, grace_until);
+        log_.add(removal);
         seen_entries_.erase(key);
     }
 }
@@ -239,6 +335,7 @@
     if (now < next_grace_end_)
         return;
     next_grace_end_ = time_point::max();
+    apply_deferred(now);
     for (auto item = upstreams_.begin(); item != upstreams_.end();)
     {
         const auto& until = item->second.grace_until;
@@ -249,10 +346,10 @@
             ++item;
             continue;
         }
-        record_event(directory_event::event_kind::upstream_removed, item->first,
-                     "lapsed");
-        item = upstreams_.erase(item);
-        ++change_count_;
+        const auto expired = item++;
+        record_event(directory_event::event_kind::upstream_removed,
+                     expired->first, "lapsed");
+        erase_upstream(now, std::string{expired->first});
     }
 }
 
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -321,6 +321,80 @@
     EXPECT_TRUE(follower.state().upstreams().empty());
 }
 
+/// A router that knows that "gone" left, that "leaving" leaves and that "dc1"
+/// is out of service, and a store that was restored from a copy of before.
+class restored_store_test : public testing::Test
+{
+protected:
+    restored_store_test()
+    {
+        for (const auto* key : {"up/gone", "up/leaving", "up/stays"})
+            store.write(key, "ready");
+        run_call(follower, store, now);
+        store.copy();
+        store.remove("up/gone");
+        store.write("up/leaving", "draining");
+        store.write("up/late", "ready");
+        store.write("out/dc1", "");
+        run_call(follower, store, now += 1s);
+        store.restore();
+        for (int call = 0; call < 3; ++call)
+            run_call(follower, store, now += 1s);
+    }
+
+    [[nodiscard]] bool is_usable(const std::string& id) const
+    {
+        const auto& upstreams = follower.state().upstreams();
+        const auto found = upstreams.find(id);
+        return found != upstreams.end() && !found->second.record.draining;
+    }
+
+    fake_store store;
+    directory_follower follower{codec, {}};
+    time_point now = start;
+};
+
+// Guards against requests to upstreams and data centres that a restored store
+// lists as before, although routers know that they left.
+TEST_F(restored_store_test, what_left_before_stays_away_until_it_is_rewritten)
+{
+    EXPECT_EQ(follower.era(), 1U);
+    EXPECT_FALSE(is_usable("gone"));
+    EXPECT_FALSE(is_usable("leaving"));
+    EXPECT_TRUE(is_usable("stays"));
+    EXPECT_TRUE(is_usable("late"));
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+    store.write("out/dc1", "");
+    store.write("up/gone", "restarted");
+    run_call(follower, store, now += 1s);
+    EXPECT_TRUE(is_usable("gone"));
+    // What nobody has written again is as the store lists it.
+    for (int call = 0; call < 6; ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+    EXPECT_TRUE(is_usable("leaving"));
+    EXPECT_FALSE(is_usable("late"));
+}
+
+TEST_F(restored_store_test, a_data_centre_that_is_not_rewritten_returns)
+{
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+    for (int call = 0; call < 6; ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_FALSE(follower.state().is_out_of_service("dc1"));
+}
+
+TEST_F(restored_store_test, a_second_restore_forgets_no_departure)
+{
+    store.restore();
+    for (int call = 0; call < 3; ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_EQ(follower.era(), 2U);
+    EXPECT_FALSE(is_usable("gone"));
+    EXPECT_FALSE(is_usable("leaving"));
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+}
+
 TEST(directory_follower,
      a_configuration_is_superseded_until_the_new_one_is_read)
 {
