No 404 and no 401 while a restored store may lack what was confirmed

A router that had missed a configuration before the restore confirmed an older one by its first read, and answered 404 and 401 for what the lost one allows.

Evidence: freshness.a_restored_store_shows_no_absence; the state that it asks for did not exist before.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -164,6 +164,10 @@
     /// read yet.
     [[nodiscard]] bool is_config_superseded() const;
 
+    /// Returns true for some time after a restore of the store, in which it may
+    /// lack what was confirmed before.
+    [[nodiscard]] bool awaits_rewrites(time_point now) const;
+
     /// Returns true after a full read, until the store loses the history.
     [[nodiscard]] bool has_complete_state() const;
 
@@ -222,7 +226,8 @@
     bool state_complete_ = false;
     /// The store's latest known era, once there was a first response.
     std::optional<store_era> era_;
-    time_point era_started_at_;
+    /// Set once the era has changed.
+    std::optional<time_point> era_started_at_;
     /// A full read of the latest known era has ended.
     bool era_was_complete_ = false;
     /// The first full read has ended.
--- a/include/baobabloft/dispatch/freshness.hpp
+++ b/include/baobabloft/dispatch/freshness.hpp
@@ -20,6 +20,17 @@
     duration in_force = 2s;
 };
 
+/// What else is known of a configuration that the store confirmed.
+enum class config_doubt : std::uint8_t
+{
+    none,
+    /// The store was restored from a copy a moment ago and may lack
+    /// configurations that were confirmed.
+    store_restored,
+    /// A newer one is known to exist. It was written after the confirmation.
+    superseded
+};
+
 /// What a configuration may be used for.
 enum class permitted_use : std::uint8_t
 {
@@ -46,12 +57,10 @@
 
 /// Returns what a configuration last confirmed at `confirmed_at` may be used
 /// for at `now`. Without a value, no configuration was ever confirmed.
-/// `is_superseded` is true if a newer one is known to exist; it was written
-/// after `confirmed_at`.
 permitted_use permitted_use_at(time_point now,
                                std::optional<time_point> confirmed_at,
                                const freshness_bounds& bounds,
-                               bool is_superseded = false);
+                               config_doubt doubt = config_doubt::none);
 
 /// Returns true if the router should take new connections: even without a
 /// further confirmation it could still accept keys until the load balancer has
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -106,7 +106,7 @@
     next_call_due_ = now;
     // A response to a call that was sent before this router learned of the
     // latest era may be of the one before.
-    if (call_sent_at_ > era_started_at_ || era > *era_)
+    if (!era_started_at_ || call_sent_at_ > *era_started_at_ || era > *era_)
         start_era(now, era);
     return false;
 }
@@ -429,7 +429,8 @@
         return false;
     // A response that was under way as the era changed is of no use.
     if (!accept_router_era(now, response.era) ||
-        (response.era != era_ && call_sent_at_ <= era_started_at_))
+        (response.era != era_ && era_started_at_ &&
+         call_sent_at_ <= *era_started_at_))
         return true;
     const duration reported_age = response.confirmation_age_ms * 1ms;
     if (!response.has_history || response.era != era_ ||
@@ -590,6 +591,11 @@
     return pending_long_entry_ && state_.is_newer_config(*pending_long_entry_);
 }
 
+bool directory_follower::awaits_rewrites(time_point now) const
+{
+    return era_started_at_ && now - *era_started_at_ < options_.rewrite_time;
+}
+
 bool directory_follower::has_complete_state() const
 {
     return state_complete_;
--- a/lib/dispatch/freshness.cpp
+++ b/lib/dispatch/freshness.cpp
@@ -22,16 +22,17 @@
 permitted_use permitted_use_at(time_point now,
                                std::optional<time_point> confirmed_at,
                                const freshness_bounds& bounds,
-                               bool is_superseded)
+                               config_doubt doubt)
 {
     if (!confirmed_at)
         return permitted_use::none;
     const auto age = now - *confirmed_at;
-    if (is_superseded && age >= bounds.in_force)
+    if (doubt == config_doubt::superseded && age >= bounds.in_force)
         return permitted_use::superseded;
     if (age >= bounds.key_revocation - key_margin)
         return permitted_use::routes_only;
-    if (age >= bounds.in_force * deny_numerator / deny_denominator)
+    if (doubt == config_doubt::store_restored ||
+        age >= bounds.in_force * deny_numerator / deny_denominator)
         return permitted_use::serve;
     return permitted_use::full;
 }
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -54,8 +54,13 @@
 dispatch::permitted_use
 relay_context::permitted_config_use(time_point now) const
 {
+    auto doubt = dispatch::config_doubt::none;
+    if (follower.is_config_superseded())
+        doubt = dispatch::config_doubt::superseded;
+    else if (follower.awaits_rewrites(now))
+        doubt = dispatch::config_doubt::store_restored;
     return dispatch::permitted_use_at(now, follower.confirmed_at(), freshness,
-                                      follower.is_config_superseded());
+                                      doubt);
 }
 
 duration relay_context::confirmation_age(time_point now) const
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -932,16 +932,30 @@
 TEST(freshness, a_superseded_configuration_is_not_used_past_its_bound)
 {
     const freshness_bounds bounds{.key_revocation = 5s, .in_force = 2s};
-    EXPECT_EQ(permitted_use_at(start + 1999ms, start, bounds, true),
+    EXPECT_EQ(permitted_use_at(start + 1999ms, start, bounds,
+                               config_doubt::superseded),
               permitted_use::serve);
-    EXPECT_EQ(permitted_use_at(start + 2s, start, bounds, true),
-              permitted_use::superseded);
-    EXPECT_EQ(permitted_use_at(start + 60s, start, bounds, true),
-              permitted_use::superseded);
-    EXPECT_EQ(permitted_use_at(start + 2s, start, bounds, false),
+    EXPECT_EQ(
+        permitted_use_at(start + 2s, start, bounds, config_doubt::superseded),
+        permitted_use::superseded);
+    EXPECT_EQ(
+        permitted_use_at(start + 60s, start, bounds, config_doubt::superseded),
+        permitted_use::superseded);
+    EXPECT_EQ(permitted_use_at(start + 2s, start, bounds),
               permitted_use::serve);
 }
 
+// Guards against 404 and 401 for what a restored store has lost.
+TEST(freshness, a_restored_store_shows_no_absence)
+{
+    const freshness_bounds bounds{};
+    constexpr auto doubt = config_doubt::store_restored;
+    EXPECT_EQ(permitted_use_at(start, start, bounds, doubt),
+              permitted_use::serve);
+    EXPECT_EQ(permitted_use_at(start + 4800ms, start, bounds, doubt),
+              permitted_use::routes_only);
+}
+
 TEST(freshness, permitted_use_shrinks_as_the_confirmation_ages)
 {
     const freshness_bounds bounds{.key_revocation = 5s, .in_force = 2s};
