A configuration that the store lost stays in force

A router that starts after a restore reads an older configuration than the one in force, and serves by it until the operators write again. So does one that had not read the newest before the restore.

Cause: the store is the only source of configurations. Change: queries and notices carry the version in force. A router that learns of a newer one than its own, and does not find it in the store, reads it from that router in parts. After a start and after a restore each router notifies three others, and again with each version that it adopts meanwhile. Until it has the newer one its state is confirmed only up to the moment at which it learned of it, so it stops denying and then serving in the usual times. If nobody has it any more, the report is dropped.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -38,7 +38,7 @@
 {
     std::string router;
     endpoint control_address;
-    std::variant<change_query, entry_query> message;
+    std::variant<change_query, entry_query, config_query> message;
 };
 
 /// A call that keeps the directory state up to date.
@@ -97,6 +97,12 @@
     /// Time after the end of a store outage within which live upstreams have
     /// registered again; the platform states about two seconds.
     duration expiry_grace = 2200ms;
+    /// A newer configuration that another router has in force is requested from
+    /// it if the store has not confirmed the own state for this long.
+    duration config_report_patience = 1s;
+    /// Routers with which the versions of configurations are compared after a
+    /// start and after a restore of the store.
+    std::size_t max_config_peers = 3;
     /// Time after a restore of the store within which its writers have written
     /// again what it lost. Longer than the grace of upstreams, which register
     /// again by themselves.
@@ -131,6 +137,8 @@
     bool handle_response(time_point now, const change_response& response);
     /// Returns false if the part does not match the query in progress.
     bool handle_part(time_point now, const entry_part& part);
+    /// Returns false if the part does not match the query in progress.
+    bool handle_config_part(time_point now, const config_part& part);
     void handle_router_timeout(time_point now);
 
     /// Returns the response to another router's query.
@@ -138,6 +146,16 @@
                                           const change_query& query) const;
     [[nodiscard]] entry_part respond(time_point now,
                                      const entry_query& query) const;
+    [[nodiscard]] config_part respond(const config_query& query) const;
+    /// Handles the version of the configuration that another router has in
+    /// force. A newer one is requested from it unless the store turns out to
+    /// have it.
+    void handle_config_version(time_point now, std::uint64_t version,
+                               const endpoint& from);
+    /// Returns the routers to which notice() is to be sent now, so that those
+    /// with a newer configuration respond: a few after a start, after a restore
+    /// of the store, and with each configuration for some time after that.
+    std::vector<router_record> take_config_peers(time_point now);
     /// Returns the notice with which other routers learn of this one's state.
     [[nodiscard]] change_notice notice() const;
     /// Handles another router's notice of a change.
@@ -188,6 +206,11 @@
     void record_store_return(time_point now, time_point sent_at);
     /// Records that a read sent at `sent_at` confirmed the known state.
     void record_confirmation(time_point sent_at);
+    /// Returns the query for a newer configuration of another router, or
+    /// nothing if none is due.
+    [[nodiscard]] std::optional<query_router> next_config_query(time_point now);
+    /// Forgets the reported configuration once it is not newer any more.
+    void update_reported_config();
     /// Discards the progress of a full read.
     void reset_full_read();
     /// Ends the query in progress and returns the router that was queried;
@@ -264,6 +287,27 @@
     /// The pending long entry is to be read from the store.
     bool read_long_entry_from_store_ = false;
     time_point long_entry_reported_at_;
+    /// A newer configuration that another router has in force.
+    struct reported_config
+    {
+        std::uint64_t version = 0;
+        std::string router;
+        endpoint control_address;
+        time_point reported_at;
+        /// The store has confirmed the own state since, without it.
+        bool is_missing_in_store = false;
+        /// The bytes received so far, and their version.
+        std::string value;
+        std::uint64_t value_version = 0;
+        /// Queries in a row without a response.
+        std::uint32_t unanswered = 0;
+    };
+    std::optional<reported_config> reported_config_;
+    bool config_query_in_progress_ = false;
+    /// The version and era at the last call of take_config_peers() that
+    /// returned routers.
+    std::uint64_t compared_version_ = 0;
+    std::optional<store_era> compared_era_;
     /// What is confirmed once the pending long entry is applied, if the other
     /// entries of its response are.
     struct confirmation
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -156,6 +156,13 @@
 
     /// Returns the configuration in force, or null before one is known.
     [[nodiscard]] const config_snapshot& config() const;
+    /// Returns the version of the configuration in force, or 0.
+    [[nodiscard]] std::uint64_t config_version() const;
+    /// Returns a part of the configuration in force for another router.
+    [[nodiscard]] config_part config_part_for(const config_query& query) const;
+    /// Adopts a configuration that another router has in force, unless it is
+    /// older than the own one.
+    void adopt_reported_config(const std::string& value);
     /// Returns true if `item` is a configuration written after the one known.
     [[nodiscard]] bool is_newer_config(const reported_entry& item) const;
     /// Returns the upstreams by id.
@@ -202,6 +209,8 @@
 
     const record_codec& codec_;
     config_snapshot config_;
+    /// The configuration as written.
+    std::string config_value_;
     std::map<std::string, known_upstream> upstreams_;
     /// No grace period ends and no deferred entry is due before this.
     time_point next_grace_end_ = time_point::max();
--- a/include/baobabloft/directory/messages.hpp
+++ b/include/baobabloft/directory/messages.hpp
@@ -18,6 +18,8 @@
     std::uint64_t after = 0;
     /// The store's era in which `after` counts.
     std::uint64_t era = 0;
+    /// Version of the sender's configuration; 0 if it has none.
+    std::uint64_t config_version = 0;
 };
 
 /// An entry of the store as sent between routers.
@@ -49,6 +51,8 @@
     std::uint32_t confirmation_age_ms = 0;
     /// The latest era of the store that the sender knows.
     std::uint64_t era = 0;
+    /// Version of the sender's configuration; 0 if it has none.
+    std::uint64_t config_version = 0;
     std::vector<reported_entry> entries;
 };
 
@@ -87,6 +91,30 @@
     std::uint64_t revision = 0;
     /// The store's era in which `revision` counts.
     std::uint64_t era = 0;
+    /// Version of the sender's configuration; 0 if it has none.
+    std::uint64_t config_version = 0;
+};
+
+/// Requests a part of the receiver's configuration in force, which the store
+/// may have lost.
+struct config_query
+{
+    /// Matches the part to the query.
+    std::uint32_t sequence = 0;
+    /// Offset in the configuration from which bytes are requested.
+    std::uint32_t offset = 0;
+};
+
+/// Response to a config_query.
+struct config_part
+{
+    std::uint32_t sequence = 0;
+    /// Version of the configuration; 0 if the sender has none.
+    std::uint64_t version = 0;
+    /// Length of the complete configuration.
+    std::uint32_t total_bytes = 0;
+    /// Bytes of the configuration from the queried offset.
+    std::string bytes;
 };
 
 } // namespace baobabloft::directory
--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -29,7 +29,8 @@
     directory::change_notice, routing::crash_notice, directory::entry_query,
     directory::entry_part, dispatch::traffic_report, dispatch::traffic_summary,
     routing::part_crash_report, routing::part_query, routing::part_cleared,
-    routing::part_quarantine, routing::quarantine_query>;
+    routing::part_quarantine, routing::quarantine_query,
+    directory::config_query, directory::config_part>;
 
 /// Names of the message kinds for metrics, in the order of the variant.
 inline constexpr std::array message_names{"ping",
@@ -60,7 +61,9 @@
                                           "part_query",
                                           "part_cleared",
                                           "part_quarantine",
-                                          "quarantine_query"};
+                                          "quarantine_query",
+                                          "config_query",
+                                          "config_part"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "message_names must have one name per message kind");
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -130,6 +130,12 @@
     void handle(router_id from, const directory::change_notice& message);
     void handle(router_id from, const directory::entry_query& message);
     void handle(router_id from, const directory::entry_part& message);
+    void handle(router_id from, const directory::config_query& message);
+    void handle(router_id from, const directory::config_part& message);
+    void handle_config_version(router_id from, std::uint64_t version);
+    /// Sends the version of the configuration in force to a few routers, of
+    /// which those with a newer one respond.
+    void compare_config_versions();
     /// Ends the query to another router after its response has arrived.
     void end_router_query();
     void handle(router_id from, const routing::crash_notice& message);
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -3,6 +3,7 @@
 #include "baobabloft/support/hash.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace baobabloft::directory
@@ -41,6 +42,8 @@
         return std::nullopt;
     call_in_progress_ = true;
     call_sent_at_ = now;
+    if (auto query = next_config_query(now))
+        return query;
     // The state was complete up to the known revision, so the changes that
     // another router knows complete it again.
     const bool completes_from_router = era_was_complete_ && !state_complete_ &&
@@ -77,7 +80,108 @@
     queried_router_ = router->name;
     return query_router{
         router->name, router->control_address,
-        change_query{++query_sequence_, known_revision_, era_.value_or(0)}};
+        change_query{.sequence = ++query_sequence_,
+                     .after = known_revision_,
+                     .era = era_.value_or(0),
+                     .config_version = state_.config_version()}};
+}
+
+std::optional<query_router>
+directory_follower::next_config_query(time_point now)
+{
+    if (!reported_config_ || pending_long_entry_)
+        return std::nullopt;
+    auto& reported = *reported_config_;
+    if (!reported.is_missing_in_store && !awaits_rewrites(now) &&
+        now - reported.reported_at < options_.config_report_patience)
+        return std::nullopt;
+    config_query_in_progress_ = true;
+    queried_router_ = reported.router;
+    return query_router{
+        reported.router, reported.control_address,
+        config_query{++query_sequence_,
+                     static_cast<std::uint32_t>(reported.value.size())}};
+}
+
+void directory_follower::handle_config_version(time_point now,
+                                               std::uint64_t version,
+                                               const endpoint& from)
+{
+    if (version <= state_.config_version() ||
+        (reported_config_ && version <= reported_config_->version))
+        return;
+    const auto& routers = state_.routers();
+    const auto sender =
+        std::ranges::find_if(routers, [&from](const auto& item)
+                             { return item.second.control_address == from; });
+    reported_config_ = {.version = version,
+                        .router = sender == routers.end() ? to_string(from)
+                                                          : sender->first,
+                        .control_address = from,
+                        .reported_at = now,
+                        .value = {}};
+    next_call_due_ = std::min(next_call_due_, now);
+}
+
+bool directory_follower::handle_config_part(time_point now,
+                                            const config_part& part)
+{
+    if (!config_query_in_progress_ || end_query(now, part.sequence).empty())
+        return false;
+    config_query_in_progress_ = false;
+    if (!reported_config_)
+        return true;
+    auto& reported = *reported_config_;
+    reported.unanswered = 0;
+    if (part.version < reported.version || part.bytes.empty())
+    {
+        reported_config_.reset();
+        return true;
+    }
+    if (part.version != reported.value_version && !reported.value.empty())
+    {
+        // The configuration was replaced; its parts are read from the first.
+        reported.value.clear();
+        return true;
+    }
+    reported.value_version = part.version;
+    reported.value += part.bytes;
+    if (reported.value.size() < part.total_bytes)
+        return true;
+    state_.adopt_reported_config(reported.value);
+    reported_config_.reset();
+    return true;
+}
+
+void directory_follower::update_reported_config()
+{
+    if (reported_config_ &&
+        state_.config_version() >= reported_config_->version)
+        reported_config_.reset();
+}
+
+std::vector<router_record> directory_follower::take_config_peers(time_point now)
+{
+    const bool is_due =
+        compared_era_ != era_ ||
+        (awaits_rewrites(now) && compared_version_ != state_.config_version());
+    if (!is_due || state_.secret().empty())
+        return {};
+    compared_era_ = era_;
+    compared_version_ = state_.config_version();
+    const auto own_hash = hash_bytes(options_.router);
+    std::vector<std::pair<std::uint64_t, const router_record*>> ranked;
+    for (const auto& [name, router] : state_.routers())
+        if (name != options_.router)
+            ranked.emplace_back(rendezvous_score(own_hash, hash_bytes(name)),
+                                &router);
+    std::ranges::sort(ranked, std::greater{},
+                      [](const auto& item) { return item.first; });
+    ranked.resize(std::min(ranked.size(), options_.max_config_peers));
+    std::vector<router_record> peers;
+    for (const auto& [score, router] : ranked)
+        peers.push_back(*router);
+    return peers;
 }
 
 void directory_follower::start_era(time_point now, store_era era)
@@ -235,9 +339,19 @@
     if (!state_complete_)
         reset_full_read();
     state_complete_ = true;
+    failure_pause_ = duration{0};
+    update_reported_config();
+    if (reported_config_)
+    {
+        // Without the newer configuration, the state is confirmed only up to
+        // the time at which it became known.
+        auto& reported = *reported_config_;
+        reported.is_missing_in_store =
+            reported.is_missing_in_store || sent_at > reported.reported_at;
+        sent_at = std::min(sent_at, reported.reported_at);
+    }
     if (!confirmed_at_ || sent_at > *confirmed_at_)
         confirmed_at_ = sent_at;
-    failure_pause_ = duration{0};
 }
 
 std::optional<time_point> directory_follower::grace_end(time_point now) const
@@ -384,13 +498,12 @@
 
 bool directory_follower::handle_part(time_point now, const entry_part& part)
 {
-    if (!pending_long_entry_)
-        return false;
     const auto responder = end_query(now, part.sequence);
     if (responder.empty())
         return false;
     record_store_response(part.confirmation_age_ms);
-    if (!accept_router_era(now, part.era))
+    // An era that began meanwhile has discarded the entry.
+    if (!accept_router_era(now, part.era) || !pending_long_entry_)
         return true;
     const auto wanted_revision = long_value_.empty()
                                      ? pending_long_entry_->mod_revision
@@ -427,6 +540,10 @@
     const auto responder = end_query(now, response.sequence);
     if (responder.empty())
         return false;
+    if (const auto sender = state_.routers().find(responder);
+        sender != state_.routers().end())
+        handle_config_version(now, response.config_version,
+                              sender->second.control_address);
     // A response that was under way as the era changed is of no use.
     if (!accept_router_era(now, response.era) ||
         (response.era != era_ && era_started_at_ &&
@@ -491,6 +608,15 @@
     if (!call_in_progress_ || queried_router_.empty())
         return;
     call_in_progress_ = false;
+    if (std::exchange(config_query_in_progress_, false))
+    {
+        if (reported_config_ &&
+            ++reported_config_->unanswered >= max_unanswered_queries)
+            reported_config_.reset();
+        queried_router_.clear();
+        next_call_due_ = now;
+        return;
+    }
     read_long_entry_from_store_ = pending_long_entry_.has_value();
     // A single datagram is lost now and then; two in a row mean that the router
     // is unresponsive.
@@ -513,9 +639,15 @@
     result.confirmation_age_ms = reported_age_ms(now);
     result.sequence = query.sequence;
     result.era = era_.value_or(0);
+    result.config_version = state_.config_version();
     return result;
 }
 
+config_part directory_follower::respond(const config_query& query) const
+{
+    return state_.config_part_for(query);
+}
+
 entry_part directory_follower::respond(time_point now,
                                        const entry_query& query) const
 {
@@ -568,7 +700,9 @@
 
 change_notice directory_follower::notice() const
 {
-    return {.revision = known_revision_, .era = era_.value_or(0)};
+    return {.revision = known_revision_,
+            .era = era_.value_or(0),
+            .config_version = state_.config_version()};
 }
 
 store_era directory_follower::era() const
@@ -588,7 +722,10 @@
 
 bool directory_follower::is_config_superseded() const
 {
-    return pending_long_entry_ && state_.is_newer_config(*pending_long_entry_);
+    return (reported_config_ &&
+            reported_config_->version > state_.config_version()) ||
+           (pending_long_entry_ &&
+            state_.is_newer_config(*pending_long_entry_));
 }
 
 bool directory_follower::awaits_rewrites(time_point now) const
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+/// Bytes of a configuration in one datagram.
+constexpr std::size_t max_part_bytes = 1000;
 /// Time for which removed upstreams are remembered. Longer than a restored copy
 /// of the store is old.
 constexpr duration removal_memory = 60s;
@@ -180,6 +182,7 @@
         return false;
     }
     config_ = config;
+    config_value_ = item.value;
     record_event(directory_event::event_kind::config_adopted,
                  std::to_string(config->version),
                  std::to_string(item.value.size()) + " bytes",
@@ -364,6 +367,29 @@
     return config_;
 }
 
+std::uint64_t directory_state::config_version() const
+{
+    return config_ ? config_->version : 0;
+}
+
+config_part directory_state::config_part_for(const config_query& query) const
+{
+    config_part result{
+        .sequence = query.sequence, .version = config_version(), .bytes = {}};
+    if (query.offset > config_value_.size())
+        return result;
+    result.total_bytes = static_cast<std::uint32_t>(config_value_.size());
+    result.bytes = config_value_.substr(query.offset, max_part_bytes);
+    return result;
+}
+
+void directory_state::adopt_reported_config(const std::string& value)
+{
+    const auto content = codec_.read({key_kind::config, {}}, value);
+    if (const auto* config = std::get_if<config_snapshot>(&content))
+        apply_config(*config, {.key = {}, .value = value});
+}
+
 bool directory_state::is_newer_config(const reported_entry& item) const
 {
     const auto found = seen_entries_.find(item.key);
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -130,14 +130,15 @@
         preset_follower_.record_peer_generation(from, alternative.generation);
         start_preset_reads(now);
     }
-    else if constexpr (is_one_of<Alternative, directory::change_query,
-                                 directory::change_response,
-                                 directory::change_notice, crash_notice,
-                                 directory::entry_query, directory::entry_part,
-                                 dispatch::traffic_report,
-                                 dispatch::traffic_summary, part_crash_report,
-                                 part_query, part_cleared, part_quarantine,
-                                 quarantine_query>)
+    else if constexpr (is_one_of<
+                           Alternative, directory::change_query,
+                           directory::change_response, directory::change_notice,
+                           crash_notice, directory::entry_query,
+                           directory::entry_part, directory::config_query,
+                           directory::config_part, dispatch::traffic_report,
+                           dispatch::traffic_summary, part_crash_report,
+                           part_query, part_cleared, part_quarantine,
+                           quarantine_query>)
     {
         // A node follows no directory and ignores the messages of routers that
         // do.
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -59,7 +59,7 @@
 template <typename Archive>
 void serialize(Archive& archive, change_query& object)
 {
-    archive(object.sequence, object.after, object.era);
+    archive(object.sequence, object.after, object.era, object.config_version);
 }
 
 template <typename Archive>
@@ -74,14 +74,28 @@
 void serialize(Archive& archive, change_response& object)
 {
     archive(object.sequence, object.has_history, object.has_more,
-            object.as_of_revision, object.confirmation_age_ms, object.era);
+            object.as_of_revision, object.confirmation_age_ms, object.era,
+            object.config_version);
     serialize_list(archive, object.entries);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, change_notice& object)
 {
-    archive(object.revision, object.era);
+    archive(object.revision, object.era, object.config_version);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, config_query& object)
+{
+    archive(object.sequence, object.offset);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, config_part& object)
+{
+    archive(object.sequence, object.version, object.total_bytes);
+    serialize_text(archive, object.bytes);
 }
 
 template <typename Archive>
--- a/lib/relay/relay_directory.cpp
+++ b/lib/relay/relay_directory.cpp
@@ -31,6 +31,7 @@
         std::visit([this](const auto& typed_call) { start_call(typed_call); },
                    *call);
     process_directory_events();
+    compare_config_versions();
 }
 
 void relay::record_store_call(std::string_view kind, bool succeeded,
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -130,6 +130,7 @@
 
 void relay::handle(router_id from, const directory::change_query& message)
 {
+    handle_config_version(from, message.config_version);
     send_datagram(from, context_.follower.respond(net::boot_now(), message));
 }
 
@@ -158,8 +159,32 @@
     follow_directory();
 }
 
-void relay::handle(router_id /*from*/, const directory::change_notice& message)
+void relay::handle(router_id from, const directory::config_query& message)
 {
+    send_datagram(from, context_.follower.respond(message));
+}
+
+void relay::handle(router_id /*from*/, const directory::config_part& message)
+{
+    if (context_.follower.handle_config_part(net::boot_now(), message))
+        end_router_query();
+}
+
+void relay::handle_config_version(router_id from, std::uint64_t version)
+{
+    if (const auto address = parse_endpoint(to_string(from)))
+        context_.follower.handle_config_version(net::boot_now(), version,
+                                                *address);
+}
+
+void relay::handle(router_id from, const directory::change_notice& message)
+{
+    handle_config_version(from, message.config_version);
+    // Only a router with an older configuration gets a response, so that two
+    // routers never respond to each other without end.
+    if (const auto own = context_.follower.notice();
+        message.config_version < own.config_version)
+        send_datagram(from, own);
     context_.follower.handle_notice(net::boot_now(), message);
     follow_directory();
 }
@@ -200,6 +225,16 @@
     }
 }
 
+void relay::compare_config_versions()
+{
+    if (!router_socket_)
+        return;
+    for (const auto& peer :
+         context_.follower.take_config_peers(net::boot_now()))
+        if (const auto id = router_id_at(peer.control_address))
+            send_datagram(*id, context_.follower.notice());
+}
+
 void relay::send_to_all(const fleet::message& message)
 {
     if (!router_socket_)
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -16,6 +16,13 @@
 
 constexpr time_point start{1000s};
 
+/// Returns the address of the router named "r" and its number.
+endpoint address_of_router(const std::string& name)
+{
+    return {"127.0.0.1",
+            static_cast<std::uint16_t>(std::stoul(name.substr(1)))};
+}
+
 /// The value is the version for the configuration, and "ready", "draining",
 /// "cold" or "restarted" (a new lifetime) for upstreams. The value "garbage"
 /// cannot be parsed.
@@ -46,7 +53,7 @@
         if (key.kind == key_kind::fleet_secret)
             return fleet_secret{value};
         if (key.kind == key_kind::router)
-            return router_record{key.name, {"127.0.0.1", 1}, value};
+            return router_record{key.name, address_of_router(key.name), value};
         if (value == "garbage")
             return unreadable_record{"garbage"};
         if (key.kind == key_kind::config)
@@ -476,12 +483,18 @@
         {
             const auto name = "r" + std::to_string(index);
             store_.write("router/" + name, "dc");
-            followers_.push_back(std::make_unique<directory_follower>(
-                codec, follower_options{.router = name, .data_centre = "dc"}));
+            followers_.push_back(make_follower(index));
         }
         pending_.resize(routers);
     }
 
+    /// Restarts a router, which loses its state.
+    void restart(std::size_t router)
+    {
+        followers_[router] = make_follower(router);
+        pending_[router].reset();
+    }
+
     struct config_write
     {
         time_point written_at;
@@ -540,15 +553,16 @@
         }
     }
 
+    [[nodiscard]] std::size_t count_with_version(std::uint64_t version) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            followers_, [version](const auto& follower)
+            { return follower->state().config_version() == version; }));
+    }
+
     [[nodiscard]] bool all_have_version(std::uint64_t version) const
     {
-        return std::all_of(followers_.begin(), followers_.end(),
-                           [version](const auto& follower)
-                           {
-                               return follower->state().config() &&
-                                      follower->state().config()->version ==
-                                          version;
-                           });
+        return count_with_version(version) == followers_.size();
     }
 
     [[nodiscard]] std::uint64_t version() const
@@ -643,10 +657,37 @@
         bool lost = false;
         std::optional<change_response> response;
         std::optional<entry_part> part;
+        std::optional<config_part> config;
     };
 
+    static std::unique_ptr<directory_follower> make_follower(std::size_t index)
+    {
+        return std::make_unique<directory_follower>(
+            codec, follower_options{.router = "r" + std::to_string(index),
+                                    .data_centre = "dc"});
+    }
+
+    /// Sends the notices that a router sends after a start and after a restore.
+    void compare_config_versions(time_point now, std::size_t index)
+    {
+        auto& follower = *followers_[index];
+        for (const auto& peer : follower.take_config_peers(now))
+        {
+            auto& other = *followers_[peer.control_address.port];
+            const auto notice = follower.notice();
+            other.handle_config_version(
+                now, notice.config_version,
+                address_of_router("r" + std::to_string(index)));
+            other.handle_notice(now, notice);
+            if (other.notice().config_version > notice.config_version)
+                follower.handle_config_version(
+                    now, other.notice().config_version, peer.control_address);
+        }
+    }
+
     void step_router(time_point now, std::size_t index)
     {
+        compare_config_versions(now, index);
         auto& slot = pending_[index];
         if (!slot)
         {
@@ -658,6 +699,7 @@
                                 lossy_ && *rc::gen::inRange(0, loss_one_in_) ==
                                               loss_one_in_ - 1,
                                 {},
+                                {},
                                 {}};
             make_response(now, index, *slot);
             return;
@@ -683,13 +725,21 @@
                 call.done_at = now + store_call_timeout;
             return;
         }
-        const auto queried = std::stoul(query->router.substr(1));
+        const std::size_t queried = query->control_address.port;
         ++queries_received_[queried];
         if (const auto* part_query = std::get_if<entry_query>(&query->message))
             call.part = followers_[queried]->respond(now, *part_query);
+        else if (const auto* config =
+                     std::get_if<config_query>(&query->message))
+            call.config = followers_[queried]->respond(*config);
         else
-            call.response = followers_[queried]->respond(
-                now, std::get<change_query>(query->message));
+        {
+            const auto& changes = std::get<change_query>(query->message);
+            followers_[queried]->handle_config_version(
+                now, changes.config_version,
+                address_of_router("r" + std::to_string(index)));
+            call.response = followers_[queried]->respond(now, changes);
+        }
     }
 
     void deliver_result(time_point now, directory_follower& follower,
@@ -701,6 +751,8 @@
                 follower.handle_router_timeout(now);
             else if (done.part)
                 follower.handle_part(now, *done.part);
+            else if (done.config)
+                follower.handle_config_part(now, *done.config);
             else
                 follower.handle_response(now, *done.response);
             return;
@@ -850,6 +902,39 @@
     RC_ASSERT(fleet.all_have_version(fleet.version()));
 }
 
+// Guards against a router that starts with the configuration of a restored
+// store although others have a newer one in force.
+RC_GTEST_PROP(directory_follower,
+              pattern_a_configuration_that_the_store_lost_stays_in_force, ())
+{
+    const auto routers =
+        *rc::gen::weightedElement<std::size_t>({{12, 9}, {3, 91}, {1, 295}});
+    fleet_model fleet{routers};
+    fleet.set_loss(*rc::gen::arbitrary<bool>(), 50);
+    fleet.set_config_padding(*rc::gen::inRange<std::size_t>(0, 8'000));
+    auto now = fleet.run(start, 3s);
+    fleet.store().copy();
+    fleet.write_config(now);
+    // Two routers or more know the configuration before the store is lost.
+    while (fleet.count_with_version(fleet.version()) < 2)
+        fleet.step(now += 10ms);
+    now = fleet.run(now, *rc::gen::inRange(0, 100) * 10ms);
+    fleet.set_store_unavailable(true);
+    now = fleet.run(now, *rc::gen::inRange(0, 200) * 10ms);
+    fleet.store().restore();
+    fleet.set_store_unavailable(false);
+    const auto restarted = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.restart(restarted);
+    now = fleet.run(now, 3s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+    fleet.restart((restarted + 1) % routers);
+    now = fleet.run(now, 3s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+    fleet.write_config(now);
+    fleet.run(now, 2s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+}
+
 // Guards against a router that has to read everything again and asks no other
 // router while the store does not respond to it.
 RC_GTEST_PROP(directory_follower,
