Routers register again, and write the secret again, after a restore

A restored store lacks the entries and leases of routers that registered since the copy, and may lack the secret that signs messages between them. A lease id may be given out again, so that a router renews a lease of another one while its own entry is gone: it disappears for the others for good. Without the secret, routers that start create a second one and the fleet falls into two.

Change: on a new era a router renews its lease within a second if the store lists its entry, and registers again if not; a renewal that succeeds while the entry is not listed leads to a registration as well. Routers that know the secret write it, the same, where the store lacks it, and messages with a replaced secret are accepted for 30 s. A failed write of the secret is repeated after three seconds.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -166,7 +166,8 @@
     /// router watches it itself. Valid until the directory changes.
     [[nodiscard]] const router_record* watcher(time_point now) const;
     /// Returns true if the store has no fleet secret and this router should
-    /// create one. A few routers suffice, since only the first write succeeds.
+    /// write the one that it knows, or a new one. A few routers suffice, since
+    /// only the first write succeeds.
     [[nodiscard]] bool should_create_secret(time_point now) const;
     /// Returns the revision of the latest era up to which all changes are
     /// known.
@@ -255,7 +256,8 @@
     bool era_was_complete_ = false;
     /// The first full read has ended.
     bool was_complete_ = false;
-    time_point first_complete_at_;
+    /// End of the first full read of the latest known era.
+    time_point era_complete_at_;
     bool call_in_progress_ = false;
     time_point call_sent_at_;
     time_point next_call_due_;
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -173,6 +173,11 @@
     [[nodiscard]] const std::map<std::string, router_record>& routers() const;
     /// Returns the fleet's secret, which is empty before it is known.
     [[nodiscard]] const std::string& secret() const;
+    /// Returns true if the store has the fleet's secret, which it may lose when
+    /// it is restored.
+    [[nodiscard]] bool is_secret_listed() const;
+    /// Returns true if the store has the entry of the router `name`.
+    [[nodiscard]] bool is_router_listed(const std::string& name) const;
 
     /// Returns a number that grows with every change of upstreams or of data
     /// centres out of service.
@@ -228,6 +233,7 @@
     std::map<std::string, revision> out_of_service_;
     std::map<std::string, router_record> routers_;
     std::string secret_;
+    bool is_secret_listed_ = false;
     change_log log_;
     /// What was last seen of a key.
     struct seen_entry
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -124,6 +124,9 @@
     /// known, follows changes of the secret, and creates a secret if none
     /// exists.
     void update_router_socket();
+    /// Writes the fleet's secret if the store lacks it and this router is one
+    /// of those that should.
+    void create_missing_secret();
     void receive(router_id from, std::string_view bytes);
     void handle(router_id from, const directory::change_query& message);
     void handle(router_id from, const directory::change_response& message);
@@ -181,6 +184,9 @@
     void process_directory_events();
     /// Applies the configuration's limits to open connections of callers.
     void apply_caller_limits();
+    /// Schedules a renewal of this router's entry in a new era of the store, or
+    /// a registration if the store has lost it.
+    void check_registration(time_point now);
     /// Renews the lease of this router's entry, or requests a lease if there
     /// is none.
     void maintain_registration();
@@ -204,12 +210,14 @@
     /// Secret that `datagram_keys_` was made from.
     std::string socket_secret_;
     std::unique_ptr<net::datagram_socket> router_socket_;
-    bool secret_creation_requested_ = false;
+    time_point next_secret_creation_at_;
     /// Timer of the query to another router; 0 if none is in progress.
     guint router_query_timer_ = 0;
     time_point started_at_;
     time_point next_registration_at_;
     std::optional<lease_id> lease_;
+    /// The store's era in which the registration was last checked.
+    std::optional<directory::store_era> registration_era_;
     /// True while a lease or registration call is in progress.
     bool registering_ = false;
     /// Result of the last call to the store.
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -387,10 +387,12 @@
     // are read next.
     known_revision_ = std::max(known_revision_, *read_revision_);
     if (!era_was_complete_)
+    {
         state_.begin_change_log(known_revision_);
+        era_complete_at_ = now;
+    }
     if (!was_complete_)
     {
-        first_complete_at_ = now;
         const auto& routers = state_.routers();
         if (!options_.router.empty() &&
             routers.size() == routers.count(options_.router))
@@ -683,19 +685,19 @@
 
 bool directory_follower::should_create_secret(time_point now) const
 {
-    if (!state_complete_ || !state_.secret().empty())
+    if (!state_complete_ || state_.is_secret_listed())
         return false;
     const auto own_hash = hash_bytes(options_.router);
     if (own_hash % routers_per_early_creator == 0)
         return true;
     // The other routers of a fleet that starts are known after a first watch.
-    if (now - first_complete_at_ <= options_.fleet_start_pause)
+    if (now - era_complete_at_ <= options_.fleet_start_pause)
         return false;
     const auto ranked_before =
         std::ranges::count_if(state_.routers(), [own_hash](const auto& item)
                               { return hash_bytes(item.first) < own_hash; });
     return ranked_before < max_creators ||
-           now - first_complete_at_ > creation_patience;
+           now - era_complete_at_ > creation_patience;
 }
 
 change_notice directory_follower::notice() const
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -31,6 +31,7 @@
 void directory_state::begin_era(store_era era, time_point rewritten_by)
 {
     rewritten_by_ = rewritten_by;
+    is_secret_listed_ = false;
     deferred_.clear();
     for (auto& [key, seen] : seen_entries_)
         seen.is_of_earlier_era = true;
@@ -156,6 +157,7 @@
     if (const auto* secret = std::get_if<fleet_secret>(&content))
     {
         secret_ = secret->text;
+        is_secret_listed_ = true;
         return false;
     }
     if (const auto* unreadable = std::get_if<unreadable_record>(&content))
@@ -418,6 +420,23 @@
     return secret_;
 }
 
+bool directory_state::is_secret_listed() const
+{
+    return is_secret_listed_;
+}
+
+bool directory_state::is_router_listed(const std::string& name) const
+{
+    return std::ranges::any_of(seen_entries_,
+                               [&](const auto& item)
+                               {
+                                   const auto key = codec_.read_key(item.first);
+                                   return key.kind == key_kind::router &&
+                                          key.name == name &&
+                                          !item.second.is_of_earlier_era;
+                               });
+}
+
 std::uint64_t directory_state::change_count() const
 {
     return change_count_;
--- a/lib/relay/relay_directory.cpp
+++ b/lib/relay/relay_directory.cpp
@@ -22,6 +22,8 @@
 constexpr duration registration_retry = 500ms;
 /// Pause after a renewal that failed; the lease outlives several of these.
 constexpr duration renewal_retry = 2s;
+/// After a restore of the store, routers register again within this time.
+constexpr duration registration_spread = 1s;
 
 } // namespace
 
@@ -136,9 +138,27 @@
                    {"revision", std::to_string(change.mod_revision)}});
 }
 
+void relay::check_registration(time_point now)
+{
+    const auto& follower = context_.follower;
+    if (!follower.has_complete_state() || registration_era_ == follower.era())
+        return;
+    // The lease may be lost, and its id given out again, unless the store has
+    // the entry that it was granted for.
+    if (!follower.state().is_router_listed(options_.router_name))
+        lease_.reset();
+    std::uniform_real_distribution<double> distribution{0, 1};
+    if (registration_era_)
+        next_registration_at_ =
+            now + from_seconds(distribution(context_.random) *
+                               to_seconds(registration_spread));
+    registration_era_ = follower.era();
+}
+
 void relay::maintain_registration()
 {
     const auto now = net::boot_now();
+    check_registration(now);
     if (registering_ || now < next_registration_at_ ||
         context_.is_shutting_down())
         return;
@@ -159,6 +179,13 @@
                     return;
                 }
                 const bool renewed = renewal == lease_renewal::renewed;
+                const auto& state = context_.follower.state();
+                if (renewed && !state.is_router_listed(options_.router_name))
+                {
+                    log_event(log_level::info, "registration_missing");
+                    lease_.reset();
+                    return;
+                }
                 context_.counters.record_platform_call("lease_renewal",
                                                        renewed);
                 if (!renewed)
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -20,6 +20,10 @@
 /// lost or the router is down.
 constexpr duration router_query_timeout = 120ms;
 constexpr std::size_t secret_bytes = 32;
+/// Pause before the secret is written again if the store still lacks it.
+constexpr duration secret_creation_pause = 3s;
+/// Time for which messages with the former secret are accepted.
+constexpr duration replaced_secret_lifetime = 30s;
 
 } // namespace
 
@@ -57,21 +61,21 @@
     const auto& state = context_.follower.state();
     if (!context_.follower.has_complete_state())
         return;
-    if (state.secret().empty())
-    {
-        if (secret_creation_requested_ ||
-            !context_.follower.should_create_secret(net::boot_now()))
-            return;
-        secret_creation_requested_ = true;
-        std::string secret(secret_bytes, '\0');
-        randombytes_buf(secret.data(), secret.size());
-        store_.create_secret(secret, store_timeout);
+    create_missing_secret();
+    if (state.secret().empty() ||
+        (router_socket_ && socket_secret_ == state.secret()))
         return;
+    std::vector<std::string> accepted{state.secret()};
+    if (!socket_secret_.empty())
+    {
+        // Not all routers learn of the new secret at once.
+        accepted.push_back(socket_secret_);
+        loop_.run_after(
+            replaced_secret_lifetime,
+            [this] { datagram_keys_.emplace(std::vector{socket_secret_}); });
     }
-    if (router_socket_ && socket_secret_ == state.secret())
-        return;
     socket_secret_ = state.secret();
-    datagram_keys_.emplace(std::vector<std::string>{socket_secret_});
+    datagram_keys_.emplace(accepted);
     failure reason;
     if (!router_socket_)
         router_socket_ = net::datagram_socket::open(
@@ -87,6 +91,22 @@
                {"reason", reason.message}});
 }
 
+void relay::create_missing_secret()
+{
+    const auto now = net::boot_now();
+    if (now < next_secret_creation_at_ ||
+        !context_.follower.should_create_secret(now))
+        return;
+    next_secret_creation_at_ = now + secret_creation_pause;
+    auto secret = context_.follower.state().secret();
+    if (secret.empty())
+    {
+        secret.resize(secret_bytes);
+        randombytes_buf(secret.data(), secret.size());
+    }
+    store_.create_secret(secret, store_timeout);
+}
+
 router_id relay::self_id() const
 {
     // Validation of the settings accepts only IPv4 addresses here.
