Era and version travel in a notice between routers

Responses are as before: one to a query of another era says that it has no history, and before it, or before one to a sender with an older configuration, the router sends its notice.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -156,6 +156,10 @@
     /// with a newer configuration respond: a few after a start, after a restore
     /// of the store, and with each configuration for some time after that.
     std::vector<router_record> take_config_peers(time_point now);
+    /// Returns the notice to send before the response to `query`, or nothing if
+    /// the sender's era and configuration are as recent as the own ones.
+    [[nodiscard]] std::optional<change_notice>
+    notice_for(const change_query& query) const;
     /// Returns the notice with which other routers learn of this one's state.
     [[nodiscard]] change_notice notice() const;
     /// Handles another router's notice of a change.
--- a/include/baobabloft/directory/messages.hpp
+++ b/include/baobabloft/directory/messages.hpp
@@ -49,10 +49,6 @@
     /// Time from the last confirmation of the sender's known state until the
     /// response was sent, ms.
     std::uint32_t confirmation_age_ms = 0;
-    /// The latest era of the store that the sender knows.
-    std::uint64_t era = 0;
-    /// Version of the sender's configuration; 0 if it has none.
-    std::uint64_t config_version = 0;
     std::vector<reported_entry> entries;
 };
 
@@ -84,7 +80,8 @@
 };
 
 /// Reports that something changed, so that the receiver queries the changes at
-/// once.
+/// once. Also sent before the response to a query of an earlier era or with an
+/// older configuration.
 struct change_notice
 {
     /// Revision up to which the sender knows the changes.
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -542,18 +542,11 @@
     const auto responder = end_query(now, response.sequence);
     if (responder.empty())
         return false;
-    if (const auto sender = state_.routers().find(responder);
-        sender != state_.routers().end())
-        handle_config_version(now, response.config_version,
-                              sender->second.control_address);
-    // A response that was under way as the era changed is of no use.
-    if (!accept_router_era(now, response.era) ||
-        (response.era != era_ && era_started_at_ &&
-         call_sent_at_ <= *era_started_at_))
+    // The era that the query was for has ended.
+    if (era_started_at_ && call_sent_at_ <= *era_started_at_)
         return true;
     const duration reported_age = response.confirmation_age_ms * 1ms;
-    if (!response.has_history || response.era != era_ ||
-        reported_age > options_.max_reported_age)
+    if (!response.has_history || reported_age > options_.max_reported_age)
     {
         record_store_response(response.confirmation_age_ms);
         // Another router may have a fresher state. A router that should watch
@@ -640,8 +633,6 @@
         result = state_.changes_after(query.after, known_revision_);
     result.confirmation_age_ms = reported_age_ms(now);
     result.sequence = query.sequence;
-    result.era = era_.value_or(0);
-    result.config_version = state_.config_version();
     return result;
 }
 
@@ -700,6 +691,15 @@
            now - era_complete_at_ > creation_patience;
 }
 
+std::optional<change_notice>
+directory_follower::notice_for(const change_query& query) const
+{
+    const auto own = notice();
+    if (query.era >= own.era && query.config_version >= own.config_version)
+        return std::nullopt;
+    return own;
+}
+
 change_notice directory_follower::notice() const
 {
     return {.revision = known_revision_,
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -74,8 +74,7 @@
 void serialize(Archive& archive, change_response& object)
 {
     archive(object.sequence, object.has_history, object.has_more,
-            object.as_of_revision, object.confirmation_age_ms, object.era,
-            object.config_version);
+            object.as_of_revision, object.confirmation_age_ms);
     serialize_list(archive, object.entries);
 }
 
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -151,6 +151,9 @@
 void relay::handle(router_id from, const directory::change_query& message)
 {
     handle_config_version(from, message.config_version);
+    context_.follower.handle_notice(net::boot_now(), {.era = message.era});
+    if (const auto notice = context_.follower.notice_for(message))
+        send_datagram(from, *notice);
     send_datagram(from, context_.follower.respond(net::boot_now(), message));
 }
 
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -658,6 +658,7 @@
         std::optional<change_response> response;
         std::optional<entry_part> part;
         std::optional<config_part> config;
+        std::optional<change_notice> notice;
     };
 
     static std::unique_ptr<directory_follower> make_follower(std::size_t index)
@@ -700,6 +701,7 @@
                                               loss_one_in_ - 1,
                                 {},
                                 {},
+                                {},
                                 {}};
             make_response(now, index, *slot);
             return;
@@ -738,6 +740,7 @@
             followers_[queried]->handle_config_version(
                 now, changes.config_version,
                 address_of_router("r" + std::to_string(index)));
+            call.notice = followers_[queried]->notice_for(changes);
             call.response = followers_[queried]->respond(now, changes);
         }
     }
@@ -747,6 +750,12 @@
     {
         if (const auto* query = std::get_if<query_router>(&done.call))
         {
+            if (done.notice && !done.lost)
+            {
+                follower.handle_config_version(now, done.notice->config_version,
+                                               query->control_address);
+                follower.handle_notice(now, *done.notice);
+            }
             if (done.lost)
                 follower.handle_router_timeout(now);
             else if (done.part)
