A router without the store reads a new era's entries from others

A router that the store does not respond to while it is restored could not follow any more: its revision is of the former era, and changes since then are all that other routers send. It stopped serving keys after 4.7 s although every other router was current.

Change: such a router reads all entries from another one, page by page, in datagrams; configurations come by their version. A listing is used only if it is of the same era, complete, fresh, and not older than the pages before it.

Evidence: pattern_a_disconnected_router_follows_a_restored_store (9, 91, 295 routers, two restores in a row, losses); the messages did not exist before. It found a further fault in the series: the response to a watch that was sent in the former era confirmed the new one, so that an entry written right after the restore was missed. Responses to calls of the former era are discarded now.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -38,7 +38,8 @@
 {
     std::string router;
     endpoint control_address;
-    std::variant<change_query, entry_query, config_query> message;
+    std::variant<change_query, entry_query, config_query, listing_query>
+        message;
 };
 
 /// A call that keeps the directory state up to date.
@@ -139,6 +140,8 @@
     bool handle_part(time_point now, const entry_part& part);
     /// Returns false if the part does not match the query in progress.
     bool handle_config_part(time_point now, const config_part& part);
+    /// Returns false if the response does not match the query in progress.
+    bool handle_listing(time_point now, const listing_response& response);
     void handle_router_timeout(time_point now);
 
     /// Returns the response to another router's query.
@@ -147,6 +150,8 @@
     [[nodiscard]] entry_part respond(time_point now,
                                      const entry_query& query) const;
     [[nodiscard]] config_part respond(const config_query& query) const;
+    [[nodiscard]] listing_response respond(time_point now,
+                                           const listing_query& query) const;
     /// Handles the version of the configuration that another router has in
     /// force. A newer one is requested from it unless the store turns out to
     /// have it.
@@ -216,6 +221,8 @@
     [[nodiscard]] std::optional<query_router> next_config_query(time_point now);
     /// Forgets the reported configuration once it is not newer any more.
     void update_reported_config();
+    /// Applies a page of a full read, and ends the read if it is the last one.
+    void apply_page(time_point now, const entry_page& page);
     /// Discards the progress of a full read.
     void reset_full_read();
     /// Ends the query in progress and returns the router that was queried;
@@ -256,6 +263,8 @@
     std::optional<store_era> era_;
     /// Set once the era has changed.
     std::optional<time_point> era_started_at_;
+    /// The era began after the last call was sent.
+    bool era_began_during_call_ = false;
     /// A full read of the latest known era has ended.
     bool era_was_complete_ = false;
     /// The first full read has ended.
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -144,6 +144,11 @@
     [[nodiscard]] change_response changes_after(revision after,
                                                 revision as_of_revision) const;
 
+    /// Returns the entries with keys after `after` for another router, as many
+    /// as fit a datagram.
+    [[nodiscard]] listing_response
+    listing_after(const std::string& after) const;
+
     /// Returns a part of a long entry for another router.
     [[nodiscard]] entry_part part_for(const entry_query& query) const;
 
@@ -208,6 +213,7 @@
     [[nodiscard]] bool contradicts_departure(const parsed_key& key,
                                              const entry& item) const;
     void defer(const entry& item);
+    void record_seen(const parsed_key& key, const entry& item);
     void apply_deferred(time_point now);
     void record_event(directory_event::event_kind kind, std::string name,
                       std::string detail = {}, revision mod_revision = 0);
@@ -241,6 +247,8 @@
         /// Older revisions of the same era are ignored.
         revision mod_revision = 0;
         bool is_of_earlier_era = false;
+        /// As written; empty for configurations.
+        std::string value;
     };
     std::map<std::string, seen_entry> seen_entries_;
     /// The first full read has ended.
--- a/include/baobabloft/directory/messages.hpp
+++ b/include/baobabloft/directory/messages.hpp
@@ -92,6 +92,34 @@
     std::uint64_t config_version = 0;
 };
 
+/// Requests a page of the entries that the receiver knows.
+struct listing_query
+{
+    /// Matches the response to the query.
+    std::uint32_t sequence = 0;
+    /// Entries with a greater key are requested.
+    std::string after;
+};
+
+/// Response to a listing_query. Lists neither the configuration, which is read
+/// by config_query, nor entries that are too long for a datagram.
+struct listing_response
+{
+    std::uint32_t sequence = 0;
+    /// False if the sender has not read all entries of its era.
+    bool is_complete = false;
+    /// There are more entries after the last one.
+    bool has_more = false;
+    /// The sender knows all changes up to this revision.
+    std::uint64_t as_of_revision = 0;
+    /// Time from the last confirmation of the sender's known state until the
+    /// response was sent, ms.
+    std::uint32_t confirmation_age_ms = 0;
+    /// The store's era in which `as_of_revision` counts.
+    std::uint64_t era = 0;
+    std::vector<reported_entry> entries;
+};
+
 /// Requests a part of the receiver's configuration in force, which the store
 /// may have lost.
 struct config_query
--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -30,7 +30,8 @@
     directory::entry_part, dispatch::traffic_report, dispatch::traffic_summary,
     routing::part_crash_report, routing::part_query, routing::part_cleared,
     routing::part_quarantine, routing::quarantine_query,
-    directory::config_query, directory::config_part>;
+    directory::config_query, directory::config_part, directory::listing_query,
+    directory::listing_response>;
 
 /// Names of the message kinds for metrics, in the order of the variant.
 inline constexpr std::array message_names{"ping",
@@ -63,7 +64,9 @@
                                           "part_quarantine",
                                           "quarantine_query",
                                           "config_query",
-                                          "config_part"};
+                                          "config_part",
+                                          "listing_query",
+                                          "listing_response"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "message_names must have one name per message kind");
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -135,6 +135,8 @@
     void handle(router_id from, const directory::entry_part& message);
     void handle(router_id from, const directory::config_query& message);
     void handle(router_id from, const directory::config_part& message);
+    void handle(router_id from, const directory::listing_query& message);
+    void handle(router_id from, const directory::listing_response& message);
     void handle_config_version(router_id from, std::uint64_t version);
     /// Sends the version of the configuration in force to a few routers, of
     /// which those with a newer one respond.
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -42,6 +42,7 @@
         return std::nullopt;
     call_in_progress_ = true;
     call_sent_at_ = now;
+    era_began_during_call_ = false;
     if (auto query = next_config_query(now))
         return query;
     // The state was complete up to the known revision, so the changes that
@@ -55,7 +56,14 @@
         pending_confirmation_.reset();
         if (next_page_after_.empty())
             read_started_at_ = now;
-        return read_page{next_page_after_};
+        const auto* router = may_read_value_from_store(now)
+                                 ? nullptr
+                                 : any_responsive_router(now);
+        if (router == nullptr)
+            return read_page{next_page_after_};
+        queried_router_ = router->name;
+        return query_router{router->name, router->control_address,
+                            listing_query{++query_sequence_, next_page_after_}};
     }
     if (pending_long_entry_)
     {
@@ -188,6 +196,7 @@
 {
     era_ = era;
     era_started_at_ = now;
+    era_began_during_call_ = true;
     era_was_complete_ = false;
     state_complete_ = false;
     reset_full_read();
@@ -205,12 +214,13 @@
 {
     if (!era_)
         era_ = era;
-    if (*era_ == era)
+    // A call that was sent in the era before asked for changes after a revision
+    // of that era.
+    const bool is_usable = *era_ == era && !era_began_during_call_;
+    if (is_usable)
         return true;
     next_call_due_ = now;
-    // A response to a call that was sent before this router learned of the
-    // latest era may be of the one before.
-    if (!era_started_at_ || call_sent_at_ > *era_started_at_ || era > *era_)
+    if (era > *era_ || (era < *era_ && !era_began_during_call_))
         start_era(now, era);
     return false;
 }
@@ -370,6 +380,41 @@
     if (!accept_store_era(now, page.era))
         return;
     record_store_return(now, read_started_at_);
+    apply_page(now, page);
+}
+
+bool directory_follower::handle_listing(time_point now,
+                                        const listing_response& response)
+{
+    const auto responder = end_query(now, response.sequence);
+    if (responder.empty())
+        return false;
+    record_store_response(response.confirmation_age_ms);
+    if (!accept_router_era(now, response.era) || state_complete_)
+        return true;
+    const duration reported_age = response.confirmation_age_ms * 1ms;
+    if (!response.is_complete || response.era != era_ ||
+        reported_age > options_.max_reported_age ||
+        response.as_of_revision < read_revision_.value_or(0))
+    {
+        unresponsive_until_[responder] = now + options_.stale_router_pause;
+        return true;
+    }
+    read_started_at_ = std::min(read_started_at_, call_sent_at_ - reported_age);
+    entry_page page{.entries = {},
+                    .has_more = response.has_more,
+                    .as_of_revision = response.as_of_revision,
+                    .era = response.era};
+    for (const auto& item : response.entries)
+        page.entries.push_back({.key = item.key,
+                                .value = item.value,
+                                .mod_revision = item.mod_revision});
+    apply_page(now, page);
+    return true;
+}
+
+void directory_follower::apply_page(time_point now, const entry_page& page)
+{
     if (!read_revision_)
         read_revision_ = page.as_of_revision;
     for (const auto& item : page.entries)
@@ -542,8 +587,7 @@
     const auto responder = end_query(now, response.sequence);
     if (responder.empty())
         return false;
-    // The era that the query was for has ended.
-    if (era_started_at_ && call_sent_at_ <= *era_started_at_)
+    if (era_began_during_call_)
         return true;
     const duration reported_age = response.confirmation_age_ms * 1ms;
     if (!response.has_history || reported_age > options_.max_reported_age)
@@ -650,6 +694,18 @@
     return result;
 }
 
+listing_response directory_follower::respond(time_point now,
+                                             const listing_query& query) const
+{
+    auto result = state_.listing_after(query.after);
+    result.sequence = query.sequence;
+    result.is_complete = state_complete_;
+    result.as_of_revision = known_revision_;
+    result.confirmation_age_ms = reported_age_ms(now);
+    result.era = era_.value_or(0);
+    return result;
+}
+
 std::uint32_t directory_follower::reported_age_ms(time_point now) const
 {
     if (!confirmed_at_)
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Space for entries in one listing; the rest of a datagram is for headers.
+constexpr std::size_t max_listing_bytes = 1100;
+/// Encoded bytes of an entry in addition to its key and value.
+constexpr std::size_t entry_overhead_bytes = 14;
 /// Bytes of a configuration in one datagram.
 constexpr std::size_t max_part_bytes = 1000;
 /// Time for which removed upstreams are remembered. Longer than a restored copy
@@ -56,7 +60,7 @@
                          item.mod_revision);
         return;
     }
-    seen = {.mod_revision = item.mod_revision};
+    record_seen(key, item);
     deferred_.erase(item.key);
     if (item.removed)
     {
@@ -82,7 +86,7 @@
         apply(now, item, grace_until);
         return;
     }
-    seen_entries_[item.key] = {.mod_revision = item.mod_revision};
+    record_seen(key, item);
     defer(item);
 }
 
@@ -105,6 +109,38 @@
            listed->started_ms <= removed->second.started_ms;
 }
 
+void directory_state::record_seen(const parsed_key& key, const entry& item)
+{
+    auto& seen = seen_entries_[item.key];
+    seen.mod_revision = item.mod_revision;
+    seen.is_of_earlier_era = false;
+    if (key.kind != key_kind::config)
+        seen.value = item.value;
+}
+
+listing_response directory_state::listing_after(const std::string& after) const
+{
+    listing_response result;
+    std::size_t bytes = 0;
+    for (auto item = seen_entries_.upper_bound(after);
+         item != seen_entries_.end(); ++item)
+    {
+        const auto& [key, seen] = *item;
+        const auto size = key.size() + seen.value.size() + entry_overhead_bytes;
+        if (seen.is_of_earlier_era || size > max_listing_bytes ||
+            codec_.read_key(key).kind == key_kind::config)
+            continue;
+        bytes += size;
+        result.has_more = bytes > max_listing_bytes;
+        if (result.has_more)
+            break;
+        result.entries.push_back({.key = key,
+                                  .value = seen.value,
+                                  .mod_revision = seen.mod_revision});
+    }
+    return result;
+}
+
 void directory_state::defer(const entry& item)
 {
     deferred_[item.key] = item;
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -135,10 +135,11 @@
                            directory::change_response, directory::change_notice,
                            crash_notice, directory::entry_query,
                            directory::entry_part, directory::config_query,
-                           directory::config_part, dispatch::traffic_report,
-                           dispatch::traffic_summary, part_crash_report,
-                           part_query, part_cleared, part_quarantine,
-                           quarantine_query>)
+                           directory::config_part, directory::listing_query,
+                           directory::listing_response,
+                           dispatch::traffic_report, dispatch::traffic_summary,
+                           part_crash_report, part_query, part_cleared,
+                           part_quarantine, quarantine_query>)
     {
         // A node follows no directory and ignores the messages of routers that
         // do.
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -84,6 +84,21 @@
     archive(object.revision, object.era, object.config_version);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, listing_query& object)
+{
+    archive(object.sequence);
+    serialize_text(archive, object.after);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, listing_response& object)
+{
+    archive(object.sequence, object.is_complete, object.has_more,
+            object.as_of_revision, object.confirmation_age_ms, object.era);
+    serialize_list(archive, object.entries);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, config_query& object)
 {
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -187,6 +187,18 @@
     send_datagram(from, context_.follower.respond(message));
 }
 
+void relay::handle(router_id from, const directory::listing_query& message)
+{
+    send_datagram(from, context_.follower.respond(net::boot_now(), message));
+}
+
+void relay::handle(router_id /*from*/,
+                   const directory::listing_response& message)
+{
+    if (context_.follower.handle_listing(net::boot_now(), message))
+        end_router_query();
+}
+
 void relay::handle(router_id /*from*/, const directory::config_part& message)
 {
     if (context_.follower.handle_config_part(net::boot_now(), message))
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -659,6 +659,7 @@
         std::optional<entry_part> part;
         std::optional<config_part> config;
         std::optional<change_notice> notice;
+        std::optional<listing_response> listing;
     };
 
     static std::unique_ptr<directory_follower> make_follower(std::size_t index)
@@ -702,6 +703,7 @@
                                 {},
                                 {},
                                 {},
+                                {},
                                 {}};
             make_response(now, index, *slot);
             return;
@@ -734,6 +736,8 @@
         else if (const auto* config =
                      std::get_if<config_query>(&query->message))
             call.config = followers_[queried]->respond(*config);
+        else if (const auto* list = std::get_if<listing_query>(&query->message))
+            call.listing = followers_[queried]->respond(now, *list);
         else
         {
             const auto& changes = std::get<change_query>(query->message);
@@ -760,6 +764,8 @@
                 follower.handle_router_timeout(now);
             else if (done.part)
                 follower.handle_part(now, *done.part);
+            else if (done.listing)
+                follower.handle_listing(now, *done.listing);
             else if (done.config)
                 follower.handle_config_part(now, *done.config);
             else
@@ -911,6 +917,33 @@
     RC_ASSERT(fleet.all_have_version(fleet.version()));
 }
 
+// Guards against a router that knows the state of an earlier era only and that
+// the restored store does not respond to.
+RC_GTEST_PROP(directory_follower,
+              pattern_a_disconnected_router_follows_a_restored_store, ())
+{
+    const auto routers =
+        *rc::gen::weightedElement<std::size_t>({{12, 9}, {3, 91}, {1, 295}});
+    fleet_model fleet{routers};
+    fleet.set_loss(*rc::gen::arbitrary<bool>(), 50);
+    auto now = fleet.run(start, 3s);
+    const auto disconnected = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.disconnect_from_store(disconnected);
+    now = fleet.run(now, 3s);
+    fleet.store().copy();
+    for (int restore = 0; restore < 2; ++restore)
+    {
+        fleet.write_config(now);
+        now = fleet.run(now, 3s);
+        fleet.store().restore();
+        fleet.write("up/a", "ready");
+        now = fleet.run(now, 4s);
+        RC_ASSERT(fleet.confirmation_age(now, disconnected) < 4s);
+        RC_ASSERT(fleet.all_have_version(fleet.version()));
+        RC_ASSERT(fleet.state(disconnected).upstreams().contains("a"));
+    }
+}
+
 // Guards against a router that starts with the configuration of a restored
 // store although others have a newer one in force.
 RC_GTEST_PROP(directory_follower,
