--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -1,6 +1,8 @@
 // Keeps the directory state up to date with the store: by a full read first,
 // then by paced watches, and by a full read again whenever the store has lost
-// the history. In each data centre a few routers watch the store and the others
+// the history. A store that returns from an older copy begins a new era:
+// nothing is compared with revisions of the era before, and all entries are
+// read again. In each data centre a few routers watch the store and the others
 // query them; a router that gets no fresh response calls the store itself. Does
 // no I/O: it returns the call to make next and handles the result.
 #pragma once
@@ -36,7 +38,8 @@
 {
     std::string router;
     endpoint control_address;
-    std::variant<change_query, entry_query> message;
+    std::variant<change_query, entry_query, config_query, listing_query>
+        message;
 };
 
 /// A call that keeps the directory state up to date.
@@ -86,12 +89,25 @@
     /// A long value that is not complete after this time is read from the
     /// store.
     duration long_entry_timeout = 400ms;
+    /// Routers that learn of a new era from another router spread their full
+    /// reads over this time.
+    duration era_read_spread = 300ms;
     /// Pause after the first full read if it lists no other router, so that the
     /// first watch finds the other routers of a fleet that starts.
     duration fleet_start_pause = 700ms;
     /// Time after the end of a store outage within which live upstreams have
     /// registered again; the platform states about two seconds.
     duration expiry_grace = 2200ms;
+    /// A newer configuration that another router has in force is requested from
+    /// it if the store has not confirmed the own state for this long.
+    duration config_report_patience = 1s;
+    /// Routers with which the versions of configurations are compared after a
+    /// start and after a restore of the store.
+    std::size_t max_config_peers = 3;
+    /// Time after a restore of the store within which its writers have written
+    /// again what it lost. Longer than the grace of upstreams, which register
+    /// again by themselves.
+    duration rewrite_time = 5s;
     /// If no router is known to have had a response from the store for this
     /// long, the store was unavailable. Longer than the age that confirmations
     /// reach while the store rejects only the router that the others query,
@@ -113,14 +129,19 @@
     /// These handle the result of the call in progress.
     void handle_page(time_point now, const entry_page& page);
     void handle_changes(time_point now, const entry_changes& changes);
-    void handle_history_loss(time_point now);
+    /// Handles a watch whose changes the store no longer has. `era` is empty if
+    /// the response did not arrive as a whole.
+    void handle_history_loss(time_point now, std::optional<store_era> era);
     void handle_call_failure(time_point now);
-    /// Handles the entry that was read, or nothing if it does not exist.
-    void handle_entry(time_point now, const std::optional<entry>& item);
+    void handle_entry(time_point now, const entry_lookup& lookup);
     /// Returns false if the response does not match the query in progress.
     bool handle_response(time_point now, const change_response& response);
     /// Returns false if the part does not match the query in progress.
     bool handle_part(time_point now, const entry_part& part);
+    /// Returns false if the part does not match the query in progress.
+    bool handle_config_part(time_point now, const config_part& part);
+    /// Returns false if the response does not match the query in progress.
+    bool handle_listing(time_point now, const listing_response& response);
     void handle_router_timeout(time_point now);
 
     /// Returns the response to another router's query.
@@ -128,6 +149,24 @@
                                           const change_query& query) const;
     [[nodiscard]] entry_part respond(time_point now,
                                      const entry_query& query) const;
+    [[nodiscard]] config_part respond(const config_query& query) const;
+    [[nodiscard]] listing_response respond(time_point now,
+                                           const listing_query& query) const;
+    /// Handles the version of the configuration that another router has in
+    /// force. A newer one is requested from it unless the store turns out to
+    /// have it.
+    void handle_config_version(time_point now, std::uint64_t version,
+                               const endpoint& from);
+    /// Returns the routers to which notice() is to be sent now, so that those
+    /// with a newer configuration respond: a few after a start, after a restore
+    /// of the store, and with each configuration for some time after that.
+    std::vector<router_record> take_config_peers(time_point now);
+    /// Returns the notice to send before the response to `query`, or nothing if
+    /// the sender's era and configuration are as recent as the own ones.
+    [[nodiscard]] std::optional<change_notice>
+    notice_for(const change_query& query) const;
+    /// Returns the notice with which other routers learn of this one's state.
+    [[nodiscard]] change_notice notice() const;
     /// Handles another router's notice of a change.
     void handle_notice(time_point now, const change_notice& notice);
     /// Returns true while this router watches the store for others.
@@ -136,10 +175,14 @@
     /// router watches it itself. Valid until the directory changes.
     [[nodiscard]] const router_record* watcher(time_point now) const;
     /// Returns true if the store has no fleet secret and this router should
-    /// create one. A few routers suffice, since only the first write succeeds.
+    /// write the one that it knows, or a new one. A few routers suffice, since
+    /// only the first write succeeds.
     [[nodiscard]] bool should_create_secret(time_point now) const;
-    /// Returns the revision up to which all changes are known.
+    /// Returns the revision of the latest era up to which all changes are
+    /// known.
     [[nodiscard]] revision known_revision() const;
+    /// Returns the store's latest known era; 0 before the first response.
+    [[nodiscard]] store_era era() const;
 
     /// Returns the send time of the read that last confirmed the known state,
     /// or nothing before the first full read.
@@ -149,6 +192,10 @@
     /// read yet.
     [[nodiscard]] bool is_config_superseded() const;
 
+    /// Returns true for some time after a restore of the store, in which it may
+    /// lack what was confirmed before.
+    [[nodiscard]] bool awaits_rewrites(time_point now) const;
+
     /// Returns true after a full read, until the store loses the history.
     [[nodiscard]] bool has_complete_state() const;
 
@@ -156,11 +203,26 @@
     [[nodiscard]] const directory_state& state() const;
 
 private:
+    /// Begins an era of the store: all entries are to be read again.
+    void start_era(time_point now, store_era era);
+    /// Handles the era of a response of the store. Returns false if the
+    /// response is of no use, since the era has changed since the last read.
+    [[nodiscard]] bool accept_store_era(time_point now, store_era era);
+    /// Handles the era that another router knows. Returns false if this router
+    /// did not know of it.
+    [[nodiscard]] bool accept_router_era(time_point now, store_era era);
     /// Records the end of a store outage if the time from the store's last
     /// known response to `sent_at` is long enough for one.
     void record_store_return(time_point now, time_point sent_at);
     /// Records that a read sent at `sent_at` confirmed the known state.
     void record_confirmation(time_point sent_at);
+    /// Returns the query for a newer configuration of another router, or
+    /// nothing if none is due.
+    [[nodiscard]] std::optional<query_router> next_config_query(time_point now);
+    /// Forgets the reported configuration once it is not newer any more.
+    void update_reported_config();
+    /// Applies a page of a full read, and ends the read if it is the last one.
+    void apply_page(time_point now, const entry_page& page);
     /// Discards the progress of a full read.
     void reset_full_read();
     /// Ends the query in progress and returns the router that was queried;
@@ -197,9 +259,18 @@
     directory_state state_;
     /// A full read has ended, and the store has not lost the history since.
     bool state_complete_ = false;
+    /// The store's latest known era, once there was a first response.
+    std::optional<store_era> era_;
+    /// Set once the era has changed.
+    std::optional<time_point> era_started_at_;
+    /// The era began after the last call was sent.
+    bool era_began_during_call_ = false;
+    /// A full read of the latest known era has ended.
+    bool era_was_complete_ = false;
     /// The first full read has ended.
     bool was_complete_ = false;
-    time_point first_complete_at_;
+    /// End of the first full read of the latest known era.
+    time_point era_complete_at_;
     bool call_in_progress_ = false;
     time_point call_sent_at_;
     time_point next_call_due_;
@@ -231,6 +302,27 @@
     /// The pending long entry is to be read from the store.
     bool read_long_entry_from_store_ = false;
     time_point long_entry_reported_at_;
+    /// A newer configuration that another router has in force.
+    struct reported_config
+    {
+        std::uint64_t version = 0;
+        std::string router;
+        endpoint control_address;
+        time_point reported_at;
+        /// The store has confirmed the own state since, without it.
+        bool is_missing_in_store = false;
+        /// The bytes received so far, and their version.
+        std::string value;
+        std::uint64_t value_version = 0;
+        /// Queries in a row without a response.
+        std::uint32_t unanswered = 0;
+    };
+    std::optional<reported_config> reported_config_;
+    bool config_query_in_progress_ = false;
+    /// The version and era at the last call of take_config_peers() that
+    /// returned routers.
+    std::uint64_t compared_version_ = 0;
+    std::optional<store_era> compared_era_;
     /// What is confirmed once the pending long entry is applied, if the other
     /// entries of its response are.
     struct confirmation
--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -45,12 +45,20 @@
         /// for a grace period.
         upstream_expired,
         entry_unreadable,
+        /// An entry was ignored, since its revision is lower than one of the
+        /// same key that was applied.
+        entry_outdated,
+        /// A restored store lists an entry that contradicts a later one, or
+        /// lacks it. The later one holds for a while.
+        entry_deferred,
         /// The bytes received so far of a long entry were discarded.
         transfer_restarted,
         data_centre_out_of_service,
         data_centre_back_in_service,
         router_added,
-        router_removed
+        router_removed,
+        /// The store was restored from an older copy.
+        store_restored
     };
     event_kind kind{};
     /// Version, id, name or key of what changed.
@@ -75,6 +83,10 @@
         directory_event::event_kind::upstream_expired, "upstream_lapsed"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::entry_unreadable, "entry_unreadable"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::entry_outdated, "entry_outdated"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::entry_deferred, "entry_deferred"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::transfer_restarted, "transfer_restarted"},
     enum_name<directory_event::event_kind>{
@@ -87,6 +99,8 @@
         directory_event::event_kind::router_added, "router_added"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::router_removed, "router_removed"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::store_restored, "store_restored"},
 };
 
 /// The store's contents as known to this router.
@@ -95,19 +109,34 @@
 public:
     explicit directory_state(const record_codec& codec);
 
+    /// Begins a new era of the store: revisions known so far are not compared
+    /// with those of entries applied from now on, and no changes are kept for
+    /// other routers until begin_change_log(). What writers may still write
+    /// again is kept until `rewritten_by`.
+    void begin_era(store_era era, time_point rewritten_by);
+
     /// Applies one entry or its removal. A removal before `grace_until` may be
     /// an expired lease: the upstream stays usable until then.
     void apply(time_point now, const entry& item,
                std::optional<time_point> grace_until);
 
+    /// Applies an entry of a full read. If the first full read of an era lists
+    /// an upstream that is known to have left or to leave, the entry is of the
+    /// copy: it is deferred until the time of begin_era(), or dropped if it is
+    /// written again before.
+    void apply_listed(time_point now, const entry& item,
+                      std::optional<time_point> grace_until);
+
     /// Removes the entries that a full read did not list, unless they changed
-    /// after `as_of_revision`. `grace_until` applies as in apply().
+    /// after `as_of_revision`. `grace_until` applies as in apply(). In the
+    /// first full read of an era, the removal of data centres out of service
+    /// and of routers is deferred as in apply_listed().
     void remove_unlisted(time_point now, const std::set<std::string>& listed,
                          revision as_of_revision,
                          std::optional<time_point> grace_until);
 
-    /// Ends the first full read: from now on, changes after `as_of_revision`
-    /// are kept for other routers.
+    /// Ends the first full read of an era: from now on, changes after
+    /// `as_of_revision` are kept for other routers.
     void begin_change_log(revision as_of_revision);
 
     /// Returns the changes after the revision `after` for another router, up to
@@ -115,10 +144,16 @@
     [[nodiscard]] change_response changes_after(revision after,
                                                 revision as_of_revision) const;
 
+    /// Returns the entries with keys after `after` for another router, as many
+    /// as fit a datagram.
+    [[nodiscard]] listing_response
+    listing_after(const std::string& after) const;
+
     /// Returns a part of a long entry for another router.
     [[nodiscard]] entry_part part_for(const entry_query& query) const;
 
-    /// Removes upstreams whose grace period has ended.
+    /// Removes upstreams whose grace period has ended, and applies deferred
+    /// entries that are due.
     void remove_expired(time_point now);
 
     /// Records that an upstream reported to be cold until `until`.
@@ -126,6 +161,13 @@
 
     /// Returns the configuration in force, or null before one is known.
     [[nodiscard]] const config_snapshot& config() const;
+    /// Returns the version of the configuration in force, or 0.
+    [[nodiscard]] std::uint64_t config_version() const;
+    /// Returns a part of the configuration in force for another router.
+    [[nodiscard]] config_part config_part_for(const config_query& query) const;
+    /// Adopts a configuration that another router has in force, unless it is
+    /// older than the own one.
+    void adopt_reported_config(const std::string& value);
     /// Returns true if `item` is a configuration written after the one known.
     [[nodiscard]] bool is_newer_config(const reported_entry& item) const;
     /// Returns the upstreams by id.
@@ -136,6 +178,11 @@
     [[nodiscard]] const std::map<std::string, router_record>& routers() const;
     /// Returns the fleet's secret, which is empty before it is known.
     [[nodiscard]] const std::string& secret() const;
+    /// Returns true if the store has the fleet's secret, which it may lose when
+    /// it is restored.
+    [[nodiscard]] bool is_secret_listed() const;
+    /// Returns true if the store has the entry of the router `name`.
+    [[nodiscard]] bool is_router_listed(const std::string& name) const;
 
     /// Returns a number that grows with every change of upstreams or of data
     /// centres out of service.
@@ -160,21 +207,50 @@
                       const record& content, const entry& item);
     void remove(time_point now, const parsed_key& key, revision mod_revision,
                 std::optional<time_point> grace_until);
+    void erase_upstream(time_point now, const std::string& id);
+    /// Returns true if the upstream's lifetime in `item` is known to have left,
+    /// or to leave although `item` does not say so.
+    [[nodiscard]] bool contradicts_departure(const parsed_key& key,
+                                             const entry& item) const;
+    void defer(const entry& item);
+    void record_seen(const parsed_key& key, const entry& item);
+    void apply_deferred(time_point now);
     void record_event(directory_event::event_kind kind, std::string name,
                       std::string detail = {}, revision mod_revision = 0);
 
     const record_codec& codec_;
     config_snapshot config_;
+    /// The configuration as written.
+    std::string config_value_;
     std::map<std::string, known_upstream> upstreams_;
-    /// No grace period ends before this.
+    /// No grace period ends and no deferred entry is due before this.
     time_point next_grace_end_ = time_point::max();
+    /// Upstreams that were removed lately.
+    struct removed_upstream
+    {
+        std::uint64_t started_ms = 0;
+        time_point removed_at;
+    };
+    std::map<std::string, removed_upstream> removed_upstreams_;
+    /// Entries of a restored store to be applied at `rewritten_by_`, by key.
+    std::map<std::string, entry> deferred_;
+    time_point rewritten_by_;
     /// Data centres out of service, and the revisions of their entries.
     std::map<std::string, revision> out_of_service_;
     std::map<std::string, router_record> routers_;
     std::string secret_;
+    bool is_secret_listed_ = false;
     change_log log_;
-    /// Latest revision seen of each key, so that older ones are ignored.
-    std::map<std::string, revision> latest_revisions_;
+    /// What was last seen of a key.
+    struct seen_entry
+    {
+        /// Older revisions of the same era are ignored.
+        revision mod_revision = 0;
+        bool is_of_earlier_era = false;
+        /// As written; empty for configurations.
+        std::string value;
+    };
+    std::map<std::string, seen_entry> seen_entries_;
     /// The first full read has ended.
     bool initial_read_done_ = false;
     std::uint64_t change_count_ = 0;
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -3,6 +3,7 @@
 #include "baobabloft/support/hash.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace baobabloft::directory
@@ -41,9 +42,12 @@
         return std::nullopt;
     call_in_progress_ = true;
     call_sent_at_ = now;
+    era_began_during_call_ = false;
+    if (auto query = next_config_query(now))
+        return query;
     // The state was complete up to the known revision, so the changes that
     // another router knows complete it again.
-    const bool completes_from_router = was_complete_ && !state_complete_ &&
+    const bool completes_from_router = era_was_complete_ && !state_complete_ &&
                                        !may_read_value_from_store(now) &&
                                        any_responsive_router(now) != nullptr;
     if (!state_complete_ && !completes_from_router)
@@ -52,7 +56,14 @@
         pending_confirmation_.reset();
         if (next_page_after_.empty())
             read_started_at_ = now;
-        return read_page{next_page_after_};
+        const auto* router = may_read_value_from_store(now)
+                                 ? nullptr
+                                 : any_responsive_router(now);
+        if (router == nullptr)
+            return read_page{next_page_after_};
+        queried_router_ = router->name;
+        return query_router{router->name, router->control_address,
+                            listing_query{++query_sequence_, next_page_after_}};
     }
     if (pending_long_entry_)
     {
@@ -75,8 +86,156 @@
     if (router == nullptr)
         return watch_changes{known_revision_, options_.watch_wait};
     queried_router_ = router->name;
-    return query_router{router->name, router->control_address,
-                        change_query{++query_sequence_, known_revision_}};
+    return query_router{
+        router->name, router->control_address,
+        change_query{.sequence = ++query_sequence_,
+                     .after = known_revision_,
+                     .era = era_.value_or(0),
+                     .config_version = state_.config_version()}};
+}
+
+std::optional<query_router>
+directory_follower::next_config_query(time_point now)
+{
+    if (!reported_config_ || pending_long_entry_)
+        return std::nullopt;
+    auto& reported = *reported_config_;
+    if (!reported.is_missing_in_store && !awaits_rewrites(now) &&
+        now - reported.reported_at < options_.config_report_patience)
+        return std::nullopt;
+    config_query_in_progress_ = true;
+    queried_router_ = reported.router;
+    return query_router{
+        reported.router, reported.control_address,
+        config_query{++query_sequence_,
+                     static_cast<std::uint32_t>(reported.value.size())}};
+}
+
+void directory_follower::handle_config_version(time_point now,
+                                               std::uint64_t version,
+                                               const endpoint& from)
+{
+    if (version <= state_.config_version() ||
+        (reported_config_ && version <= reported_config_->version))
+        return;
+    const auto& routers = state_.routers();
+    const auto sender =
+        std::ranges::find_if(routers, [&from](const auto& item)
+                             { return item.second.control_address == from; });
+    reported_config_ = {.version = version,
+                        .router = sender == routers.end() ? to_string(from)
+                                                          : sender->first,
+                        .control_address = from,
+                        .reported_at = now,
+                        .value = {}};
+    next_call_due_ = std::min(next_call_due_, now);
+}
+
+bool directory_follower::handle_config_part(time_point now,
+                                            const config_part& part)
+{
+    if (!config_query_in_progress_ || end_query(now, part.sequence).empty())
+        return false;
+    config_query_in_progress_ = false;
+    if (!reported_config_)
+        return true;
+    auto& reported = *reported_config_;
+    reported.unanswered = 0;
+    if (part.version < reported.version || part.bytes.empty())
+    {
+        reported_config_.reset();
+        return true;
+    }
+    if (part.version != reported.value_version && !reported.value.empty())
+    {
+        // The configuration was replaced; its parts are read from the first.
+        reported.value.clear();
+        return true;
+    }
+    reported.value_version = part.version;
+    reported.value += part.bytes;
+    if (reported.value.size() < part.total_bytes)
+        return true;
+    state_.adopt_reported_config(reported.value);
+    reported_config_.reset();
+    return true;
+}
+
+void directory_follower::update_reported_config()
+{
+    if (reported_config_ &&
+        state_.config_version() >= reported_config_->version)
+        reported_config_.reset();
+}
+
+std::vector<router_record> directory_follower::take_config_peers(time_point now)
+{
+    const bool is_due =
+        compared_era_ != era_ ||
+        (awaits_rewrites(now) && compared_version_ != state_.config_version());
+    if (!is_due || state_.secret().empty())
+        return {};
+    compared_era_ = era_;
+    compared_version_ = state_.config_version();
+    const auto own_hash = hash_bytes(options_.router);
+    std::vector<std::pair<std::uint64_t, const router_record*>> ranked;
+    for (const auto& [name, router] : state_.routers())
+        if (name != options_.router)
+            ranked.emplace_back(rendezvous_score(own_hash, hash_bytes(name)),
+                                &router);
+    std::ranges::sort(ranked, std::greater{},
+                      [](const auto& item) { return item.first; });
+    ranked.resize(std::min(ranked.size(), options_.max_config_peers));
+    std::vector<router_record> peers;
+    for (const auto& [score, router] : ranked)
+        peers.push_back(*router);
+    return peers;
+}
+
+void directory_follower::start_era(time_point now, store_era era)
+{
+    era_ = era;
+    era_started_at_ = now;
+    era_began_during_call_ = true;
+    era_was_complete_ = false;
+    state_complete_ = false;
+    reset_full_read();
+    known_revision_ = 0;
+    pending_long_entry_.reset();
+    pending_confirmation_.reset();
+    long_value_.clear();
+    read_long_entry_from_store_ = false;
+    // Writers whose entries the copy does not have register again.
+    store_returned_at_ = now;
+    state_.begin_era(era, now + options_.rewrite_time);
+}
+
+bool directory_follower::accept_store_era(time_point now, store_era era)
+{
+    if (!era_)
+        era_ = era;
+    // A call that was sent in the era before asked for changes after a revision
+    // of that era.
+    const bool is_usable = *era_ == era && !era_began_during_call_;
+    if (is_usable)
+        return true;
+    next_call_due_ = now;
+    if (era > *era_ || (era < *era_ && !era_began_during_call_))
+        start_era(now, era);
+    return false;
+}
+
+bool directory_follower::accept_router_era(time_point now, store_era era)
+{
+    if (!era_ || era <= *era_)
+        return true;
+    start_era(now, era);
+    constexpr std::uint64_t slots = 64;
+    next_call_due_ = now + options_.era_read_spread *
+                               static_cast<std::int64_t>(
+                                   hash_bytes(options_.router) % slots) /
+                               static_cast<std::int64_t>(slots);
+    return false;
 }
 
 const router_record* directory_follower::long_entry_source(time_point now) const
@@ -190,9 +349,19 @@
     if (!state_complete_)
         reset_full_read();
     state_complete_ = true;
+    failure_pause_ = duration{0};
+    update_reported_config();
+    if (reported_config_)
+    {
+        // Without the newer configuration, the state is confirmed only up to
+        // the time at which it became known.
+        auto& reported = *reported_config_;
+        reported.is_missing_in_store =
+            reported.is_missing_in_store || sent_at > reported.reported_at;
+        sent_at = std::min(sent_at, reported.reported_at);
+    }
     if (!confirmed_at_ || sent_at > *confirmed_at_)
         confirmed_at_ = sent_at;
-    failure_pause_ = duration{0};
 }
 
 std::optional<time_point> directory_follower::grace_end(time_point now) const
@@ -208,13 +377,50 @@
     call_in_progress_ = false;
     store_failed_at_.reset();
     next_call_due_ = now;
+    if (!accept_store_era(now, page.era))
+        return;
     record_store_return(now, read_started_at_);
+    apply_page(now, page);
+}
+
+bool directory_follower::handle_listing(time_point now,
+                                        const listing_response& response)
+{
+    const auto responder = end_query(now, response.sequence);
+    if (responder.empty())
+        return false;
+    record_store_response(response.confirmation_age_ms);
+    if (!accept_router_era(now, response.era) || state_complete_)
+        return true;
+    const duration reported_age = response.confirmation_age_ms * 1ms;
+    if (!response.is_complete || response.era != era_ ||
+        reported_age > options_.max_reported_age ||
+        response.as_of_revision < read_revision_.value_or(0))
+    {
+        unresponsive_until_[responder] = now + options_.stale_router_pause;
+        return true;
+    }
+    read_started_at_ = std::min(read_started_at_, call_sent_at_ - reported_age);
+    entry_page page{.entries = {},
+                    .has_more = response.has_more,
+                    .as_of_revision = response.as_of_revision,
+                    .era = response.era};
+    for (const auto& item : response.entries)
+        page.entries.push_back({.key = item.key,
+                                .value = item.value,
+                                .mod_revision = item.mod_revision});
+    apply_page(now, page);
+    return true;
+}
+
+void directory_follower::apply_page(time_point now, const entry_page& page)
+{
     if (!read_revision_)
         read_revision_ = page.as_of_revision;
     for (const auto& item : page.entries)
     {
         listed_keys_.insert(item.key);
-        state_.apply(now, item, grace_end(now));
+        state_.apply_listed(now, item, grace_end(now));
     }
     if (page.has_more && !page.entries.empty())
     {
@@ -225,16 +431,20 @@
     // The pages are not one snapshot: changes after the first page's revision
     // are read next.
     known_revision_ = std::max(known_revision_, *read_revision_);
-    if (!was_complete_)
+    if (!era_was_complete_)
     {
         state_.begin_change_log(known_revision_);
-        first_complete_at_ = now;
+        era_complete_at_ = now;
+    }
+    if (!was_complete_)
+    {
         const auto& routers = state_.routers();
         if (!options_.router.empty() &&
             routers.size() == routers.count(options_.router))
             next_call_due_ = now + options_.fleet_start_pause;
     }
     was_complete_ = true;
+    era_was_complete_ = true;
     long_value_.clear();
     record_confirmation(read_started_at_);
 }
@@ -251,6 +461,8 @@
 {
     call_in_progress_ = false;
     store_failed_at_.reset();
+    if (!accept_store_era(now, changes.era))
+        return;
     record_store_return(now, call_sent_at_);
     for (const auto& item : changes.entries)
         state_.apply(now, item, grace_end(now));
@@ -259,9 +471,12 @@
     next_call_due_ = now + options_.watch_pause;
 }
 
-void directory_follower::handle_history_loss(time_point now)
+void directory_follower::handle_history_loss(time_point now,
+                                             std::optional<store_era> era)
 {
     call_in_progress_ = false;
+    if (era && !accept_store_era(now, *era))
+        return;
     state_complete_ = false;
     reset_full_read();
     next_call_due_ = now;
@@ -277,13 +492,13 @@
 }
 
 void directory_follower::handle_entry(time_point now,
-                                      const std::optional<entry>& item)
+                                      const entry_lookup& lookup)
 {
     call_in_progress_ = false;
     store_failed_at_.reset();
     next_call_due_ = now;
-    if (pending_long_entry_)
-        finish_long_entry(now, item);
+    if (accept_store_era(now, lookup.era) && pending_long_entry_)
+        finish_long_entry(now, lookup.item);
 }
 
 void directory_follower::finish_long_entry(time_point now,
@@ -330,16 +545,18 @@
 
 bool directory_follower::handle_part(time_point now, const entry_part& part)
 {
-    if (!pending_long_entry_)
-        return false;
     const auto responder = end_query(now, part.sequence);
     if (responder.empty())
         return false;
     record_store_response(part.confirmation_age_ms);
+    // An era that began meanwhile has discarded the entry.
+    if (!accept_router_era(now, part.era) || !pending_long_entry_)
+        return true;
     const auto wanted_revision = long_value_.empty()
                                      ? pending_long_entry_->mod_revision
                                      : long_value_revision_;
-    if (part.mod_revision < wanted_revision || part.bytes.empty())
+    if (part.era != era_ || part.mod_revision < wanted_revision ||
+        part.bytes.empty())
     {
         unresponsive_until_[responder] = now + options_.stale_router_pause;
         read_long_entry_from_store_ = true;
@@ -370,6 +587,8 @@
     const auto responder = end_query(now, response.sequence);
     if (responder.empty())
         return false;
+    if (era_began_during_call_)
+        return true;
     const duration reported_age = response.confirmation_age_ms * 1ms;
     if (!response.has_history || reported_age > options_.max_reported_age)
     {
@@ -428,6 +647,15 @@
     if (!call_in_progress_ || queried_router_.empty())
         return;
     call_in_progress_ = false;
+    if (std::exchange(config_query_in_progress_, false))
+    {
+        if (reported_config_ &&
+            ++reported_config_->unanswered >= max_unanswered_queries)
+            reported_config_.reset();
+        queried_router_.clear();
+        next_call_due_ = now;
+        return;
+    }
     read_long_entry_from_store_ = pending_long_entry_.has_value();
     // A single datagram is lost now and then; two in a row mean that the router
     // is unresponsive.
@@ -445,20 +673,36 @@
                                             const change_query& query) const
 {
     change_response result;
-    if (was_complete_ && confirmed_at_)
-    {
+    if (era_was_complete_ && query.era == era_)
         result = state_.changes_after(query.after, known_revision_);
-        result.confirmation_age_ms = reported_age_ms(now);
-    }
+    result.confirmation_age_ms = reported_age_ms(now);
     result.sequence = query.sequence;
     return result;
 }
 
+config_part directory_follower::respond(const config_query& query) const
+{
+    return state_.config_part_for(query);
+}
+
 entry_part directory_follower::respond(time_point now,
                                        const entry_query& query) const
 {
     auto result = state_.part_for(query);
     result.confirmation_age_ms = reported_age_ms(now);
+    result.era = era_.value_or(0);
+    return result;
+}
+
+listing_response directory_follower::respond(time_point now,
+                                             const listing_query& query) const
+{
+    auto result = state_.listing_after(query.after);
+    result.sequence = query.sequence;
+    result.is_complete = state_complete_;
+    result.as_of_revision = known_revision_;
+    result.confirmation_age_ms = reported_age_ms(now);
+    result.era = era_.value_or(0);
     return result;
 }
 
@@ -475,7 +719,9 @@
 void directory_follower::handle_notice(time_point now,
                                        const change_notice& notice)
 {
-    if (notice.revision > known_revision_)
+    if (!accept_router_era(now, notice.era))
+        return;
+    if (notice.era == era_ && notice.revision > known_revision_)
         next_call_due_ = std::min(next_call_due_, now);
 }
 
@@ -486,19 +732,40 @@
 
 bool directory_follower::should_create_secret(time_point now) const
 {
-    if (!state_complete_ || !state_.secret().empty())
+    if (!state_complete_ || state_.is_secret_listed())
         return false;
     const auto own_hash = hash_bytes(options_.router);
     if (own_hash % routers_per_early_creator == 0)
         return true;
     // The other routers of a fleet that starts are known after a first watch.
-    if (now - first_complete_at_ <= options_.fleet_start_pause)
+    if (now - era_complete_at_ <= options_.fleet_start_pause)
         return false;
     const auto ranked_before =
         std::ranges::count_if(state_.routers(), [own_hash](const auto& item)
                               { return hash_bytes(item.first) < own_hash; });
     return ranked_before < max_creators ||
-           now - first_complete_at_ > creation_patience;
+           now - era_complete_at_ > creation_patience;
+}
+
+std::optional<change_notice>
+directory_follower::notice_for(const change_query& query) const
+{
+    const auto own = notice();
+    if (query.era >= own.era && query.config_version >= own.config_version)
+        return std::nullopt;
+    return own;
+}
+
+change_notice directory_follower::notice() const
+{
+    return {.revision = known_revision_,
+            .era = era_.value_or(0),
+            .config_version = state_.config_version()};
+}
+
+store_era directory_follower::era() const
+{
+    return era_.value_or(0);
 }
 
 revision directory_follower::known_revision() const
@@ -513,7 +780,15 @@
 
 bool directory_follower::is_config_superseded() const
 {
-    return pending_long_entry_ && state_.is_newer_config(*pending_long_entry_);
+    return (reported_config_ &&
+            reported_config_->version > state_.config_version()) ||
+           (pending_long_entry_ &&
+            state_.is_newer_config(*pending_long_entry_));
+}
+
+bool directory_follower::awaits_rewrites(time_point now) const
+{
+    return era_started_at_ && now - *era_started_at_ < options_.rewrite_time;
 }
 
 bool directory_follower::has_complete_state() const
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -8,6 +8,21 @@
 namespace baobabloft::directory
 {
 
+namespace
+{
+
+/// Space for entries in one listing; the rest of a datagram is for headers.
+constexpr std::size_t max_listing_bytes = 1100;
+/// Encoded bytes of an entry in addition to its key and value.
+constexpr std::size_t entry_overhead_bytes = 14;
+/// Bytes of a configuration in one datagram.
+constexpr std::size_t max_part_bytes = 1000;
+/// Time for which removed upstreams are remembered. Longer than a restored copy
+/// of the store is old.
+constexpr duration removal_memory = 60s;
+
+} // namespace
+
 directory_state::directory_state(const record_codec& codec) : codec_(codec) {}
 
 void directory_state::record_event(directory_event::event_kind kind,
@@ -17,20 +32,40 @@
     events_.push_back({kind, std::move(name), std::move(detail), mod_revision});
 }
 
+void directory_state::begin_era(store_era era, time_point rewritten_by)
+{
+    rewritten_by_ = rewritten_by;
+    is_secret_listed_ = false;
+    deferred_.clear();
+    for (auto& [key, seen] : seen_entries_)
+        seen.is_of_earlier_era = true;
+    log_.clear();
+    record_event(directory_event::event_kind::store_restored,
+                 std::to_string(era));
+}
+
 void directory_state::apply(time_point now, const entry& item,
                             std::optional<time_point> grace_until)
 {
     const auto key = codec_.read_key(item.key);
     if (key.kind == key_kind::other)
         return;
-    auto& latest = latest_revisions_[item.key];
-    if (item.mod_revision <= latest)
+    auto& seen = seen_entries_[item.key];
+    if (!seen.is_of_earlier_era && item.mod_revision <= seen.mod_revision)
+    {
+        if (item.mod_revision < seen.mod_revision)
+            record_event(directory_event::event_kind::entry_outdated, item.key,
+                         "revision " + std::to_string(seen.mod_revision) +
+                             " was applied",
+                         item.mod_revision);
         return;
-    latest = item.mod_revision;
+    }
+    record_seen(key, item);
+    deferred_.erase(item.key);
     if (item.removed)
     {
         remove(now, key, item.mod_revision, grace_until);
-        latest_revisions_.erase(item.key);
+        seen_entries_.erase(item.key);
         log_.add(item);
         return;
     }
@@ -38,6 +73,100 @@
         log_.add(item);
 }
 
+void directory_state::apply_listed(time_point now, const entry& item,
+                                   std::optional<time_point> grace_until)
+{
+    const auto key = codec_.read_key(item.key);
+    const auto seen = seen_entries_.find(item.key);
+    const bool is_known_of_this_era =
+        seen != seen_entries_.end() && !seen->second.is_of_earlier_era;
+    if (is_known_of_this_era || now >= rewritten_by_ ||
+        key.kind != key_kind::upstream || !contradicts_departure(key, item))
+    {
+        apply(now, item, grace_until);
+        return;
+    }
+    record_seen(key, item);
+    defer(item);
+}
+
+bool directory_state::contradicts_departure(const parsed_key& key,
+                                            const entry& item) const
+{
+    const auto content = codec_.read(key, item.value);
+    const auto* listed = std::get_if<upstream_record>(&content);
+    if (listed == nullptr)
+        return false;
+    if (const auto known = upstreams_.find(key.name); known != upstreams_.end())
+    {
+        const auto& record = known->second.record;
+        return listed->started_ms < record.started_ms ||
+               (listed->started_ms == record.started_ms && record.draining &&
+                !listed->draining);
+    }
+    const auto removed = removed_upstreams_.find(key.name);
+    return removed != removed_upstreams_.end() &&
+           listed->started_ms <= removed->second.started_ms;
+}
+
+void directory_state::record_seen(const parsed_key& key, const entry& item)
+{
+    auto& seen = seen_entries_[item.key];
+    seen.mod_revision = item.mod_revision;
+    seen.is_of_earlier_era = false;
+    if (key.kind != key_kind::config)
+        seen.value = item.value;
+}
+
+listing_response directory_state::listing_after(const std::string& after) const
+{
+    listing_response result;
+    std::size_t bytes = 0;
+    for (auto item = seen_entries_.upper_bound(after);
+         item != seen_entries_.end(); ++item)
+    {
+        const auto& [key, seen] = *item;
+        const auto size = key.size() + seen.value.size() + entry_overhead_bytes;
+        if (seen.is_of_earlier_era || size > max_listing_bytes ||
+            codec_.read_key(key).kind == key_kind::config)
+            continue;
+        bytes += size;
+        result.has_more = bytes > max_listing_bytes;
+        if (result.has_more)
+            break;
+        result.entries.push_back({.key = key,
+                                  .value = seen.value,
+                                  .mod_revision = seen.mod_revision});
+    }
+    return result;
+}
+
+void directory_state::defer(const entry& item)
+{
+    deferred_[item.key] = item;
+    next_grace_end_ = std::min(next_grace_end_, rewritten_by_);
+    record_event(directory_event::event_kind::entry_deferred, item.key,
+                 item.removed ? "not listed" : "listed", item.mod_revision);
+}
+
+void directory_state::apply_deferred(time_point now)
+{
+    if (now < rewritten_by_)
+    {
+        if (!deferred_.empty())
+            next_grace_end_ = std::min(next_grace_end_, rewritten_by_);
+        return;
+    }
+    for (const auto& [text, item] : std::exchange(deferred_, {}))
+    {
+        const auto key = codec_.read_key(text);
+        if (item.removed)
+            remove(now, key, item.mod_revision, {});
+        else if (apply_record(now, key, codec_.read(key, item.value), item))
+            log_.add(item);
+    }
+}
+
 bool directory_state::apply_record(time_point now, const parsed_key& key,
                                    const record& content, const entry& item)
 {
@@ -64,6 +193,7 @@
     if (const auto* secret = std::get_if<fleet_secret>(&content))
     {
         secret_ = secret->text;
+        is_secret_listed_ = true;
         return false;
     }
     if (const auto* unreadable = std::get_if<unreadable_record>(&content))
@@ -90,6 +220,7 @@
         return false;
     }
     config_ = config;
+    config_value_ = item.value;
     record_event(directory_event::event_kind::config_adopted,
                  std::to_string(config->version),
                  std::to_string(item.value.size()) + " bytes",
@@ -114,7 +245,10 @@
     if (added || is_new_lifetime || record.cold_remaining > duration{0})
         known.cold_until = cold_until;
     if (added)
+    {
         known.id_hash = hash_bytes(record.id);
+        removed_upstreams_.erase(record.id);
+    }
     if (added || is_new_lifetime)
         known.first_seen = initial_read_done_ ? now : time_point{};
     const bool was_in_grace_period = known.grace_until.has_value();
@@ -152,8 +286,7 @@
                          key.name, {}, mod_revision);
             return;
         }
-        upstreams_.erase(found);
-        ++change_count_;
+        erase_upstream(now, key.name);
         record_event(directory_event::event_kind::upstream_removed, key.name,
                      {}, mod_revision);
         return;
@@ -179,23 +312,44 @@
     }
 }
 
+void directory_state::erase_upstream(time_point now, const std::string& id)
+{
+    const auto found = upstreams_.find(id);
+    std::erase_if(removed_upstreams_, [now](const auto& removed)
+                  { return now - removed.second.removed_at > removal_memory; });
+    removed_upstreams_[id] = {.started_ms = found->second.record.started_ms,
+                              .removed_at = now};
+    upstreams_.erase(found);
+    ++change_count_;
+}
+
 void directory_state::remove_unlisted(time_point now,
                                       const std::set<std::string>& listed,
                                       revision as_of_revision,
                                       std::optional<time_point> grace_until)
 {
     std::vector<std::string> removed_keys;
-    for (const auto& [key, mod_revision] : latest_revisions_)
-        if (mod_revision <= as_of_revision && !listed.contains(key))
+    for (const auto& [key, seen] : seen_entries_)
+        if ((seen.is_of_earlier_era || seen.mod_revision <= as_of_revision) &&
+            !listed.contains(key))
             removed_keys.push_back(key);
     for (const auto& key : removed_keys)
     {
-        remove(now, codec_.read_key(key), as_of_revision, grace_until);
-        log_.add({.key = key,
-                  .value = {},
-                  .mod_revision = as_of_revision,
-                  .removed = true});
-        latest_revisions_.erase(key);
+        const auto parsed = codec_.read_key(key);
+        const entry removal{.key = key,
+                            .value = {},
+                            .mod_revision = as_of_revision,
+                            .removed = true};
+        const bool may_be_written_again =
+            seen_entries_[key].is_of_earlier_era && now < rewritten_by_ &&
+            (parsed.kind == key_kind::data_centre_out_of_service ||
+             parsed.kind == key_kind::router);
+        if (may_be_written_again)
+            defer(removal);
+        else
+            remove(now, parsed, as_of_revision, grace_until);
+        log_.add(removal);
+        seen_entries_.erase(key);
     }
 }
 
@@ -222,6 +376,7 @@
     if (now < next_grace_end_)
         return;
     next_grace_end_ = time_point::max();
+    apply_deferred(now);
     for (auto item = upstreams_.begin(); item != upstreams_.end();)
     {
         const auto& until = item->second.grace_until;
@@ -232,10 +387,10 @@
             ++item;
             continue;
         }
-        record_event(directory_event::event_kind::upstream_removed, item->first,
-                     "lapsed");
-        item = upstreams_.erase(item);
-        ++change_count_;
+        const auto expired = item++;
+        record_event(directory_event::event_kind::upstream_removed,
+                     expired->first, "lapsed");
+        erase_upstream(now, std::string{expired->first});
     }
 }
 
@@ -250,12 +405,35 @@
     return config_;
 }
 
+std::uint64_t directory_state::config_version() const
+{
+    return config_ ? config_->version : 0;
+}
+
+config_part directory_state::config_part_for(const config_query& query) const
+{
+    config_part result{
+        .sequence = query.sequence, .version = config_version(), .bytes = {}};
+    if (query.offset > config_value_.size())
+        return result;
+    result.total_bytes = static_cast<std::uint32_t>(config_value_.size());
+    result.bytes = config_value_.substr(query.offset, max_part_bytes);
+    return result;
+}
+
+void directory_state::adopt_reported_config(const std::string& value)
+{
+    const auto content = codec_.read({key_kind::config, {}}, value);
+    if (const auto* config = std::get_if<config_snapshot>(&content))
+        apply_config(*config, {.key = {}, .value = value});
+}
+
 bool directory_state::is_newer_config(const reported_entry& item) const
 {
-    const auto latest = latest_revisions_.find(item.key);
+    const auto found = seen_entries_.find(item.key);
     return codec_.read_key(item.key).kind == key_kind::config &&
-           (latest == latest_revisions_.end() ||
-            latest->second < item.mod_revision);
+           (found == seen_entries_.end() || found->second.is_of_earlier_era ||
+            found->second.mod_revision < item.mod_revision);
 }
 
 const std::map<std::string, known_upstream>& directory_state::upstreams() const
@@ -278,6 +456,23 @@
     return secret_;
 }
 
+bool directory_state::is_secret_listed() const
+{
+    return is_secret_listed_;
+}
+
+bool directory_state::is_router_listed(const std::string& name) const
+{
+    return std::ranges::any_of(seen_entries_,
+                               [&](const auto& item)
+                               {
+                                   const auto key = codec_.read_key(item.first);
+                                   return key.kind == key_kind::router &&
+                                          key.name == name &&
+                                          !item.second.is_of_earlier_era;
+                               });
+}
+
 std::uint64_t directory_state::change_count() const
 {
     return change_count_;
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -59,7 +59,7 @@
 template <typename Archive>
 void serialize(Archive& archive, change_query& object)
 {
-    archive(object.sequence, object.after);
+    archive(object.sequence, object.after, object.era, object.config_version);
 }
 
 template <typename Archive>
@@ -81,7 +81,35 @@
 template <typename Archive>
 void serialize(Archive& archive, change_notice& object)
 {
-    archive(object.revision);
+    archive(object.revision, object.era, object.config_version);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, listing_query& object)
+{
+    archive(object.sequence);
+    serialize_text(archive, object.after);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, listing_response& object)
+{
+    archive(object.sequence, object.is_complete, object.has_more,
+            object.as_of_revision, object.confirmation_age_ms, object.era);
+    serialize_list(archive, object.entries);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, config_query& object)
+{
+    archive(object.sequence, object.offset);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, config_part& object)
+{
+    archive(object.sequence, object.version, object.total_bytes);
+    serialize_text(archive, object.bytes);
 }
 
 template <typename Archive>
@@ -95,7 +123,7 @@
 void serialize(Archive& archive, entry_part& object)
 {
     archive(object.sequence, object.total_bytes, object.confirmation_age_ms,
-            object.mod_revision);
+            object.mod_revision, object.era);
     serialize_text(archive, object.bytes);
 }
 
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -20,6 +20,10 @@
 /// lost or the router is down.
 constexpr duration router_query_timeout = 120ms;
 constexpr std::size_t secret_bytes = 32;
+/// Pause before the secret is written again if the store still lacks it.
+constexpr duration secret_creation_pause = 3s;
+/// Time for which messages with the former secret are accepted.
+constexpr duration replaced_secret_lifetime = 30s;
 
 } // namespace
 
@@ -57,21 +61,21 @@
     const auto& state = context_.follower.state();
     if (!context_.follower.has_complete_state())
         return;
-    if (state.secret().empty())
-    {
-        if (secret_creation_requested_ ||
-            !context_.follower.should_create_secret(net::boot_now()))
-            return;
-        secret_creation_requested_ = true;
-        std::string secret(secret_bytes, '\0');
-        randombytes_buf(secret.data(), secret.size());
-        store_.create_secret(secret, store_timeout);
+    create_missing_secret();
+    if (state.secret().empty() ||
+        (router_socket_ && socket_secret_ == state.secret()))
         return;
+    std::vector<std::string> accepted{state.secret()};
+    if (!socket_secret_.empty())
+    {
+        // Not all routers learn of the new secret at once.
+        accepted.push_back(socket_secret_);
+        loop_.run_after(
+            replaced_secret_lifetime,
+            [this] { datagram_keys_.emplace(std::vector{socket_secret_}); });
     }
-    if (router_socket_ && socket_secret_ == state.secret())
-        return;
     socket_secret_ = state.secret();
-    datagram_keys_.emplace(std::vector<std::string>{socket_secret_});
+    datagram_keys_.emplace(accepted);
     failure reason;
     if (!router_socket_)
         router_socket_ = net::datagram_socket::open(
@@ -87,6 +91,22 @@
                {"reason", reason.message}});
 }
 
+void relay::create_missing_secret()
+{
+    const auto now = net::boot_now();
+    if (now < next_secret_creation_at_ ||
+        !context_.follower.should_create_secret(now))
+        return;
+    next_secret_creation_at_ = now + secret_creation_pause;
+    auto secret = context_.follower.state().secret();
+    if (secret.empty())
+    {
+        secret.resize(secret_bytes);
+        randombytes_buf(secret.data(), secret.size());
+    }
+    store_.create_secret(secret, store_timeout);
+}
+
 router_id relay::self_id() const
 {
     // Validation of the settings accepts only IPv4 addresses here.
@@ -130,6 +150,10 @@
 
 void relay::handle(router_id from, const directory::change_query& message)
 {
+    handle_config_version(from, message.config_version);
+    context_.follower.handle_notice(net::boot_now(), {.era = message.era});
+    if (const auto notice = context_.follower.notice_for(message))
+        send_datagram(from, *notice);
     send_datagram(from, context_.follower.respond(net::boot_now(), message));
 }
 
@@ -158,8 +182,44 @@
     follow_directory();
 }
 
-void relay::handle(router_id /*from*/, const directory::change_notice& message)
+void relay::handle(router_id from, const directory::config_query& message)
+{
+    send_datagram(from, context_.follower.respond(message));
+}
+
+void relay::handle(router_id from, const directory::listing_query& message)
+{
+    send_datagram(from, context_.follower.respond(net::boot_now(), message));
+}
+
+void relay::handle(router_id /*from*/,
+                   const directory::listing_response& message)
+{
+    if (context_.follower.handle_listing(net::boot_now(), message))
+        end_router_query();
+}
+
+void relay::handle(router_id /*from*/, const directory::config_part& message)
+{
+    if (context_.follower.handle_config_part(net::boot_now(), message))
+        end_router_query();
+}
+
+void relay::handle_config_version(router_id from, std::uint64_t version)
 {
+    if (const auto address = parse_endpoint(to_string(from)))
+        context_.follower.handle_config_version(net::boot_now(), version,
+                                                *address);
+}
+
+void relay::handle(router_id from, const directory::change_notice& message)
+{
+    handle_config_version(from, message.config_version);
+    // Only a router with an older configuration gets a response, so that two
+    // routers never respond to each other without end.
+    if (const auto own = context_.follower.notice();
+        message.config_version < own.config_version)
+        send_datagram(from, own);
     context_.follower.handle_notice(net::boot_now(), message);
     follow_directory();
 }
@@ -196,11 +256,20 @@
         const auto id = router_id_at(router.control_address);
         if (id && name != options_.router_name &&
             router.data_centre == options_.data_centre)
-            send_datagram(*id, directory::change_notice{
-                                   context_.follower.known_revision()});
+            send_datagram(*id, context_.follower.notice());
     }
 }
 
+void relay::compare_config_versions()
+{
+    if (!router_socket_)
+        return;
+    for (const auto& peer :
+         context_.follower.take_config_peers(net::boot_now()))
+        if (const auto id = router_id_at(peer.control_address))
+            send_datagram(*id, context_.follower.notice());
+}
+
 void relay::send_to_all(const fleet::message& message)
 {
     if (!router_socket_)
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -16,6 +16,13 @@
 
 constexpr time_point start{1000s};
 
+/// Returns the address of the router named "r" and its number.
+endpoint address_of_router(const std::string& name)
+{
+    return {"127.0.0.1",
+            static_cast<std::uint16_t>(std::stoul(name.substr(1)))};
+}
+
 /// The value is the version for the configuration, and "ready", "draining",
 /// "cold" or "restarted" (a new lifetime) for upstreams. The value "garbage"
 /// cannot be parsed.
@@ -46,7 +53,7 @@
         if (key.kind == key_kind::fleet_secret)
             return fleet_secret{value};
         if (key.kind == key_kind::router)
-            return router_record{key.name, {"127.0.0.1", 1}, value};
+            return router_record{key.name, address_of_router(key.name), value};
         if (value == "garbage")
             return unreadable_record{"garbage"};
         if (key.kind == key_kind::config)
@@ -84,6 +91,23 @@
         history_.push_back({key, {}, ++revision_, true});
     }
 
+    /// Keeps a copy of the entries for restore().
+    void copy()
+    {
+        copy_ = entries_;
+        copied_revision_ = revision_;
+    }
+
+    /// Begins a new era with the entries and the revision of the copy.
+    void restore()
+    {
+        entries_ = copy_;
+        revision_ = copied_revision_;
+        std::erase_if(history_, [this](const entry& item)
+                      { return item.mod_revision > revision_; });
+        ++era_;
+    }
+
     void clear_history()
     {
         history_.clear();
@@ -96,27 +120,35 @@
         for (const auto& [key, item] : entries_)
             page.entries.push_back(item);
         page.as_of_revision = revision_;
+        page.era = era_;
         return page;
     }
 
     [[nodiscard]] std::optional<entry_changes>
     changes_after(revision after) const
     {
-        if (after < oldest_known_revision_)
+        if (after < oldest_known_revision_ || after > revision_)
             return std::nullopt;
         entry_changes changes;
         for (const auto& item : history_)
             if (item.mod_revision > after)
                 changes.entries.push_back(item);
         changes.as_of_revision = revision_;
+        changes.era = era_;
         return changes;
     }
 
-    [[nodiscard]] std::optional<entry> find(const std::string& key) const
+    [[nodiscard]] entry_lookup find(const std::string& key) const
     {
         const auto found = entries_.find(key);
-        return found == entries_.end() ? std::nullopt
-                                       : std::optional{found->second};
+        return {.item = found == entries_.end() ? std::nullopt
+                                                : std::optional{found->second},
+                .era = era_};
+    }
+
+    [[nodiscard]] store_era era() const
+    {
+        return era_;
     }
 
     [[nodiscard]] revision latest_revision() const
@@ -129,6 +161,9 @@
     std::vector<entry> history_;
     revision revision_ = 1;
     revision oldest_known_revision_ = 0;
+    std::map<std::string, entry> copy_;
+    revision copied_revision_ = 1;
+    store_era era_ = 0;
 };
 
 /// Makes the next call of `follower`, if one is due, and handles its result.
@@ -145,7 +180,7 @@
         if (const auto changes = store.changes_after(watch->after))
             follower.handle_changes(now, *changes);
         else
-            follower.handle_history_loss(now);
+            follower.handle_history_loss(now, store.era());
     }
     else if (const auto* read = std::get_if<read_entry>(&*call))
         follower.handle_entry(now, store.find(read->key));
@@ -293,6 +328,80 @@
     EXPECT_TRUE(follower.state().upstreams().empty());
 }
 
+/// A router that knows that "gone" left, that "leaving" leaves and that "dc1"
+/// is out of service, and a store that was restored from a copy of before.
+class restored_store_test : public testing::Test
+{
+protected:
+    restored_store_test()
+    {
+        for (const auto* key : {"up/gone", "up/leaving", "up/stays"})
+            store.write(key, "ready");
+        run_call(follower, store, now);
+        store.copy();
+        store.remove("up/gone");
+        store.write("up/leaving", "draining");
+        store.write("up/late", "ready");
+        store.write("out/dc1", "");
+        run_call(follower, store, now += 1s);
+        store.restore();
+        for (int call = 0; call < 3; ++call)
+            run_call(follower, store, now += 1s);
+    }
+
+    [[nodiscard]] bool is_usable(const std::string& id) const
+    {
+        const auto& upstreams = follower.state().upstreams();
+        const auto found = upstreams.find(id);
+        return found != upstreams.end() && !found->second.record.draining;
+    }
+
+    fake_store store;
+    directory_follower follower{codec, {}};
+    time_point now = start;
+};
+
+// Guards against requests to upstreams and data centres that a restored store
+// lists as before, although routers know that they left.
+TEST_F(restored_store_test, what_left_before_stays_away_until_it_is_rewritten)
+{
+    EXPECT_EQ(follower.era(), 1U);
+    EXPECT_FALSE(is_usable("gone"));
+    EXPECT_FALSE(is_usable("leaving"));
+    EXPECT_TRUE(is_usable("stays"));
+    EXPECT_TRUE(is_usable("late"));
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+    store.write("out/dc1", "");
+    store.write("up/gone", "restarted");
+    run_call(follower, store, now += 1s);
+    EXPECT_TRUE(is_usable("gone"));
+    // What nobody has written again is as the store lists it.
+    for (int call = 0; call < 6; ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+    EXPECT_TRUE(is_usable("leaving"));
+    EXPECT_FALSE(is_usable("late"));
+}
+
+TEST_F(restored_store_test, a_data_centre_that_is_not_rewritten_returns)
+{
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+    for (int call = 0; call < 6; ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_FALSE(follower.state().is_out_of_service("dc1"));
+}
+
+TEST_F(restored_store_test, a_second_restore_forgets_no_departure)
+{
+    store.restore();
+    for (int call = 0; call < 3; ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_EQ(follower.era(), 2U);
+    EXPECT_FALSE(is_usable("gone"));
+    EXPECT_FALSE(is_usable("leaving"));
+    EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+}
+
 TEST(directory_follower,
      a_configuration_is_superseded_until_the_new_one_is_read)
 {
@@ -374,12 +483,18 @@
         {
             const auto name = "r" + std::to_string(index);
             store_.write("router/" + name, "dc");
-            followers_.push_back(std::make_unique<directory_follower>(
-                codec, follower_options{.router = name, .data_centre = "dc"}));
+            followers_.push_back(make_follower(index));
         }
         pending_.resize(routers);
     }
 
+    /// Restarts a router, which loses its state.
+    void restart(std::size_t router)
+    {
+        followers_[router] = make_follower(router);
+        pending_[router].reset();
+    }
+
     struct config_write
     {
         time_point written_at;
@@ -394,12 +509,32 @@
         writes_.push_back({now, store_.latest_revision(), version_});
     }
 
+    /// Writes the latest configuration again.
+    void rewrite_config()
+    {
+        store_.write("config", std::to_string(version_) +
+                                   std::string(config_padding_bytes_, ' '));
+    }
+
     void step(time_point now)
     {
         for (std::size_t index = 0; index < followers_.size(); ++index)
             step_router(now, index);
     }
 
+    /// Runs the fleet for `length` and returns the time at its end.
+    time_point run(time_point now, duration length)
+    {
+        for (const auto end = now + length; now < end;)
+            step(now += 10ms);
+        return now;
+    }
+
+    fake_store& store()
+    {
+        return store_;
+    }
+
     /// Checks that the known state of each router includes every write made
     /// before the time at which the state was last confirmed.
     void check_confirmations() const
@@ -418,15 +553,16 @@
         }
     }
 
+    [[nodiscard]] std::size_t count_with_version(std::uint64_t version) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            followers_, [version](const auto& follower)
+            { return follower->state().config_version() == version; }));
+    }
+
     [[nodiscard]] bool all_have_version(std::uint64_t version) const
     {
-        return std::all_of(followers_.begin(), followers_.end(),
-                           [version](const auto& follower)
-                           {
-                               return follower->state().config() &&
-                                      follower->state().config()->version ==
-                                          version;
-                           });
+        return count_with_version(version) == followers_.size();
     }
 
     [[nodiscard]] std::uint64_t version() const
@@ -482,7 +618,7 @@
     void lose_history(time_point now, std::size_t router)
     {
         pending_[router].reset();
-        followers_[router]->handle_history_loss(now);
+        followers_[router]->handle_history_loss(now, store_.era());
     }
 
     /// From now on calls that the store does not answer last until their
@@ -521,10 +657,39 @@
         bool lost = false;
         std::optional<change_response> response;
         std::optional<entry_part> part;
+        std::optional<config_part> config;
+        std::optional<change_notice> notice;
+        std::optional<listing_response> listing;
     };
 
+    static std::unique_ptr<directory_follower> make_follower(std::size_t index)
+    {
+        return std::make_unique<directory_follower>(
+            codec, follower_options{.router = "r" + std::to_string(index),
+                                    .data_centre = "dc"});
+    }
+
+    /// Sends the notices that a router sends after a start and after a restore.
+    void compare_config_versions(time_point now, std::size_t index)
+    {
+        auto& follower = *followers_[index];
+        for (const auto& peer : follower.take_config_peers(now))
+        {
+            auto& other = *followers_[peer.control_address.port];
+            const auto notice = follower.notice();
+            other.handle_config_version(
+                now, notice.config_version,
+                address_of_router("r" + std::to_string(index)));
+            other.handle_notice(now, notice);
+            if (other.notice().config_version > notice.config_version)
+                follower.handle_config_version(
+                    now, other.notice().config_version, peer.control_address);
+        }
+    }
+
     void step_router(time_point now, std::size_t index)
     {
+        compare_config_versions(now, index);
         auto& slot = pending_[index];
         if (!slot)
         {
@@ -536,6 +701,9 @@
                                 lossy_ && *rc::gen::inRange(0, loss_one_in_) ==
                                               loss_one_in_ - 1,
                                 {},
+                                {},
+                                {},
+                                {},
                                 {}};
             make_response(now, index, *slot);
             return;
@@ -561,13 +729,24 @@
                 call.done_at = now + store_call_timeout;
             return;
         }
-        const auto queried = std::stoul(query->router.substr(1));
+        const std::size_t queried = query->control_address.port;
         ++queries_received_[queried];
         if (const auto* part_query = std::get_if<entry_query>(&query->message))
             call.part = followers_[queried]->respond(now, *part_query);
+        else if (const auto* config =
+                     std::get_if<config_query>(&query->message))
+            call.config = followers_[queried]->respond(*config);
+        else if (const auto* list = std::get_if<listing_query>(&query->message))
+            call.listing = followers_[queried]->respond(now, *list);
         else
-            call.response = followers_[queried]->respond(
-                now, std::get<change_query>(query->message));
+        {
+            const auto& changes = std::get<change_query>(query->message);
+            followers_[queried]->handle_config_version(
+                now, changes.config_version,
+                address_of_router("r" + std::to_string(index)));
+            call.notice = followers_[queried]->notice_for(changes);
+            call.response = followers_[queried]->respond(now, changes);
+        }
     }
 
     void deliver_result(time_point now, directory_follower& follower,
@@ -575,10 +754,20 @@
     {
         if (const auto* query = std::get_if<query_router>(&done.call))
         {
+            if (done.notice && !done.lost)
+            {
+                follower.handle_config_version(now, done.notice->config_version,
+                                               query->control_address);
+                follower.handle_notice(now, *done.notice);
+            }
             if (done.lost)
                 follower.handle_router_timeout(now);
             else if (done.part)
                 follower.handle_part(now, *done.part);
+            else if (done.listing)
+                follower.handle_listing(now, *done.listing);
+            else if (done.config)
+                follower.handle_config_part(now, *done.config);
             else
                 follower.handle_response(now, *done.response);
             return;
@@ -592,7 +781,7 @@
             if (const auto changes = store_.changes_after(watch->after))
                 follower.handle_changes(now, *changes);
             else
-                follower.handle_history_loss(now);
+                follower.handle_history_loss(now, store_.era());
         }
         else
             follower.handle_entry(
@@ -697,6 +886,97 @@
     RC_ASSERT(fleet.state(disconnected).config()->version == fleet.version());
 }
 
+// Guards against routers that ignore what a restored store holds, since its
+// revisions were given out before.
+RC_GTEST_PROP(directory_follower,
+              pattern_a_fleet_follows_a_store_that_was_restored, ())
+{
+    fleet_model fleet{
+        *rc::gen::weightedElement<std::size_t>({{12, 9}, {3, 91}, {1, 295}})};
+    fleet.set_loss(*rc::gen::arbitrary<bool>(), 50);
+    fleet.set_config_padding(*rc::gen::inRange<std::size_t>(0, 3'000));
+    auto now = fleet.run(start, 3s);
+    fleet.store().copy();
+    fleet.write_config(now);
+    now = fleet.run(now, 2s);
+    const auto restores = *rc::gen::inRange(1, 3);
+    for (int restore = 0; restore < restores; ++restore)
+    {
+        fleet.write_config(now);
+        now = fleet.run(now, *rc::gen::inRange(0, 200) * 10ms);
+        fleet.set_store_unavailable(true);
+        now = fleet.run(now, *rc::gen::inRange(1, 200) * 10ms);
+        fleet.store().restore();
+        fleet.set_store_unavailable(false);
+        now = fleet.run(now, *rc::gen::inRange(0, 150) * 10ms);
+        fleet.rewrite_config();
+        now = fleet.run(now, *rc::gen::inRange(0, 300) * 10ms);
+    }
+    fleet.write_config(now);
+    fleet.run(now, 2s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+}
+
+// Guards against a router that knows the state of an earlier era only and that
+// the restored store does not respond to.
+RC_GTEST_PROP(directory_follower,
+              pattern_a_disconnected_router_follows_a_restored_store, ())
+{
+    const auto routers =
+        *rc::gen::weightedElement<std::size_t>({{12, 9}, {3, 91}, {1, 295}});
+    fleet_model fleet{routers};
+    fleet.set_loss(*rc::gen::arbitrary<bool>(), 50);
+    auto now = fleet.run(start, 3s);
+    const auto disconnected = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.disconnect_from_store(disconnected);
+    now = fleet.run(now, 3s);
+    fleet.store().copy();
+    for (int restore = 0; restore < 2; ++restore)
+    {
+        fleet.write_config(now);
+        now = fleet.run(now, 3s);
+        fleet.store().restore();
+        fleet.write("up/a", "ready");
+        now = fleet.run(now, 4s);
+        RC_ASSERT(fleet.confirmation_age(now, disconnected) < 4s);
+        RC_ASSERT(fleet.all_have_version(fleet.version()));
+        RC_ASSERT(fleet.state(disconnected).upstreams().contains("a"));
+    }
+}
+
+// Guards against a router that starts with the configuration of a restored
+// store although others have a newer one in force.
+RC_GTEST_PROP(directory_follower,
+              pattern_a_configuration_that_the_store_lost_stays_in_force, ())
+{
+    const auto routers =
+        *rc::gen::weightedElement<std::size_t>({{12, 9}, {3, 91}, {1, 295}});
+    fleet_model fleet{routers};
+    fleet.set_loss(*rc::gen::arbitrary<bool>(), 50);
+    fleet.set_config_padding(*rc::gen::inRange<std::size_t>(0, 8'000));
+    auto now = fleet.run(start, 3s);
+    fleet.store().copy();
+    fleet.write_config(now);
+    // Two routers or more know the configuration before the store is lost.
+    while (fleet.count_with_version(fleet.version()) < 2)
+        fleet.step(now += 10ms);
+    now = fleet.run(now, *rc::gen::inRange(0, 100) * 10ms);
+    fleet.set_store_unavailable(true);
+    now = fleet.run(now, *rc::gen::inRange(0, 200) * 10ms);
+    fleet.store().restore();
+    fleet.set_store_unavailable(false);
+    const auto restarted = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.restart(restarted);
+    now = fleet.run(now, 3s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+    fleet.restart((restarted + 1) % routers);
+    now = fleet.run(now, 3s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+    fleet.write_config(now);
+    fleet.run(now, 2s);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+}
+
 // Guards against a router that has to read everything again and asks no other
 // router while the store does not respond to it.
 RC_GTEST_PROP(directory_follower,
@@ -820,23 +1100,19 @@
     }
 }
 
-TEST(directory_follower, pattern_large_data_centre_spreads_its_queries)
+RC_GTEST_PROP(directory_follower, pattern_large_data_centre_spreads_its_queries,
+              ())
 {
-    rc::check(
-        []
-        {
-            constexpr std::size_t routers = 49;
-            fleet_model fleet{routers};
-            fleet.set_loss(false, 1);
-            auto now = start;
-            for (int step = 0; step < 1000; ++step)
-                fleet.step(now += 10ms);
-            // 2 kB per second at 65 bytes per response, headers included.
-            constexpr std::size_t seconds = 10;
-            constexpr std::size_t responses_per_second = 30;
-            RC_ASSERT(fleet.max_queries_received() <
-                      seconds * responses_per_second);
-        });
+    constexpr std::size_t routers = 49;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    auto now = start;
+    for (int step = 0; step < 1000; ++step)
+        fleet.step(now += 10ms);
+    // 2 kB per second at 65 bytes per response, headers included.
+    constexpr std::size_t seconds = 10;
+    constexpr std::size_t responses_per_second = 30;
+    RC_ASSERT(fleet.max_queries_received() < seconds * responses_per_second);
 }
 
 RC_GTEST_PROP(directory_follower,
