http: a last response waits for requests that have already arrived

What callers saw: in a planned stop a pipelined request, which the router had read while it served the one before, got no answer: the answer before it carried "Connection: close", and what followed was dropped. It had not been passed on, but the caller could not know.

Cause: the answer was the last one of its connection whenever the router asked for that, whatever had arrived.

Evidence: a_last_response_waits_for_requests_that_have_arrived fails without the change: "Connection: close" is sent, and one request of two arrives.

Change: the connection is kept open if bytes of another request were read or wait in the socket. That request is served or refused like any other, and the last answer closes the connection.

Ruled out: an end after a rejected request. There the next request's start cannot be found.

--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -63,7 +63,8 @@
     void start(handlers callbacks);
 
     /// Sends the response to the current request. The connection closes
-    /// afterwards if `keep_alive` is false or the caller requested that.
+    /// afterwards if the caller requested that, or if `keep_alive` is false and
+    /// no part of another request has arrived.
     void respond(time_point now, response message, bool keep_alive);
 
     /// Starts a streamed response to the current request.
@@ -104,6 +105,8 @@
     void on_drained();
     void parse_input();
     [[nodiscard]] bool has_unsupported_transfer_coding() const;
+    /// Returns true if bytes of another request have arrived.
+    [[nodiscard]] bool has_next_request() const;
     void reject(unsigned status, std::string_view reason);
     void finish_response(time_point now);
     void add_connection_fields(fields& headers, bool keep_alive) const;
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -198,9 +198,15 @@
                 "timeout=" + std::to_string(limits_.idle_timeout / 1s));
 }
 
+bool caller_channel::has_next_request() const
+{
+    return !input_.empty() || stream_->has_unread_bytes();
+}
+
 void caller_channel::respond(time_point now, response message, bool keep_alive)
 {
-    keep_alive_ = keep_alive && caller_allows_keep_alive_;
+    keep_alive_ =
+        (keep_alive || has_next_request()) && caller_allows_keep_alive_;
     message.version(http_1_1);
     add_connection_fields(message, keep_alive_);
     message.prepare_payload();
@@ -215,8 +221,8 @@
 {
     // Without chunked coding only the end of the connection can mark the end of
     // the response.
-    keep_alive_ =
-        keep_alive && caller_allows_keep_alive_ && uses_chunked_coding_;
+    keep_alive_ = (keep_alive || has_next_request()) &&
+                  caller_allows_keep_alive_ && uses_chunked_coding_;
     head.version(http_1_1);
     add_connection_fields(head, keep_alive_);
     if (uses_chunked_coding_)
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -233,6 +233,24 @@
     EXPECT_NE(bytes.find("Keep-Alive: timeout=15"), std::string::npos);
 }
 
+// Guards against requests that were read and get no answer because the answer
+// to the request before them, in a planned stop, closes the connection.
+TEST_F(caller_test, a_last_response_waits_for_requests_that_have_arrived)
+{
+    feed("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    channel->respond(net::boot_now(), response{}, false);
+    EXPECT_EQ(read_all(peer).find("Connection: close"), std::string::npos);
+    ASSERT_EQ(requests.size(), 2U);
+    write_all(peer, "GET /3 HTTP/1.1\r\n\r\n");
+    channel->start_streamed_response(response_head{}, false);
+    channel->end_streamed_response(net::boot_now());
+    run_pending_events(loop);
+    ASSERT_EQ(requests.size(), 3U);
+    channel->respond(net::boot_now(), response{}, false);
+    EXPECT_NE(read_all(peer).find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(is_closed(peer));
+}
+
 TEST_F(caller_test, a_disconnect_is_detected_while_a_request_is_served)
 {
     feed("GET /1 HTTP/1.1\r\n\r\n");
