router: the own interface answers requests that outlast a shutdown

What callers saw: on the own interface, requests still in progress at the shutdown timeout were cut: a stream ended inside a chunk, and other callers got no answer, among them those of calls that may not be repeated. Requests that arrive during a shutdown are refused at once, so this needs a request longer than the timeout (600 s unless set).

Cause: the daemon ended at the timeout whatever was in progress, the same class of fault as at the routed path.

Change: the daemon uses the same times as the routed path. 0.5 s before the timeout each worker ends its requests as at their deadline: streams with the error event, others with 504 and whether they ran. A call whose claim is pending is refused. The process ends 0.25 s later.

Left open: the process also ends while bytes of a last answer wait for a caller that reads slowly (by reading; no test).

--- a/include/baobabloft/http/caller_table.hpp
+++ b/include/baobabloft/http/caller_table.hpp
@@ -25,7 +25,7 @@
     virtual void on_caller_drained() = 0;
     /// The request ends at `last` at the latest, with an answer if the caller
     /// has no part of one yet.
-    virtual void limit_deadline(time_point /*now*/, time_point /*last*/) {}
+    virtual void limit_deadline(time_point now, time_point last) = 0;
 };
 
 class caller_table
--- a/include/baobabloft/router/proxy_session.hpp
+++ b/include/baobabloft/router/proxy_session.hpp
@@ -34,6 +34,7 @@
 
     void on_caller_disconnected() override;
     void on_caller_drained() override;
+    void limit_deadline(time_point now, time_point last) override;
 
 private:
     /// One attempt to send the request to an upstream.
--- a/include/baobabloft/router/worker.hpp
+++ b/include/baobabloft/router/worker.hpp
@@ -54,6 +54,11 @@
     /// Reloads the TLS certificate and key from their files.
     void reload_certificate();
 
+    /// Limits the deadlines of all requests; see
+    /// http::caller_session::limit_deadline(). Times are of
+    /// net::monotonic_now().
+    void limit_deadlines(time_point last);
+
     /// Ends the thread and aborts requests in progress.
     void stop();
 
--- a/lib/router/daemon.cpp
+++ b/lib/router/daemon.cpp
@@ -1,5 +1,6 @@
 #include "baobabloft/router/daemon.hpp"
 
+#include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/router/log.hpp"
 
 #include <csignal>
@@ -103,9 +104,15 @@
 {
     auto* self = static_cast<daemon*>(data);
     const auto elapsed = net::monotonic_now() - self->shutdown_started_;
+    const dispatch::shutdown_times times{.limit =
+                                             self->options_.shutdown_timeout};
+    for (auto& item : self->workers_)
+        item->limit_deadlines(self->shutdown_started_ +
+                              dispatch::request_limit(times));
     const bool is_drained =
         self->requests_in_progress() == 0 && elapsed >= min_drain_time;
-    const bool timed_out = elapsed >= self->options_.shutdown_timeout;
+    const bool timed_out = dispatch::shutdown_phase_at(elapsed, times) ==
+                           dispatch::shutdown_phase::over;
     if (!is_drained && !timed_out)
         return G_SOURCE_CONTINUE;
     self->has_aborted_requests_ = !is_drained;
--- a/lib/router/proxy_session.cpp
+++ b/lib/router/proxy_session.cpp
@@ -141,6 +141,8 @@
 
 void proxy_session::on_claim(const ledger::claim_decision& decision)
 {
+    if (has_responded_)
+        return;
     switch (decision.result)
     {
     case ledger::claim_result::accepted:
@@ -602,6 +604,20 @@
     finish();
 }
 
+void proxy_session::limit_deadline(time_point now, time_point last)
+{
+    deadline_ = std::min(deadline_, last);
+    if (now < last || has_responded_)
+        return;
+    const auto attempt = current_attempt_;
+    if (!attempt)
+        refuse(refusal_kind::ledger_unavailable);
+    else if (!attempt->over)
+        fail_attempt(attempt, routing::outcome::cancelled,
+                     was_sent(attempt) ? refusal_kind::upstream_timed_out
+                                       : refusal_kind::deadline_passed);
+}
+
 void proxy_session::finish()
 {
     timer_.clear();
--- a/lib/router/worker.cpp
+++ b/lib/router/worker.cpp
@@ -90,6 +90,12 @@
         });
 }
 
+void worker::limit_deadlines(time_point last)
+{
+    context_.loop.post(
+        [this, last] { callers_.limit_deadlines(net::monotonic_now(), last); });
+}
+
 void worker::stop()
 {
     if (!thread_.joinable())
--- a/unittests/endtoend/endtoend_test.py
+++ b/unittests/endtoend/endtoend_test.py
@@ -110,6 +110,39 @@
         self.assert_complete(results, 6, 60)
 
 
+class LimitedShutdownTest(FleetTest):
+    router_args = ("--shutdown-timeout", "2")
+
+    # Guards against callers that get no answer, or half of one, if their
+    # requests are still in progress at the end of a shutdown.
+    def test_requests_that_outlast_the_shutdown_get_an_answer(self):
+        for port in self.fleet.service_ports:
+            fleet_lib.send_request(
+                f"http://127.0.0.1:{port}/standin/faults", "POST",
+                {"work_ms": 6000})
+        results = {}
+        threads = [
+            threading.Thread(target=lambda: results.update(
+                chat=self.fleet.send_chat(1, "long", max_tokens=300))),
+            threading.Thread(target=lambda: results.update(
+                booking=self.fleet.send_booking(
+                    1, fleet_lib.new_idempotency_key(), 9000)))]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.7)
+        start = time.monotonic()
+        self.fleet.send_signal("router-1", signal.SIGTERM)
+        self.fleet.processes["router-1"].wait(timeout=30)
+        self.assertLess(time.monotonic() - start, 2)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(sorted(results), ["booking", "chat"])
+        self.assertIn("event: error", results["chat"][2])
+        status, _, text = results["booking"]
+        self.assertEqual(status, 504, text)
+        self.assertEqual(parse_problem(text)["executed"], "unknown")
+
+
 class BrokenStreamTest(FleetTest):
     def test_streams_are_resumed_when_an_engine_is_killed(self):
         threads, results = self.start_chats(12, 60)
