relay: an answer that closes its connection is logged as answered

Cause: a connection that closes after its last answer reports its end while the session passes the answer on, before the session has ended. The same happens at any time to callers that ask for the close.

Evidence: test_answered_requests_are_logged_as_answered fails without the change: no line has the outcome answered.

Change: a session whose answer the channel has in full takes no notice of the end of the connection.

--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -159,6 +159,8 @@
     /// Reading from the upstream is paused until the caller has read what was
     /// sent to it.
     bool is_paused_for_caller_ = false;
+    /// The channel has the whole answer; it may close at once.
+    bool answered_ = false;
     bool finished_ = false;
     /// Keeps the session alive until finish().
     std::shared_ptr<relay_session> self_;
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -252,6 +252,7 @@
     close_attempt(attempt);
     if (!stream_started_)
         start_stream(attempt);
+    answered_ = true;
     caller_->end_streamed_response(net::boot_now());
     finish("answered");
 }
@@ -301,6 +302,7 @@
     out.body() = std::move(attempt->body);
     context_.counters.record_response(service_->name,
                                       net::boot_now() - arrived_at_);
+    answered_ = true;
     caller_->respond(net::boot_now(), std::move(out),
                      !context_.is_shutting_down());
     finish("answered");
@@ -384,6 +386,7 @@
     out.body() = router::problem_json(kind, ran, request_id_);
     const bool other_router_may_serve =
         kind == refusal_kind::isolated || kind == refusal_kind::not_ready;
+    answered_ = true;
     caller_->respond(net::boot_now(), std::move(out),
                      !context_.is_shutting_down() && !other_router_may_serve);
 }
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -571,7 +571,7 @@
 
 void relay_session::on_caller_disconnected()
 {
-    if (finished_)
+    if (answered_ || finished_)
         return;
     const auto self = shared_from_this();
     if (current_attempt_)
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -78,9 +78,11 @@
                        f"control-listen=127.0.0.1:{control}\n"
                        f"directory=127.0.0.1:{store_port}\n"
                        f"shutdown-timeout={self.shutdown_timeout}\n")
-        self.router = subprocess.Popen(
-            [f"{BUILD}/tools/baobabd/baobabd", "--settings-file", path],
-            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        self.log_path = f"{self.folder.name}/log"
+        with open(self.log_path, "wb") as log:
+            self.router = subprocess.Popen(
+                [f"{BUILD}/tools/baobabd/baobabd", "--settings-file", path],
+                stdout=log, stderr=log)
         self.addCleanup(self.router.wait)
         self.addCleanup(self.router.kill)
         deadline = time.monotonic() + 10
@@ -430,6 +432,14 @@
                 self.assertNotIn(request_id, passed_on)
         self.assertIn(503, self.outcomes.values())
 
+    # Guards against answers that are logged as requests of callers that left.
+    def test_answered_requests_are_logged_as_answered(self):
+        self.stop_under_requests((50, 3000))
+        with open(self.log_path, encoding="utf-8") as file:
+            log = file.read()
+        self.assertIn("outcome=answered", log)
+        self.assertNotIn("outcome=caller_gone", log)
+
 
 class ShortStopTest(PlannedStopTest):
     shutdown_timeout = 2
