relay test: new settings and signals do not shorten a stop

A second SIGTERM and a SIGHUP with a shorter shutdown timeout, in a stop with a request in progress.

--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -71,13 +72,12 @@
         self.folder = tempfile.TemporaryDirectory(prefix="baobab-relay-")
         self.addCleanup(self.folder.cleanup)
         path = f"{self.folder.name}/settings"
-        with open(path, "w", encoding="utf-8") as file:
-            file.write("[baobabd]\nrouter-name=r0\ndata-centre=a\n"
-                       f"listen=127.0.0.1:{listen}\n"
-                       f"ready-listen=127.0.0.1:{ready}\n"
-                       f"control-listen=127.0.0.1:{control}\n"
-                       f"directory=127.0.0.1:{store_port}\n"
-                       f"shutdown-timeout={self.shutdown_timeout}\n")
+        self.settings = ("[baobabd]\nrouter-name=r0\ndata-centre=a\n"
+                         f"listen=127.0.0.1:{listen}\n"
+                         f"ready-listen=127.0.0.1:{ready}\n"
+                         f"control-listen=127.0.0.1:{control}\n"
+                         f"directory=127.0.0.1:{store_port}\n")
+        self.write_settings(path, self.shutdown_timeout)
         self.log_path = f"{self.folder.name}/log"
         with open(self.log_path, "wb") as log:
             self.router = subprocess.Popen(
@@ -95,6 +95,10 @@
             time.sleep(0.05)
         self.fail("the router did not become ready")
 
+    def write_settings(self, path, shutdown_timeout):
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(f"{self.settings}shutdown-timeout={shutdown_timeout}\n")
+
     def accept(self, listener):
         while True:
             try:
@@ -432,6 +436,21 @@
                 self.assertNotIn(request_id, passed_on)
         self.assertIn(503, self.outcomes.values())
 
+    # Guards against requests that are cut since new settings, read during a
+    # planned stop, shorten it.
+    def test_new_settings_and_signals_do_not_shorten_a_stop(self):
+        self.outcomes = {}
+        request = threading.Thread(target=self.ask_on_new_connection,
+                                   args=("POST", "/unsafe/", "a-3000"))
+        request.start()
+        time.sleep(0.3)
+        self.router.terminate()
+        self.write_settings(f"{self.folder.name}/settings", 1)
+        self.router.send_signal(signal.SIGHUP)
+        self.router.terminate()
+        request.join()
+        self.assertEqual(self.outcomes, {"a-3000": 200})
+
     # Guards against answers that are logged as requests of callers that left.
     def test_answered_requests_are_logged_as_answered(self):
         self.stop_under_requests((50, 3000))
