--- a/unittests/http/tls_test.cpp
+++ b/unittests/http/tls_test.cpp
@@ -210,6 +210,7 @@
         }
 
         void on_caller_drained() override {}
+        void limit_deadline(time_point /*now*/, time_point /*last*/) override {}
 
     private:
         bool& disconnected_;
