--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -74,7 +74,8 @@
     void start(handlers callbacks);
 
     /// Sends the response to the current request. The connection closes
-    /// afterwards if `keep_alive` is false or the caller requested that.
+    /// afterwards if the caller requested that, or if `keep_alive` is false and
+    /// no part of another request has arrived.
     void respond(time_point now, response message, bool keep_alive);
 
     /// Starts a streamed response to the current request.
@@ -93,6 +94,9 @@
     /// its first request. Returns true if it is closed.
     bool close_if_idle(time_point now);
 
+    /// Refuses the request that has not arrived as a whole, if there is one.
+    void refuse_unfinished();
+
     /// Closes the connection if a timeout has expired and no bytes wait to be
     /// read. Returns false if it is closed.
     bool check_timeouts(time_point now);
@@ -113,6 +117,8 @@
     void on_drained();
     void parse_input();
     [[nodiscard]] bool has_unsupported_transfer_coding() const;
+    /// Returns true if bytes of another request have arrived.
+    [[nodiscard]] bool has_next_request() const;
     void reject(unsigned status, std::string_view reason);
     void finish_response(time_point now);
     void add_connection_fields(fields& headers, bool keep_alive);
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -18,6 +18,7 @@
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_headers_too_large = 431;
+constexpr unsigned status_unavailable = 503;
 constexpr unsigned http_1_1 = 11;
 /// Bytes of pipelined requests buffered while a request is served; reading
 /// pauses beyond that.
@@ -203,9 +204,15 @@
                 "timeout=" + std::to_string(limits_.idle_timeout / 1s));
 }
 
+bool caller_channel::has_next_request() const
+{
+    return !input_.empty() || stream_->has_unread_bytes();
+}
+
 void caller_channel::respond(time_point now, response message, bool keep_alive)
 {
-    keep_alive_ = keep_alive && caller_allows_keep_alive_;
+    keep_alive_ =
+        (keep_alive || has_next_request()) && caller_allows_keep_alive_;
     message.version(http_1_1);
     add_connection_fields(message, keep_alive_);
     message.prepare_payload();
@@ -220,8 +227,8 @@
 {
     // Without chunked coding only the end of the connection can mark the end of
     // the response.
-    keep_alive_ =
-        keep_alive && caller_allows_keep_alive_ && uses_chunked_coding_;
+    keep_alive_ = (keep_alive || has_next_request()) &&
+                  caller_allows_keep_alive_ && uses_chunked_coding_;
     head.version(http_1_1);
     add_connection_fields(head, keep_alive_);
     if (uses_chunked_coding_)
@@ -286,6 +293,12 @@
     return !stream_->is_open();
 }
 
+void caller_channel::refuse_unfinished()
+{
+    if (parser_ && !closing_ && stream_->is_open())
+        reject(status_unavailable, "shutting down");
+}
+
 bool caller_channel::check_timeouts(time_point now)
 {
     if (!stream_->is_open())
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -50,8 +51,9 @@
 class RelayTest(unittest.TestCase):
     """Starts a router and `upstreams` scripted upstreams."""
     upstreams = 1
-    settings = ""
+    extra_settings = ""
     zones = "a"
+    shutdown_timeout = 8
 
     def setUp(self):
         store_port, listen, ready, control = free_ports(4)
@@ -70,16 +72,18 @@
         self.folder = tempfile.TemporaryDirectory(prefix="baobab-relay-")
         self.addCleanup(self.folder.cleanup)
         path = f"{self.folder.name}/settings"
-        with open(path, "w", encoding="utf-8") as file:
-            file.write("[baobabd]\nrouter-name=r0\ndata-centre=a\n"
-                       f"listen=127.0.0.1:{listen}\n"
-                       f"ready-listen=127.0.0.1:{ready}\n"
-                       f"control-listen=127.0.0.1:{control}\n"
-                       f"directory=127.0.0.1:{store_port}\n"
-                       "shutdown-timeout=8\n" + self.settings)
-        self.router = subprocess.Popen(
-            [f"{BUILD}/tools/baobabd/baobabd", "--settings-file", path],
-            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        self.settings = ("[baobabd]\nrouter-name=r0\ndata-centre=a\n"
+                         f"listen=127.0.0.1:{listen}\n"
+                         f"ready-listen=127.0.0.1:{ready}\n"
+                         f"control-listen=127.0.0.1:{control}\n"
+                         f"directory=127.0.0.1:{store_port}\n"
+                         + self.extra_settings)
+        self.write_settings(path, self.shutdown_timeout)
+        self.log_path = f"{self.folder.name}/log"
+        with open(self.log_path, "wb") as log:
+            self.router = subprocess.Popen(
+                [f"{BUILD}/tools/baobabd/baobabd", "--settings-file", path],
+                stdout=log, stderr=log)
         self.addCleanup(self.router.wait)
         self.addCleanup(self.router.kill)
         deadline = time.monotonic() + 10
@@ -98,6 +102,10 @@
             "address": f"127.0.0.1:{port}", "phase": "ready", "coldLeftMs": 0,
             "seq": 1, "born": 1}))
 
+    def write_settings(self, path, shutdown_timeout):
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(f"{self.settings}shutdown-timeout={shutdown_timeout}\n")
+
     def accept(self, listener):
         while True:
             try:
@@ -357,7 +365,7 @@
 
 class SpentRetryBudgetTest(SilenceTest):
     upstreams = 2
-    settings = "retry-slack=0\n"
+    extra_settings = "retry-slack=0\n"
 
     # Guards against requests that are cut because they cannot be repeated.
     def test_a_silent_upstream_keeps_its_request_if_the_budget_is_spent(self):
@@ -368,7 +376,7 @@
     upstreams = 2
     zones = "ab"
     # One repeat for each request.
-    settings = "retry-slack=0\nretry-ratio=1.4\n"
+    extra_settings = "retry-slack=0\nretry-ratio=1.4\n"
 
     def respond(self, connection, fields, number):
         fields = "Content-Length: 99\r\n" if number == 1 else ""
@@ -451,5 +459,131 @@
         self.assertLess(self.peak_mb(), 120)
 
 
+class PlannedStopTest(RelayTest):
+    """Requests arrive throughout a planned stop. The end of a request's id is
+    the time in ms that its upstream takes."""
+    shutdown_timeout = 4
+    upstreams = 2
+    kinds = (("GET", "/safe/"), ("POST", "/unsafe/"), ("POST", "/stream/"))
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        seconds = int(request_id.split("-")[-1]) / 1000
+        if not request_id.startswith("/stream/"):
+            time.sleep(seconds)
+            connection.sendall(head(request_id, "Content-Length: 0\r\n"))
+            return
+        connection.sendall(head(request_id))
+        for index in range(1, max(2, int(seconds / 0.1))):
+            connection.sendall(event(index))
+            time.sleep(0.1)
+        connection.shutdown(socket.SHUT_RDWR)
+
+    def ask(self, connection, method, path, request_id):
+        """Returns the status, "broken" for a stream that breaks off, or the
+        error."""
+        try:
+            connection.request(method, path, headers={
+                "Host": "relay.example", "X-Request-Id": request_id})
+            response = connection.getresponse()
+        except (OSError, http.client.HTTPException) as error:
+            return repr(error)
+        try:
+            response.read()
+        except (OSError, http.client.HTTPException):
+            return "broken"
+        return response.status
+
+    def ask_on_new_connection(self, *request):
+        connection = http.client.HTTPConnection("127.0.0.1", self.listen,
+                                                timeout=10)
+        self.outcomes[request[-1]] = self.ask(connection, *request)
+        connection.close()
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return file.read()
+
+    def wait_for_log(self, text):
+        deadline = time.monotonic() + 10
+        while text not in self.log() and time.monotonic() < deadline:
+            time.sleep(0.01)
+        self.assertIn(text, self.log())
+
+    def stop_under_requests(self, durations_ms):
+        """Stops the router and returns how long that took. Sends requests of
+        all kinds and durations until then."""
+        self.outcomes = {}
+        threads = []
+        start = time.monotonic()
+        self.router.terminate()
+        while self.router.poll() is None and time.monotonic() < start + 10:
+            for method, path in self.kinds:
+                for duration_ms in durations_ms:
+                    request_id = f"{path}-{len(threads)}-{duration_ms}"
+                    threads.append(threading.Thread(
+                        target=self.ask_on_new_connection,
+                        args=(method, path, request_id)))
+                    threads[-1].start()
+            time.sleep(0.1)
+        elapsed = time.monotonic() - start
+        for thread in threads:
+            thread.join()
+        return elapsed
+
+    # Guards against requests that are taken late in a planned stop and cut
+    # without an answer at its end, and against "not run" for what ran.
+    def test_each_request_that_was_passed_on_gets_an_answer(self):
+        elapsed = self.stop_under_requests((50, 700, 3000))
+        self.assertLess(elapsed, self.shutdown_timeout)
+        passed_on = set(self.requests)
+        self.assertGreater(len(passed_on), 20)
+        for request_id, outcome in self.outcomes.items():
+            allowed = (200, 502, 504)
+            if request_id.startswith("/stream/"):
+                allowed += ("broken",)
+            if request_id in passed_on:
+                self.assertIn(outcome, allowed, request_id)
+            if outcome == 503:
+                self.assertNotIn(request_id, passed_on)
+        self.assertIn(503, self.outcomes.values())
+
+    # Guards against requests that are cut since new settings, read during a
+    # planned stop, shorten it.
+    def test_new_settings_and_signals_do_not_shorten_a_stop(self):
+        self.outcomes = {}
+        request_id = f"a-{750 * self.shutdown_timeout}"
+        request = threading.Thread(target=self.ask_on_new_connection,
+                                   args=("POST", "/unsafe/", request_id))
+        request.start()
+        time.sleep(0.3)
+        self.router.terminate()
+        self.wait_for_log("event=leaving")
+        self.write_settings(f"{self.folder.name}/settings", 1)
+        self.router.send_signal(signal.SIGHUP)
+        self.router.terminate()
+        request.join()
+        self.assertEqual(self.outcomes, {request_id: 200})
+
+    # Guards against answers that are logged as requests of callers that left.
+    def test_answered_requests_are_logged_as_answered(self):
+        self.stop_under_requests((50, 3000))
+        log = self.log()
+        self.assertIn("outcome=answered", log)
+        self.assertNotIn("outcome=caller_gone", log)
+
+
+class ShortStopTest(PlannedStopTest):
+    shutdown_timeout = 2
+
+    def test_a_request_whose_body_is_still_arriving_is_refused(self):
+        with socket.create_connection(("127.0.0.1", self.listen)) as caller:
+            caller.settimeout(10)
+            caller.sendall(b"POST /unsafe/ HTTP/1.1\r\nHost: relay.example\r\n"
+                           b"X-Request-Id: a-0\r\nContent-Length: 9\r\n\r\nbody")
+            self.router.terminate()
+            self.assertTrue(caller.recv(100).startswith(b"HTTP/1.1 503"))
+
+
 if __name__ == "__main__":
     unittest.main()
