--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -217,6 +217,40 @@
     }
 }
 
+/// Texts of items that cannot be used.
+std::vector<std::string> odd_items()
+{
+    constexpr std::size_t depth = 200'000;
+    const auto deep = std::string(depth, '[') + std::string(depth, ']');
+    return {deep,
+            R"({"key":"c","rev":)" + deep + "}",
+            R"({"key":"c\ud800","rev":5,"value":"aGVq"})",
+            "{\"key\":\"c\xff\",\"rev\":5,\"value\":\"aGVq\"}",
+            R"({"key":"c","rev":1e400,"value":"aGVq"})",
+            R"({"key":"c","rev":18446744073709551616,"value":"aGVq"})",
+            "tru"};
+}
+
+// Guards against an odd item that ends the process, or makes the whole page or
+// watch unreadable, so that following stops.
+TEST_F(store_test, an_odd_item_is_skipped_and_its_neighbours_are_read)
+{
+    const std::string first = R"({"key":"a","rev":3,"value":"aGVq"})";
+    const std::string last = R"({"key":"],\"","rev":4,"value":"aGVq"})";
+    for (const auto& item : odd_items())
+    {
+        auto list = "[" + first;
+        list.append(", ").append(item).append(" ,").append(last).append("]}");
+        const auto page = read_page(R"({"asOf":9, "entries" : )" + list);
+        ASSERT_TRUE(page) << item.substr(0, 60);
+        ASSERT_EQ(page->entries.size(), 2U) << item.substr(0, 60);
+        EXPECT_EQ(page->entries[1].key, "],\"");
+        const auto result = watch(R"({"asOf":9,"events":)" + list);
+        ASSERT_TRUE(result.changes) << item.substr(0, 60);
+        EXPECT_EQ(result.changes->entries.size(), 2U) << item.substr(0, 60);
+    }
+}
+
 TEST_F(store_test, changes_and_removals_are_decoded)
 {
     const auto result =
