Store client: a page without a readable key is no last page

A page that announces further pages but has no readable item left nothing to continue from. The directory took it for the last page, ended its full read there and removed all entries with later keys, servers in use among them. A single unreadable item of a megabyte fills a page.

Found by reading; not seen in a run of the whole system.

What remains: while the store lists such a page, a router that starts cannot complete its first read.

--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -297,6 +297,16 @@
     EXPECT_FALSE(read());
 }
 
+// Guards against a read that ends at a page of unreadable items and removes all
+// entries after it.
+TEST_F(store_test, a_page_without_a_usable_key_to_continue_from_fails)
+{
+    EXPECT_FALSE(
+        read_page(R"({"asOf":9,"morePages":true,"entries":[{"key":1}]})"));
+    EXPECT_TRUE(
+        read_page(R"({"asOf":9,"morePages":false,"entries":[{"key":1}]})"));
+}
+
 TEST_F(store_test, a_lease_is_granted_and_renewed)
 {
     std::optional<std::optional<relay::lease_id>> lease;
