--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -297,6 +297,17 @@
     EXPECT_FALSE(read());
 }
 
+// Guards against a key that is cut at a NUL character, so that the next page
+// begins before it again.
+TEST_F(store_test, a_key_with_a_nul_character_is_sent_whole)
+{
+    std::optional<std::optional<directory::entry_page>> page;
+    client->read_page({"a\0b", 3}, 500ms, capture(page));
+    wait_for_callback();
+    EXPECT_NE(request_target.find("after=a%00b"), std::string::npos)
+        << request_target;
+}
+
 // Guards against a read that ends at a page of unreadable items and removes all
 // entries after it.
 TEST_F(store_test, a_page_without_a_usable_key_to_continue_from_fails)
