Record codec: addresses of no process name no upstream

An entry with port 0 or the address 0.0.0.0, or a multicast, reserved or broadcast one, was used as an upstream. Requests were first tried there: the connect fails at once, or reaches the router's own host. Out-of-range ports such as 65536 or 99999 were rejected already. The same held for the control addresses of routers.

--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -203,6 +203,29 @@
         is_unreadable(codec.read({dir::key_kind::upstream, "i"}, "[1]")));
 }
 
+json with_server_field(const std::string& name, const json& value)
+{
+    auto server = sample_server();
+    server[name] = value;
+    return server;
+}
+
+// Guards against an upstream that can't be connected to, or whose address is
+// every host's own.
+TEST(server, an_address_out_of_range_names_no_upstream)
+{
+    for (const auto* address :
+         {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:-1",
+          "10.0.0.9:", "10.0.0.9:80 ", " 10.0.0.9:80", "10.0.0.256:80",
+          "0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80", ":80"})
+        EXPECT_TRUE(
+            is_unreadable(parse_server(with_server_field("address", address))))
+            << address;
+    EXPECT_TRUE(is_unreadable(
+        codec.read({dir::key_kind::router, "r"},
+                   R"({"control":"10.0.0.1:0","data_centre":"z"})")));
+}
+
 RC_GTEST_PROP(records, arbitrary_bytes_are_unreadable, (std::string bytes))
 {
     for (const auto kind : {dir::key_kind::config, dir::key_kind::upstream,
