Record codec: names that fit no header are unreadable

The id of a server and the name of a customer are sent in headers to upstreams as they are. With a line break they add headers to the request; Beast rejects a value of 64 kB by an exception, which nothing catches.

Keys of the store have at most 200 bytes, so only a customer's name can reach 64 kB.

--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -226,6 +226,24 @@
                    R"({"control":"10.0.0.1:0","data_centre":"z"})")));
 }
 
+// Guards against an id that adds headers to requests, and against names too
+// long for a header, which end the process.
+TEST(records, names_that_fit_no_header_are_unreadable)
+{
+    const auto server = sample_server().dump();
+    for (const std::string& name :
+         {std::string{}, std::string{"i\r\nApi-Key: k"}, std::string{"i\0", 2},
+          std::string{"\x7f"}, std::string(70'000, 'i')})
+    {
+        EXPECT_TRUE(
+            is_unreadable(codec.read({dir::key_kind::upstream, name}, server)))
+            << name.substr(0, 20);
+        auto config = sample_config();
+        config["tenants"][0]["name"] = name;
+        EXPECT_TRUE(is_unreadable(parse_config(config))) << name.substr(0, 20);
+    }
+}
+
 RC_GTEST_PROP(records, arbitrary_bytes_are_unreadable, (std::string bytes))
 {
     for (const auto kind : {dir::key_kind::config, dir::key_kind::upstream,
