Record codec: deeply nested and very long entries are not parsed

Evidence: deeply_nested_or_long_entries_are_unreadable fails on the code before, which accepts a sound entry with one nested or long field more.

--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -244,6 +244,24 @@
     }
 }
 
+// Guards against an entry that takes much memory and time to parse.
+TEST(records, deeply_nested_or_long_entries_are_unreadable)
+{
+    constexpr std::size_t depth = 100'000;
+    const auto nested =
+        R"(,"more":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    for (const auto& [kind, sample] :
+         {std::pair{dir::key_kind::upstream, sample_server()},
+          std::pair{dir::key_kind::config, sample_config()}})
+    {
+        auto text = sample.dump();
+        text.replace(text.size() - 1, 1, nested);
+        EXPECT_TRUE(is_unreadable(codec.read({kind, "x"}, text)));
+    }
+    EXPECT_TRUE(is_unreadable(parse_server(
+        with_server_field("zone", std::string(std::size_t{1} << 20U, 'z')))));
+}
+
 RC_GTEST_PROP(records, arbitrary_bytes_are_unreadable, (std::string bytes))
 {
     for (const auto kind : {dir::key_kind::config, dir::key_kind::upstream,
