Support: conversions of numbers saturate

Numbers of the store's entries were converted to integers and durations by plain casts. For values out of range that is undefined behaviour; on arm64 the result is the largest value, on x86-64 the smallest or 0. A timeout, or the rest of a cold start, of 1e300 ms added to the present wrapped to a time long past (a test shows the sum): by the code, requests of the route time out at once, and a cold upstream counts as warm.

saturating_cast() converts a floating-point number to the nearest integer in range, and from_seconds() limits durations to 100 years, so that sums with points in time do not overflow.

A value of 1e400 in an entry was unreadable before, too.

--- a/include/baobabloft/support/numbers.hpp
+++ b/include/baobabloft/support/numbers.hpp
@@ -1,7 +1,9 @@
-// Conversion of text to numbers.
+// Conversion of text to numbers, and of floating-point numbers to integers.
 #pragma once
 
 #include <charconv>
+#include <concepts>
+#include <limits>
 #include <optional>
 #include <string_view>
 
@@ -25,4 +27,21 @@
     return value;
 }
 
+/// Returns `value` truncated to an integer. A value out of range becomes the
+/// nearest one in range, and NaN becomes 0.
+template <std::integral Integer>
+constexpr Integer saturating_cast(double value)
+{
+    using limits = std::numeric_limits<Integer>;
+    // The largest integer need not be representable, but the power of two
+    // above it is.
+    constexpr Integer half = limits::max() / 2 + 1;
+    constexpr double above_max = 2.0 * static_cast<double>(half);
+    if (value >= above_max)
+        return limits::max();
+    if (value <= static_cast<double>(limits::min()))
+        return limits::min();
+    return value == value ? static_cast<Integer>(value) : Integer{0};
+}
+
 } // namespace baobabloft
--- a/include/baobabloft/support/time.hpp
+++ b/include/baobabloft/support/time.hpp
@@ -3,6 +3,9 @@
 // time.
 #pragma once
 
+#include "baobabloft/support/numbers.hpp"
+
+#include <algorithm>
 #include <chrono>
 
 namespace baobabloft
@@ -20,16 +23,22 @@
 using std::chrono_literals::operator""s;
 using std::chrono_literals::operator""us;
 
+/// Longest duration that results from a conversion. Sums and small multiples
+/// of such durations, also with points in time, do not overflow.
+inline constexpr duration max_duration = std::chrono::years{100};
+
 /// Returns `value` in seconds.
 constexpr double to_seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
 }
 
-/// Returns `seconds` as a duration, truncated to whole microseconds.
+/// Returns `seconds` as a duration, truncated to whole microseconds and limited
+/// to `max_duration` in both directions.
 constexpr duration from_seconds(double seconds)
 {
-    return duration{static_cast<duration::rep>(seconds * 1e6)};
+    return std::clamp(duration{saturating_cast<duration::rep>(seconds * 1e6)},
+                      -max_duration, max_duration);
 }
 
 } // namespace baobabloft
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -210,6 +210,52 @@
     return server;
 }
 
+// Guards against a time that overflows the clock, so that a cold upstream
+// counts as warm, and against numbers cut to fewer bits.
+TEST(server, a_number_too_large_names_no_upstream)
+{
+    const std::vector<std::pair<std::string, json>> too_large{
+        {"coldLeftMs", 1e300}, {"coldLeftMs", 1e30},
+        {"coldLeftMs", 1e15},  {"slots", std::uint64_t{1} << 32U},
+        {"slots", UINT64_MAX}, {"seq", 1e30},
+        {"born", 1e30}};
+    for (const auto& [name, value] : too_large)
+        EXPECT_TRUE(is_unreadable(parse_server(with_server_field(name, value))))
+            << name << value;
+    EXPECT_TRUE(is_unreadable(
+        codec.read({dir::key_kind::upstream, "i"}, R"({"slots":1e400})")));
+}
+
+// Guards against limits and times that overflow: requests are refused at once,
+// or a route that allows many attempts allows one.
+TEST(config, a_number_too_large_becomes_the_largest)
+{
+    auto value = sample_config();
+    auto& route = value["routes"][0];
+    route["timeoutMs"] = route["goalMs"] = route["gapAimMs"] = 1e300;
+    route["attempts"] = route["priority"] = 1e30;
+    route["backends"][0]["wt"] = 4294967296;
+    auto& service = value["services"][0];
+    service["maxConns"] = service["coldStartS"] = 1e300;
+    service["engine"]["kvCapacity"] = 1e300;
+    for (auto& limit : value["limits"])
+        limit = 1e300;
+    const auto record = parse_config(value);
+    ASSERT_FALSE(is_unreadable(record));
+    const auto& all = *std::get<dir::config_snapshot>(record);
+    const time_point now{std::chrono::years{50}};
+    const auto& first = all.routes[0];
+    for (const auto time :
+         {first.timeout, 3 * first.response_objective, 3 * first.gap_objective,
+          all.services.at("s1").cold_start, all.bounds.header_timeout,
+          all.bounds.idle_timeout + 1s})
+        EXPECT_GT(now + time, now + std::chrono::years{1});
+    EXPECT_EQ(first.max_runs, UINT32_MAX);
+    EXPECT_EQ(first.services[0].weight, UINT32_MAX);
+    EXPECT_EQ(all.services.at("s1").max_connections, UINT32_MAX);
+    EXPECT_EQ(all.services.at("s1").engine_token_capacity, UINT64_MAX);
+}
+
 // Guards against an upstream that can't be connected to, or whose address is
 // every host's own.
 TEST(server, an_address_out_of_range_names_no_upstream)
--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -1,12 +1,16 @@
-// Tests of failure texts, enumerator names, identifiers and rendezvous scores.
+// Tests of failure texts, enumerator names, identifiers, rendezvous scores and
+// conversions of numbers.
 #include "baobabloft/support/failure.hpp"
 #include "baobabloft/support/hash.hpp"
 #include "baobabloft/support/ids.hpp"
+#include "baobabloft/support/time.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <vector>
 
 namespace baobabloft
@@ -36,6 +40,29 @@
     EXPECT_EQ(port_of(id), 7080);
 }
 
+TEST(numbers, conversions_to_integers_saturate)
+{
+    constexpr double infinity = std::numeric_limits<double>::infinity();
+    EXPECT_EQ(saturating_cast<std::uint32_t>(7.9), 7U);
+    EXPECT_EQ(saturating_cast<std::int64_t>(-7.9), -7);
+    EXPECT_EQ(saturating_cast<std::uint32_t>(4294967295.0), 4294967295U);
+    EXPECT_EQ(saturating_cast<std::uint32_t>(4294967296.0), 4294967295U);
+    EXPECT_EQ(saturating_cast<std::uint32_t>(-1), 0U);
+    EXPECT_EQ(saturating_cast<std::uint64_t>(1e300), UINT64_MAX);
+    EXPECT_EQ(saturating_cast<std::int64_t>(infinity), INT64_MAX);
+    EXPECT_EQ(saturating_cast<std::int64_t>(-infinity), INT64_MIN);
+    EXPECT_EQ(saturating_cast<std::int64_t>(std::nan("")), 0);
+}
+
+TEST(numbers, conversions_to_durations_stay_within_the_longest)
+{
+    EXPECT_EQ(from_seconds(1.5), 1500ms);
+    EXPECT_EQ(from_seconds(-1.5), -1500ms);
+    EXPECT_EQ(from_seconds(1e300), max_duration);
+    EXPECT_EQ(from_seconds(-1e30), -max_duration);
+    EXPECT_EQ(from_seconds(std::nan("")), 0ms);
+}
+
 RC_GTEST_PROP(rendezvous, removing_a_node_reassigns_only_its_keys, ())
 {
     const auto nodes = *rc::gen::suchThat(
