Refusals: a request id that is not UTF-8 is no exception

What a caller could do: one request with the id "\xff" to a path that does not exist ended the router, and with it all requests in progress. The connection was closed without an answer, and the process exited with status 2.

Cause: the JSON body of a refusal repeats the request's id, and the serializer throws on bytes that are not UTF-8. Nothing catches that. Such bytes now become U+FFFD in the body; the header repeats the id as the caller sent it. The own interface uses the same function.

Evidence: relay.OddRequestIdTest failed on the code before with a closed connection, and passes now.

Ruled out: other calls of dump() on the routed path serialize names of the settings, base64 text and numbers only.

--- a/lib/router/refusal.cpp
+++ b/lib/router/refusal.cpp
@@ -84,6 +84,7 @@
                          std::string_view request_id)
 {
     const auto& row = refusal_row_of(kind);
+    // Callers choose the id, which need not be UTF-8.
     return nlohmann::json{{"type", "about:blank"},
                           {"title", row.title},
                           {"status", row.status},
@@ -91,7 +92,7 @@
                           {"executed", name_in(executed_names, execution)},
                           {"remedy", row.remedy},
                           {"request_id", request_id}}
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace baobabloft::router
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -350,5 +350,17 @@
         self.assertLess(self.peak_mb(), 120)
 
 
+class OddRequestIdTest(RelayTest):
+    # Guards against a request id that ends the router's process when the
+    # request is refused.
+    def test_a_refusal_of_a_request_whose_id_is_not_utf_8_is_sent(self):
+        for request_id in (b"\xff", b"\xed\xa0\x80", b"a\xc3"):
+            response = self.send("GET", "/none/", request_id)
+            self.assertEqual(response.status, 404)
+            self.assertEqual(response.headers["X-Request-Id"].encode("latin-1"),
+                             request_id)
+            json.loads(response.read())
+
+
 if __name__ == "__main__":
     unittest.main()
