Caller channel: no limits beyond what the parser can hold

With a configuration that allows callers headers of 64 kB or more, the parser threw an exception at one header field of that length ("field value too large"); with one that allows bodies of any size, at a Content-Length of 4e18 ("std::bad_alloc"), since it allocates the announced length at once. Nothing in the router catches either.

The channel applies limits up to 64 kB of headers and 64 MB of body; requests beyond are rejected with 431 and 413. Lower limits, such as the 16 kB and 4 MB in use, apply as configured.

Evidence: both new tests failed on the code before with the exceptions named.

--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -3,6 +3,8 @@
 
 #include "baobabloft/net/event_loop.hpp"
 
+#include <algorithm>
+
 namespace baobabloft::http
 {
 
@@ -26,6 +28,18 @@
 constexpr duration first_request_grace = 1s;
 constexpr std::size_t max_pipelined_bytes = std::size_t{64} * 1024;
 
+/// Largest limits that are applied. The parser's headers hold less than 64 kB
+/// per field, and it allocates a body's announced length at once.
+constexpr std::uint32_t max_header_bytes = std::uint32_t{64} * 1024;
+constexpr std::uint64_t max_body_bytes = std::uint64_t{64} * 1024 * 1024;
+
+caller_limits applicable(caller_limits limits)
+{
+    limits.header_bytes = std::min(limits.header_bytes, max_header_bytes);
+    limits.body_bytes = std::min(limits.body_bytes, max_body_bytes);
+    return limits;
+}
+
 /// Returns the response status for a parser error; 400 unless a limit was
 /// exceeded.
 unsigned status_for_error(const beast::error_code& error)
@@ -41,7 +55,7 @@
 
 caller_channel::caller_channel(std::shared_ptr<byte_stream> stream,
                                caller_limits limits, time_point now)
-    : stream_(std::move(stream)), limits_(limits), phase_start_(now)
+    : stream_(std::move(stream)), limits_(applicable(limits)), phase_start_(now)
 {
 }
 
@@ -335,7 +349,7 @@
 
 void caller_channel::set_limits(const caller_limits& limits)
 {
-    limits_ = limits;
+    limits_ = applicable(limits);
 }
 
 } // namespace baobabloft::http
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -220,6 +220,24 @@
     EXPECT_TRUE(requests.empty());
 }
 
+// Guards against limits so high that a request within them ends the process.
+TEST_F(caller_test, requests_that_no_memory_holds_are_rejected_under_any_limits)
+{
+    channel->set_limits({.header_bytes = UINT32_MAX, .body_bytes = UINT64_MAX});
+    feed("POST / HTTP/1.1\r\nContent-Length: 4000000000000000000\r\n\r\nx");
+    EXPECT_EQ(rejected, 413U);
+}
+
+TEST_F(caller_test, header_fields_too_long_for_the_parser_are_rejected)
+{
+    channel->set_limits({.header_bytes = UINT32_MAX, .body_bytes = UINT64_MAX});
+    feed("GET / HTTP/1.1\r\nX: " + std::string(65'510, 'a') + "\r\n\r\n");
+    ASSERT_EQ(requests.size(), 1U);
+    respond("");
+    feed("GET / HTTP/1.1\r\nX: " + std::string(65'540, 'a') + "\r\n\r\n");
+    EXPECT_EQ(rejected, 431U);
+}
+
 TEST_F(caller_test, requests_are_served_one_at_a_time_in_order)
 {
     feed("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
