Headers: a load out of range is no load

An upstream reports its load as running and waiting requests. With numbers near 2^32 the sum wrapped, so that an upstream with such a header looked idle and was preferred.

--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -344,6 +344,16 @@
         EXPECT_FALSE(dialect.parse_load(text)) << text;
 }
 
+// Guards against a load whose sum wraps, so that the upstream looks idle.
+TEST(headers, a_load_out_of_range_is_no_load)
+{
+    const auto dialect = make_header_dialect();
+    for (const auto* text : {"4294967295,1,8", "1,4294967295,8", "65536,0,8",
+                             "18446744073709551616,0,8"})
+        EXPECT_FALSE(dialect.parse_load(text)) << text;
+    EXPECT_TRUE(dialect.parse_load("65535,65535,8"));
+}
+
 TEST(headers, prompt_parts_are_hexadecimal_ids_with_tokens)
 {
     const auto dialect = make_header_dialect();
