Tests: sound entries beside odd ones are followed

A property test reads a page and a watch with an odd entry among sound ones through the store client and the directory; a test with a router's process writes all kinds of them at once, and then a configuration that must be in force soon. The second time the history is discarded between the two, though no check shows that the router then read all pages. Both require that an odd entry costs its own server only.

--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -121,6 +121,11 @@
             "X-Deadline-Ms": "4000"})
         return connection.getresponse()
 
+    def peak_mb(self):
+        with open(f"/proc/{self.router.pid}/status", encoding="ascii") as file:
+            line = next(line for line in file if line.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
 
 class CommentsTest(RelayTest):
     upstreams = 2
@@ -331,11 +336,6 @@
         while True:
             connection.sendall(b"x" * 65536)
 
-    def peak_mb(self):
-        with open(f"/proc/{self.router.pid}/status", encoding="ascii") as file:
-            line = next(line for line in file if line.startswith("VmHWM"))
-        return int(line.split()[1]) / 1024
-
     def test_bodies_without_end_are_cut_within_bounded_memory(self):
         statuses = []
         threads = [threading.Thread(target=lambda number=number: statuses.append(
@@ -362,5 +362,48 @@
             json.loads(response.read())
 
 
+class OddEntriesTest(RelayTest):
+    """Another writer leaves odd entries among those of the servers."""
+
+    def respond(self, connection, fields, number):
+        connection.sendall(head(fields["X-Request-Id"],
+                                "Content-Length: 0\r\n"))
+
+    def write_odd_entries(self):
+        sound = {"service": "app", "zone": "a", "version": "v1", "slots": 8,
+                 "address": "127.0.0.1:9", "phase": "ready", "coldLeftMs": 0,
+                 "seq": 1, "born": 1}
+        odd = [{"address": "127.0.0.1:0"}, {"address": "127.0.0.1:65536"},
+               {"address": "255.255.255.255:1"}, {"coldLeftMs": 1e300},
+               {"slots": 2**64}, {"zone": "z" * 1_000_000}]
+        for number, fields in enumerate(odd):
+            self.store.write(f"servers/o-{number}",
+                             json.dumps({**sound, **fields}))
+        self.store.write("servers/deep", "[" * 1_000_000)
+        self.store.write("servers/large", '{"seq":1e400}')
+        for key in ("servers/", "servers/a\r\nX: y", "servers/\ud800",
+                    "servers/\0"):
+            self.store.write(key, json.dumps(sound))
+
+    # Guards against odd entries that end the process, fill its memory, or stop
+    # it from following the others.
+    def test_sound_entries_beside_odd_ones_are_followed(self):
+        for version in (2, 3):
+            self.write_odd_entries()
+            if version == 3:
+                self.store.compact_history()
+            routes = [{**route, "prefix": f"/v{version}/"}
+                      for route in CONFIG["routes"][:1]]
+            self.store.write("op/config", json.dumps(
+                {**CONFIG, "version": version, "routes": routes}))
+            deadline = time.monotonic() + 10
+            while self.send("GET", f"/v{version}/", "a").status != 200:
+                self.assertLess(time.monotonic(), deadline, version)
+                time.sleep(0.05)
+        self.assertIsNone(self.router.poll())
+        # Hosts with the least memory have 160 MB.
+        self.assertLess(self.peak_mb(), 120)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -1,6 +1,9 @@
-// Each call to the store against valid, malformed and missing responses.
+// Each call to the store against valid, malformed and missing responses, and
+// the directory that follows a store with odd entries.
+#include "platform/record_codec.hpp"
 #include "platform/store_client.hpp"
 
+#include "baobabloft/directory/directory_follower.hpp"
 #include "baobabloft/http/caller_table.hpp"
 #include "baobabloft/http/tcp_stream.hpp"
 
@@ -469,6 +472,102 @@
     RC_ASSERT(callbacks_run == 1);
 }
 
+json sound_server(const char* address)
+{
+    return {{"service", "s"}, {"address", address}, {"zone", "z"},
+            {"slots", 4},     {"phase", "ready"},   {"coldLeftMs", 0},
+            {"seq", 1},       {"born", 1}};
+}
+
+std::string item_text(const std::string& quoted_key, int mod_revision,
+                      const std::string& value)
+{
+    auto* encoded = g_base64_encode(
+        reinterpret_cast<const guchar*>(value.data()), value.size());
+    auto text = R"({"key":)" + quoted_key + R"(,"rev":)" +
+                std::to_string(mod_revision) + R"(,"value":")" + encoded +
+                "\"}";
+    g_free(encoded);
+    return text;
+}
+
+/// Returns the value of a server with one odd field, or altered bytes.
+std::string odd_server_value()
+{
+    static const std::vector<json> odd_fields{1e300,
+                                              -1,
+                                              1.5,
+                                              UINT64_MAX,
+                                              nullptr,
+                                              true,
+                                              json::object(),
+                                              "",
+                                              "10.0.0.1:0",
+                                              "10.0.0.1:99999",
+                                              "a\r\nb",
+                                              std::string(100'000, 'x')};
+    constexpr std::size_t depth = 100'000;
+    auto server = sound_server("10.0.0.2:80");
+    const auto field = *rc::gen::elementOf(
+        std::vector<std::string>{"service", "address", "zone", "slots", "phase",
+                                 "coldLeftMs", "seq", "born", "models"});
+    server[field] =
+        odd_fields[*rc::gen::inRange<std::size_t>(0, odd_fields.size())];
+    auto text = server.dump();
+    const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+    switch (*rc::gen::inRange(0, 4))
+    {
+    case 0:
+        return text.substr(0, position) + std::string(depth, '[');
+    case 1:
+        text[position] = *rc::gen::arbitrary<char>();
+        return text;
+    default:
+        return text;
+    }
+}
+
+// Guards against an odd entry among those of the servers that ends the process
+// or stops it from following the others.
+RC_GTEST_FIXTURE_PROP(store_test, sound_entries_beside_odd_ones_are_followed,
+                      ())
+{
+    const record_codec codec;
+    directory::directory_follower follower{codec, {}};
+    const auto odd_key = *rc::gen::elementOf(std::vector<std::string>{
+        R"("servers/i-2")", R"("servers/")", R"("servers/i\ud800")",
+        R"("servers/i\u0000")", "\"servers/i\xff\"", R"("servers/i\r\nX: y")",
+        "7"});
+    const auto list_of = [&](int first_revision, const char* last_address)
+    {
+        return "[" +
+               item_text(R"("servers/i-1")", first_revision,
+                         sound_server("10.0.0.1:80").dump()) +
+               "," +
+               item_text(odd_key, first_revision + 1, odd_server_value()) +
+               "," +
+               item_text(R"("servers/i-3")", first_revision + 2,
+                         sound_server(last_address).dump()) +
+               "]}";
+    };
+    const auto now = net::boot_now();
+    const auto page =
+        read_page(R"({"asOf":9,"entries":)" + list_of(3, "10.0.0.3:80"));
+    RC_ASSERT(page);
+    follower.handle_page(now, *page);
+    const auto& upstreams = follower.state().upstreams();
+    RC_ASSERT(follower.has_complete_state());
+    RC_ASSERT(upstreams.contains("i-1"));
+    RC_ASSERT(upstreams.at("i-3").record.address.host == "10.0.0.3");
+    const auto changes =
+        watch(R"({"asOf":13,"events":)" + list_of(11, "10.0.0.4:80")).changes;
+    RC_ASSERT(changes);
+    follower.handle_changes(now, *changes);
+    RC_ASSERT(follower.known_revision() == 13U);
+    RC_ASSERT(upstreams.contains("i-1"));
+    RC_ASSERT(upstreams.at("i-3").record.address.host == "10.0.0.4");
+}
+
 } // namespace
 
 } // namespace baobabloft::platform
