--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -203,6 +203,111 @@
         is_unreadable(codec.read({dir::key_kind::upstream, "i"}, "[1]")));
 }
 
+json with_server_field(const std::string& name, const json& value)
+{
+    auto server = sample_server();
+    server[name] = value;
+    return server;
+}
+
+// Guards against a time that overflows the clock, so that a cold upstream
+// counts as warm, and against numbers cut to fewer bits.
+TEST(server, a_number_too_large_names_no_upstream)
+{
+    const std::vector<std::pair<std::string, json>> too_large{
+        {"coldLeftMs", 1e300}, {"coldLeftMs", 1e30},
+        {"coldLeftMs", 1e15},  {"slots", std::uint64_t{1} << 32U},
+        {"slots", UINT64_MAX}, {"seq", 1e30},
+        {"born", 1e30}};
+    for (const auto& [name, value] : too_large)
+        EXPECT_TRUE(is_unreadable(parse_server(with_server_field(name, value))))
+            << name << value;
+    EXPECT_TRUE(is_unreadable(
+        codec.read({dir::key_kind::upstream, "i"}, R"({"slots":1e400})")));
+}
+
+// Guards against limits and times that overflow: requests are refused at once,
+// or a route that allows many attempts allows one.
+TEST(config, a_number_too_large_becomes_the_largest)
+{
+    auto value = sample_config();
+    auto& route = value["routes"][0];
+    route["timeoutMs"] = route["goalMs"] = route["gapAimMs"] = 1e300;
+    route["attempts"] = route["priority"] = 1e30;
+    route["backends"][0]["wt"] = 4294967296;
+    auto& service = value["services"][0];
+    service["maxConns"] = service["coldStartS"] = 1e300;
+    service["engine"]["kvCapacity"] = 1e300;
+    for (auto& limit : value["limits"])
+        limit = 1e300;
+    const auto record = parse_config(value);
+    ASSERT_FALSE(is_unreadable(record));
+    const auto& all = *std::get<dir::config_snapshot>(record);
+    const time_point now{std::chrono::years{50}};
+    const auto& first = all.routes[0];
+    for (const auto time :
+         {first.timeout, 3 * first.response_objective, 3 * first.gap_objective,
+          all.services.at("s1").cold_start, all.bounds.header_timeout,
+          all.bounds.idle_timeout + 1s})
+        EXPECT_GT(now + time, now + std::chrono::years{1});
+    EXPECT_EQ(first.max_runs, UINT32_MAX);
+    EXPECT_EQ(first.services[0].weight, UINT32_MAX);
+    EXPECT_EQ(all.services.at("s1").max_connections, UINT32_MAX);
+    EXPECT_EQ(all.services.at("s1").engine_token_capacity, UINT64_MAX);
+}
+
+// Guards against an upstream that can't be connected to, or whose address is
+// every host's own.
+TEST(server, an_address_out_of_range_names_no_upstream)
+{
+    for (const auto* address :
+         {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:-1",
+          "10.0.0.9:", "10.0.0.9:80 ", " 10.0.0.9:80", "10.0.0.256:80",
+          "0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80", ":80"})
+        EXPECT_TRUE(
+            is_unreadable(parse_server(with_server_field("address", address))))
+            << address;
+    EXPECT_TRUE(is_unreadable(
+        codec.read({dir::key_kind::router, "r"},
+                   R"({"control":"10.0.0.1:0","data_centre":"z"})")));
+}
+
+// Guards against an id that adds headers to requests, and against names too
+// long for a header, which end the process.
+TEST(records, names_that_fit_no_header_are_unreadable)
+{
+    const auto server = sample_server().dump();
+    for (const std::string& name :
+         {std::string{}, std::string{"i\r\nApi-Key: k"}, std::string{"i\0", 2},
+          std::string{"\x7f"}, std::string(70'000, 'i')})
+    {
+        EXPECT_TRUE(
+            is_unreadable(codec.read({dir::key_kind::upstream, name}, server)))
+            << name.substr(0, 20);
+        auto config = sample_config();
+        config["tenants"][0]["name"] = name;
+        EXPECT_TRUE(is_unreadable(parse_config(config))) << name.substr(0, 20);
+    }
+}
+
+// Guards against an entry that takes much memory and time to parse.
+TEST(records, deeply_nested_or_long_entries_are_unreadable)
+{
+    constexpr std::size_t depth = 100'000;
+    const auto nested =
+        R"(,"more":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    for (const auto& [kind, sample] :
+         {std::pair{dir::key_kind::upstream, sample_server()},
+          std::pair{dir::key_kind::config, sample_config()}})
+    {
+        auto text = sample.dump();
+        text.replace(text.size() - 1, 1, nested);
+        EXPECT_TRUE(is_unreadable(codec.read({kind, "x"}, text)));
+    }
+    EXPECT_TRUE(is_unreadable(parse_server(
+        with_server_field("zone", std::string(std::size_t{1} << 20U, 'z')))));
+}
+
 RC_GTEST_PROP(records, arbitrary_bytes_are_unreadable, (std::string bytes))
 {
     for (const auto kind : {dir::key_kind::config, dir::key_kind::upstream,
@@ -239,6 +344,16 @@
         EXPECT_FALSE(dialect.parse_load(text)) << text;
 }
 
+// Guards against a load whose sum wraps, so that the upstream looks idle.
+TEST(headers, a_load_out_of_range_is_no_load)
+{
+    const auto dialect = make_header_dialect();
+    for (const auto* text : {"4294967295,1,8", "1,4294967295,8", "65536,0,8",
+                             "18446744073709551616,0,8"})
+        EXPECT_FALSE(dialect.parse_load(text)) << text;
+    EXPECT_TRUE(dialect.parse_load("65535,65535,8"));
+}
+
 TEST(headers, prompt_parts_are_hexadecimal_ids_with_tokens)
 {
     const auto dialect = make_header_dialect();
