Preset watch: reads the preset before each watch

Seen by operators (own interface): after the key-value service returned from a copy some seconds old, the next change of the preset was accepted but reached no router for up to 80 to 120 s, until a periodic read.

Cause: a watch continued from the revision of the last change seen. A restored service has lower revisions, gives them out again, and reports nothing to a watch from a later one. The class: a revision taken as only rising.

Now a watch opens only after a read that was answered since the last watch ended, and continues from the revision of that response. It costs one read per watch: every 30 s and after each change, by two routers of a data centre.

The simulated key-value service has revisions and can be restored from a copy. fleet.preset_change_after_a_restore_reaches_all_routers failed before (with the watches of the simulation continued from the revision that they reported, as the control task did): generation 6 was not in force at all routers after 5 s.

--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -238,9 +238,21 @@
                              .accepted_at = 0,
                              .text = preset_text_,
                              .value = std::move(*value)});
+    kv_.preset_revision = ++kv_.revision;
     notify_watchers();
 }
 
+void world::restore_kv(const fake_kv& copy)
+{
+    auto restored = copy;
+    restored.outage = kv_.outage;
+    restored.delay = kv_.delay;
+    restored.response_loss_probability = kv_.response_loss_probability;
+    kv_ = std::move(restored);
+    for (std::size_t index = 0; index < routers_.size(); ++index)
+        end_watch(index, kv_.delay, {});
+}
+
 void world::set_data_centre(std::size_t index, bool in_service)
 {
     activate_preset(
@@ -482,16 +494,20 @@
 
 void world::apply(std::size_t index, const fleet::read_preset& /*effect*/)
 {
-    const auto result = std::make_shared<std::string>();
+    const auto result = std::make_shared<fake_kv>();
     call_kv(
         index,
         [this, result]
         {
             ++kv_.reads;
-            *result = kv_.preset_envelope;
+            result->preset_envelope = kv_.preset_envelope;
+            result->revision = kv_.revision;
         },
-        [this, index, result] {
-            routers_[index].node->on_preset_read(now(), {true, *result});
+        [this, index, result]
+        {
+            routers_[index].read_revision = result->revision;
+            routers_[index].node->on_preset_read(
+                now(), {true, result->preset_envelope});
         },
         [this, index] { routers_[index].node->on_preset_read(now(), {}); });
 }
@@ -499,41 +515,45 @@
 void world::apply(std::size_t index, const fleet::watch_preset& /*effect*/)
 {
     ++kv_.reads;
-    routers_[index].watches_preset = true;
-    routers_[index].watched_generation = generation_;
+    auto& state = routers_[index];
+    state.watches_preset = true;
+    ++state.watch_number;
     if (kv_.outage)
-        events_.schedule_after(
-            kv_timeout,
-            [this, index, epoch = routers_[index].epoch]
-            {
-                routers_[index].watches_preset = false;
-                deliver(index, epoch,
-                        [this, index]
-                        { routers_[index].node->on_watch_ended(now(), {}); });
-            });
+        end_watch(index, kv_timeout, {});
+    else if (kv_.preset_revision > state.read_revision)
+        end_watch(index, kv_.delay, {true, kv_.preset_envelope});
 }
 
 void world::notify_watchers()
 {
     for (std::size_t index = 0; index < routers_.size(); ++index)
     {
-        auto& state = routers_[index];
-        if (!state.watches_preset || kv_.outage)
-            continue;
-        state.watches_preset = false;
-        events_.schedule_after(
-            kv_.delay,
-            [this, index, epoch = state.epoch, text = kv_.preset_envelope]
-            {
-                deliver(index, epoch,
-                        [this, index, text] {
-                            routers_[index].node->on_watch_ended(now(),
-                                                                 {true, text});
-                        });
-            });
+        if (!kv_.outage && kv_.preset_revision > routers_[index].read_revision)
+            end_watch(index, kv_.delay, {true, kv_.preset_envelope});
     }
 }
 
+void world::end_watch(std::size_t index, duration delay,
+                      const fleet::node::preset_response& response)
+{
+    const auto& state = routers_[index];
+    if (!state.watches_preset)
+        return;
+    events_.schedule_after(
+        delay,
+        [this, index, epoch = state.epoch, number = state.watch_number,
+         response]
+        {
+            auto& watcher = routers_[index];
+            if (watcher.watch_number != number || !watcher.watches_preset)
+                return;
+            watcher.watches_preset = false;
+            deliver(index, epoch,
+                    [this, index, response]
+                    { routers_[index].node->on_watch_ended(now(), response); });
+        });
+}
+
 void world::apply(std::size_t index, const fleet::pull_preset& effect)
 {
     const auto peer = router_index_.at(effect.peer);
@@ -620,6 +640,7 @@
             if (!follows || log.contains(effect.number))
                 return;
             log[effect.number] = effect.bytes;
+            ++kv_.revision;
             kv_.started_shards.insert(effect.shard);
             kv_.bytes_written += effect.bytes.size();
             *created = true;
--- a/benchmarks/driver/world.hpp
+++ b/benchmarks/driver/world.hpp
@@ -110,6 +110,9 @@
 struct fake_kv
 {
     std::string preset_envelope;
+    /// Revision of the store, and of the last change of the preset.
+    std::int64_t revision = 0;
+    std::int64_t preset_revision = 0;
     /// Ledger entries by shard and entry number.
     std::map<std::uint32_t, std::map<ledger::entry_number, std::string>>
         shard_logs;
@@ -234,6 +237,10 @@
     void activate_preset(const std::function<void(std::string& text)>& change);
     void set_data_centre(std::size_t index, bool in_service);
 
+    /// Replaces the contents of the KV service with `copy`, which ends all
+    /// watches. Its faults stay as they are.
+    void restore_kv(const fake_kv& copy);
+
     /// Returns the node of a router, or null if the router is not running.
     [[nodiscard]] fleet::node* node(std::size_t index);
     [[nodiscard]] router_id router_id_at(std::size_t index) const;
@@ -299,7 +306,10 @@
             waiting_requests;
         std::unordered_map<ledger::claim_ticket, claim_callback> open_claims;
         bool watches_preset = false;
-        std::uint64_t watched_generation = 0;
+        /// Revision of the last preset read, from which a watch continues.
+        std::int64_t read_revision = 0;
+        /// Incremented with each watch.
+        std::uint64_t watch_number = 0;
     };
 
     void make_preset();
@@ -332,6 +342,9 @@
                        std::uint32_t candidate_index);
     void end_run(engine_run& run);
     void notify_watchers();
+    /// Ends the watch of a router after `delay` with `response`.
+    void end_watch(std::size_t index, duration delay,
+                   const fleet::node::preset_response& response);
     /// Records a load report of every running engine and reschedules itself, so
     /// that lagged reports do not depend on when routers read.
     void record_reports_periodically();
--- a/include/baobabloft/config/preset_follower.hpp
+++ b/include/baobabloft/config/preset_follower.hpp
@@ -44,6 +44,9 @@
     /// nothing if the read failed. Returns true if the preset was adopted.
     bool handle_peer_response(const std::optional<std::string>& envelope);
 
+    /// Makes a KV read due at once.
+    void request_kv_read(time_point now);
+
     /// Returns the reads that are due and records them as in progress.
     /// `frequent` schedules the following KV read after 1 s rather than after
     /// 80 to 120 s, for routers that receive nothing from peers.
--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -40,8 +40,8 @@
 {
 };
 
-/// Effect: wait until the preset in the KV service changes, then call
-/// on_watch_ended().
+/// Effect: wait until the preset in the KV service changes after the last
+/// response to read_preset, then call on_watch_ended().
 struct watch_preset
 {
 };
@@ -350,6 +350,10 @@
     std::uint64_t applied_view_ = 0;
     std::uint64_t wall_ms_ = 0;
     bool preset_watch_open_ = false;
+    /// True if the KV service has responded to a read since the last watch. A
+    /// service restored from an older copy has lower revisions, so a watch that
+    /// continued from an earlier one would miss changes.
+    bool can_open_preset_watch_ = false;
     time_point next_preset_watch_;
     time_point next_host_list_read_;
     bool leaving_ = false;
--- a/include/baobabloft/router/control_task.hpp
+++ b/include/baobabloft/router/control_task.hpp
@@ -248,6 +248,7 @@
     std::unordered_map<ledger::claim_ticket, operation_id> claims_by_ticket_;
     std::vector<subscriber> subscribers_;
     published_state state_;
+    /// Revision of the KV service at the last read of the preset.
     std::int64_t preset_revision_ = 0;
 };
 
--- a/lib/config/preset_follower.cpp
+++ b/lib/config/preset_follower.cpp
@@ -50,6 +50,11 @@
     return envelope && adopt(*envelope);
 }
 
+void preset_follower::request_kv_read(time_point now)
+{
+    next_kv_read_at_ = std::min(next_kv_read_at_, now);
+}
+
 preset_reads preset_follower::start_due_reads(time_point now, bool frequent)
 {
     preset_reads reads;
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -158,8 +158,12 @@
 {
     if (!response.responded)
         preset_follower_.handle_kv_failure(now);
-    else if (preset_follower_.handle_kv_response(now, response.envelope))
-        apply_adopted_preset(now);
+    else
+    {
+        can_open_preset_watch_ = !preset_watch_open_;
+        if (preset_follower_.handle_kv_response(now, response.envelope))
+            apply_adopted_preset(now);
+    }
     collect_effects(now);
 }
 
@@ -167,11 +171,10 @@
 {
     preset_watch_open_ = false;
     if (response.responded && response.envelope)
-    {
         on_preset_read(now, response);
-        return;
-    }
-    next_preset_watch_ = now + watch_retry_period;
+    else
+        next_preset_watch_ = now + watch_retry_period;
+    can_open_preset_watch_ = false;
 }
 
 void node::on_preset_pulled(time_point now,
@@ -536,6 +539,10 @@
     const bool is_watcher = is_data_centre_watcher();
     const bool peers_unresponsive =
         now - swim_.last_received_at() > peer_timeout;
+    const bool needs_watch =
+        is_watcher && !preset_watch_open_ && now >= next_preset_watch_;
+    if (needs_watch && !can_open_preset_watch_)
+        preset_follower_.request_kv_read(now);
     const auto reads =
         preset_follower_.start_due_reads(now, peers_unresponsive || !preset());
     if (reads.from_kv)
@@ -551,8 +558,9 @@
         else
             preset_follower_.handle_peer_response(std::nullopt);
     }
-    if (!is_watcher || preset_watch_open_ || now < next_preset_watch_)
+    if (!needs_watch || !can_open_preset_watch_)
         return;
+    can_open_preset_watch_ = false;
     preset_watch_open_ = true;
     effects_.emplace_back(watch_preset{});
 }
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -456,11 +456,10 @@
         {
             metrics_->record_platform_call("preset_read", result.has_value());
             fleet::node::preset_response response{result.has_value(), {}};
+            if (result)
+                preset_revision_ = result->revision;
             if (result && !result->entries.empty())
-            {
                 response.envelope = result->entries.front().value;
-                preset_revision_ = result->entries.front().mod_revision;
-            }
             node_.on_preset_read(net::monotonic_now(), response);
             apply_effects();
         });
@@ -475,10 +474,7 @@
             metrics_->record_platform_call("preset_watch", entry.has_value());
             fleet::node::preset_response response{entry.has_value(), {}};
             if (entry)
-            {
                 response.envelope = entry->value;
-                preset_revision_ = entry->mod_revision;
-            }
             node_.on_watch_ended(net::monotonic_now(), response);
             apply_effects();
         });
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -116,6 +116,25 @@
     EXPECT_TRUE(all_have_preset(target, 2));
 }
 
+// Guards against watches that continue from a revision that the KV service no
+// longer has after it was restored, and so miss the next change.
+TEST(fleet, preset_change_after_a_restore_reaches_all_routers)
+{
+    world target{{.seed = 9}};
+    target.start();
+    const auto copy = target.kv();
+    for (int count = 0; count < 4; ++count)
+    {
+        target.set_data_centre(1, count % 2 != 0);
+        target.run_for(5s);
+    }
+    target.restore_kv(copy);
+    target.run_for(5s);
+    target.set_data_centre(2, false);
+    target.run_for(5s);
+    EXPECT_TRUE(all_have_preset(target, 6));
+}
+
 TEST(fleet, restarted_router_gets_preset_from_peers_during_kv_outage)
 {
     world target{{.seed = 6}};
