Presets: routers store the newest again after the KV service has lost it

Seen by operators (own interface): a key-value service that returned from a copy some seconds old holds the preset before the newest. Routers kept the newest, but the operator's next change was accepted under the number of the lost one: routers that had that number ignored it for good, others adopted it.

Cause: an accepted write was taken as lasting, and its number as unique.

Now a router that reads an older preset than its own, or none, replaces it by its own, with its history entry, on condition that the stored value is still the one that it read (revisions are given out again, so they can't be the condition). Every read checks this; a watch of the old service breaks, and the next one begins with a read. An envelope that can't be parsed is left alone.

The simulated operator now numbers its changes from the stored preset, as baobabctl does; the stand-in can copy and restore its contents.

--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -226,18 +226,26 @@
 
 void world::activate_preset(const std::function<void(std::string&)>& change)
 {
+    failure reason;
+    const auto stored = config::parse_envelope(kv_.preset_envelope, reason);
+    auto text = stored ? stored->text : preset_text_;
     if (change)
-        change(preset_text_);
+        change(text);
     std::vector<config::preset_error> errors;
-    auto value = config::parse_preset(preset_text_, errors);
+    auto value = config::parse_preset(text, errors);
     assert(value && "the preset of the simulation must be valid");
-    kv_.preset_envelope =
-        config::to_envelope({.generation_number = ++generation_,
-                             .nonce = "driver",
-                             .author = "driver",
-                             .accepted_at = 0,
-                             .text = preset_text_,
-                             .value = std::move(*value)});
+    store_preset(config::to_envelope(
+        {.generation_number = (stored ? stored->generation_number : 0) + 1,
+         .nonce = "change " + std::to_string(++last_change_),
+         .author = "driver",
+         .accepted_at = 0,
+         .text = text,
+         .value = std::move(*value)}));
+}
+
+void world::store_preset(const std::string& envelope)
+{
+    kv_.preset_envelope = envelope;
     kv_.preset_revision = ++kv_.revision;
     notify_watchers();
 }
@@ -524,6 +532,22 @@
         end_watch(index, kv_.delay, {true, kv_.preset_envelope});
 }
 
+void world::apply(std::size_t index, const fleet::replace_preset& effect)
+{
+    call_kv(
+        index,
+        [this, replacement = effect.replacement]
+        {
+            ++kv_.writes;
+            if (kv_.preset_envelope == replacement.stored.value_or(""))
+                store_preset(replacement.envelope);
+        },
+        [this, index]
+        { routers_[index].node->on_preset_replaced(now(), true); },
+        [this, index]
+        { routers_[index].node->on_preset_replaced(now(), false); });
+}
+
 void world::notify_watchers()
 {
     for (std::size_t index = 0; index < routers_.size(); ++index)
--- a/benchmarks/driver/world.hpp
+++ b/benchmarks/driver/world.hpp
@@ -233,7 +233,8 @@
     void start_engine(std::size_t index, duration cold_start_duration);
 
     /// Applies `change` to the JSON text of the preset and stores the result in
-    /// the KV service as a new generation. An empty `change` keeps the text.
+    /// the KV service as the generation that follows the stored one. An empty
+    /// `change` keeps the text.
     void activate_preset(const std::function<void(std::string& text)>& change);
     void set_data_centre(std::size_t index, bool in_service);
 
@@ -323,6 +324,7 @@
     void apply(std::size_t index, const fleet::send_message& effect);
     void apply(std::size_t index, const fleet::read_preset& effect);
     void apply(std::size_t index, const fleet::watch_preset& effect);
+    void apply(std::size_t index, const fleet::replace_preset& effect);
     void apply(std::size_t index, const fleet::pull_preset& effect);
     void apply(std::size_t index, const fleet::read_load& effect);
     void apply(std::size_t index, const fleet::read_host_list& effect);
@@ -332,6 +334,8 @@
     void apply(std::size_t index, const fleet::route_decided& effect);
     void apply(std::size_t index, const fleet::claim_decided& effect);
     void apply(std::size_t index, const fleet::preset_adopted& effect);
+    /// Stores `envelope` in the KV service and notifies the watchers.
+    void store_preset(const std::string& envelope);
     /// Calls the KV service: runs `operation` at half of its delay, then
     /// `on_response` at the router after the other half. Runs `on_failure`
     /// after a time-out if the service is unavailable or the response is lost.
@@ -366,7 +370,7 @@
     net::datagram_keys keys_;
     traffic sent_traffic_;
     std::string preset_text_;
-    std::uint64_t generation_ = 0;
+    std::uint64_t last_change_ = 0;
     std::uint64_t load_report_reads_ = 0;
 };
 
--- a/include/baobabloft/config/preset_follower.hpp
+++ b/include/baobabloft/config/preset_follower.hpp
@@ -23,6 +23,16 @@
     std::optional<router_id> from_peer;
 };
 
+/// A write that the caller must make in the KV service.
+struct preset_replacement
+{
+    /// The stored envelope that is replaced, or nothing if none may be stored.
+    std::optional<std::string> stored;
+    /// The preset that is in force, and its envelope.
+    generation number = 0;
+    std::string envelope;
+};
+
 /// Decides when to read the preset and adopts newer generations.
 class preset_follower
 {
@@ -44,6 +54,12 @@
     /// nothing if the read failed. Returns true if the preset was adopted.
     bool handle_peer_response(const std::optional<std::string>& envelope);
 
+    /// Returns the write that the last response of the KV service requires, if
+    /// any, and clears it. A service that was restored from an older copy has
+    /// lost the adopted preset; until it has it again, the next change would
+    /// get the same generation.
+    std::optional<preset_replacement> take_replacement();
+
     /// Makes a KV read due at once.
     void request_kv_read(time_point now);
 
@@ -69,6 +85,9 @@
     /// Adopts the preset in `envelope` if it is valid and of a higher
     /// generation. Returns true if it was adopted.
     bool adopt(std::string_view envelope);
+    /// Returns the write that restores the adopted preset if `stored` is older.
+    [[nodiscard]] std::optional<preset_replacement>
+    replacement_of(const std::optional<std::string>& stored) const;
 
     std::mt19937_64 random_;
     preset_snapshot current_;
@@ -78,6 +97,7 @@
     bool reading_peer_ = false;
     time_point next_kv_read_at_;
     std::optional<time_point> last_kv_response_at_;
+    std::optional<preset_replacement> replacement_;
     failure last_failure_;
 };
 
--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -46,6 +46,13 @@
 {
 };
 
+/// Effect: replace the preset in the KV service if it is still the one that
+/// was read, then call on_preset_replaced().
+struct replace_preset
+{
+    config::preset_replacement replacement;
+};
+
 /// Effect: fetch the preset from a peer over HTTP, then call
 /// on_preset_pulled().
 struct pull_preset
@@ -89,8 +96,8 @@
 };
 
 using effect =
-    std::variant<send_message, read_preset, watch_preset, pull_preset,
-                 read_load, read_host_list, ledger::read_entries,
+    std::variant<send_message, read_preset, watch_preset, replace_preset,
+                 pull_preset, read_load, read_host_list, ledger::read_entries,
                  ledger::create_entry, ledger::delete_entries, route_decided,
                  claim_decided, preset_adopted>;
 
@@ -185,6 +192,10 @@
     /// Handles the end of watch_preset; tick() starts the next watch.
     void on_watch_ended(time_point now, const preset_response& response);
 
+    /// Handles the end of replace_preset. `responded` is false if the KV
+    /// service did not respond.
+    void on_preset_replaced(time_point now, bool responded);
+
     /// Handles the end of pull_preset. `envelope` is empty if the peer did not
     /// send a preset.
     void on_preset_pulled(time_point now,
--- a/include/baobabloft/net/kv_client.hpp
+++ b/include/baobabloft/net/kv_client.hpp
@@ -28,10 +28,12 @@
     /// Last modification revision; 0 for a key that does not exist.
     mod_revision,
     /// Number of writes since creation; 0 for a key that does not exist.
-    version
+    version,
+    /// The stored value. The condition fails for a key that does not exist.
+    value
 };
 
-/// Required relation of the stored number to the operand.
+/// Required relation of the stored number or value to the operand.
 enum class kv_compare_relation
 {
     equal,
@@ -46,6 +48,9 @@
     kv_compare_relation relation = kv_compare_relation::equal;
     /// Number with which the stored one is compared.
     std::int64_t operand = 0;
+    /// Value with which the stored one is compared, for
+    /// kv_compare_target::value.
+    std::string value_operand{};
 };
 
 /// One write of a transaction.
--- a/include/baobabloft/router/control_task.hpp
+++ b/include/baobabloft/router/control_task.hpp
@@ -214,6 +214,7 @@
     void apply(const fleet::send_message& effect);
     void apply(const fleet::read_preset& effect);
     void apply(const fleet::watch_preset& effect);
+    void apply(const fleet::replace_preset& effect);
     void apply(const fleet::pull_preset& effect);
     void apply(const fleet::read_load& effect);
     void apply(const fleet::read_host_list& effect);
--- a/lib/config/preset_follower.cpp
+++ b/lib/config/preset_follower.cpp
@@ -3,6 +3,8 @@
 
 #include "baobabloft/config/preset_parser.hpp"
 
+#include <utility>
+
 namespace baobabloft::config
 {
 
@@ -31,7 +33,10 @@
 {
     reading_kv_ = false;
     last_kv_response_at_ = now;
-    return envelope && adopt(*envelope);
+    if (envelope && adopt(*envelope))
+        return true;
+    replacement_ = replacement_of(envelope);
+    return false;
 }
 
 void preset_follower::handle_kv_failure(time_point now)
@@ -50,6 +55,11 @@
     return envelope && adopt(*envelope);
 }
 
+std::optional<preset_replacement> preset_follower::take_replacement()
+{
+    return std::exchange(replacement_, std::nullopt);
+}
+
 void preset_follower::request_kv_read(time_point now)
 {
     next_kv_read_at_ = std::min(next_kv_read_at_, now);
@@ -99,6 +109,22 @@
     return last_failure_;
 }
 
+std::optional<preset_replacement>
+preset_follower::replacement_of(const std::optional<std::string>& stored) const
+{
+    if (!current_)
+        return std::nullopt;
+    if (stored)
+    {
+        failure ignored;
+        const auto accepted = parse_envelope(*stored, ignored);
+        if (!accepted || accepted->generation_number >= current_generation())
+            return std::nullopt;
+    }
+    return preset_replacement{stored, current_generation(),
+                              to_envelope(*current_)};
+}
+
 bool preset_follower::adopt(std::string_view envelope)
 {
     auto accepted = parse_envelope(envelope, last_failure_);
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -163,10 +163,21 @@
         can_open_preset_watch_ = !preset_watch_open_;
         if (preset_follower_.handle_kv_response(now, response.envelope))
             apply_adopted_preset(now);
+        if (auto replacement = preset_follower_.take_replacement())
+            effects_.emplace_back(replace_preset{std::move(*replacement)});
     }
     collect_effects(now);
 }
 
+void node::on_preset_replaced(time_point now, bool responded)
+{
+    // The next read shows which preset is stored now.
+    if (responded)
+        preset_follower_.request_kv_read(now);
+    else
+        preset_follower_.handle_kv_failure(now);
+}
+
 void node::on_watch_ended(time_point now, const preset_response& response)
 {
     preset_watch_open_ = false;
--- a/lib/net/etcd_client.cpp
+++ b/lib/net/etcd_client.cpp
@@ -37,13 +37,25 @@
 
 json to_json(const kv_compare& condition)
 {
-    const bool by_version = condition.target == kv_compare_target::version;
     const bool greater = condition.relation == kv_compare_relation::greater;
-    return {{"key", encode_base64(condition.key)},
-            {"target", by_version ? "VERSION" : "MOD"},
-            {"result", greater ? "GREATER" : "EQUAL"},
-            {by_version ? "version" : "mod_revision",
-             std::to_string(condition.operand)}};
+    json result{{"key", encode_base64(condition.key)},
+                {"result", greater ? "GREATER" : "EQUAL"}};
+    switch (condition.target)
+    {
+    case kv_compare_target::mod_revision:
+        result["target"] = "MOD";
+        result["mod_revision"] = std::to_string(condition.operand);
+        break;
+    case kv_compare_target::version:
+        result["target"] = "VERSION";
+        result["version"] = std::to_string(condition.operand);
+        break;
+    case kv_compare_target::value:
+        result["target"] = "VALUE";
+        result["value"] = encode_base64(condition.value_operand);
+        break;
+    }
+    return result;
 }
 
 json to_json(const kv_transaction& transaction)
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -480,6 +480,38 @@
         });
 }
 
+void control_task::apply(const fleet::replace_preset& effect)
+{
+    const auto& item = effect.replacement;
+    log_event(log_level::warning, "preset_outdated_in_kv",
+              {{"generation", std::to_string(item.number)}});
+    net::kv_transaction transaction;
+    // A restored service gives out revisions again, so only the value
+    // identifies the preset that was read.
+    if (item.stored)
+        transaction.conditions.push_back(
+            {.key = active_preset_key(),
+             .target = net::kv_compare_target::value,
+             .value_operand = *item.stored});
+    else
+        transaction.conditions.push_back(
+            {.key = active_preset_key(),
+             .target = net::kv_compare_target::version});
+    transaction.puts.push_back({active_preset_key(), item.envelope});
+    transaction.puts.push_back(
+        {preset_history_key(item.number), item.envelope});
+    kv_client_->commit(
+        transaction,
+        [this](const std::optional<net::kv_transaction_result>& result,
+               const failure&)
+        {
+            metrics_->record_platform_call("preset_replace",
+                                           result.has_value());
+            node_.on_preset_replaced(net::monotonic_now(), result.has_value());
+            apply_effects();
+        });
+}
+
 void control_task::apply(const fleet::pull_preset& effect)
 {
     net::http_request request;
--- a/tools/standins/kv.cpp
+++ b/tools/standins/kv.cpp
@@ -1,7 +1,8 @@
 // Stand-in for the platform's KV service: the part of the etcd v3 JSON gateway
 // that the router uses (range, txn, put, watch, lease grant), in memory.
 // Faults: POST /standin/faults {"outage", "delay_ms", "lost_answers"}; the last
-// is the probability that a call takes effect but its response is lost.
+// is the probability that a call takes effect but its response is lost. "copy"
+// keeps a copy of the contents, "restore" returns to it.
 #include "standins.hpp"
 
 #include "baobabloft/net/base64.hpp"
@@ -9,6 +10,7 @@
 #include <list>
 #include <map>
 #include <random>
+#include <tuple>
 
 namespace baobabloft::standins
 {
@@ -123,7 +125,12 @@
         delay_ms_ = body.value("delay_ms", delay_ms_);
         response_loss_probability_ =
             body.value("lost_answers", response_loss_probability_);
-        if (!unavailable_)
+        if (body.value("copy", false))
+            copy_ = {data_, revision_};
+        const bool restores = body.value("restore", false);
+        if (restores)
+            std::tie(data_, revision_) = copy_;
+        if (!unavailable_ && !restores)
             return;
         for (const auto& item : watchers_)
             g_socket_close(soup_server_message_get_socket(item.message),
@@ -171,6 +178,10 @@
         const stored_value item =
             found == data_.end() ? stored_value{} : found->second;
         const auto target = condition.value("target", "VERSION");
+        if (target == "VALUE")
+            return item.version != 0 &&
+                   item.value ==
+                       net::decode_base64(condition.value("value", ""));
         std::int64_t actual = item.version;
         std::int64_t expected = number_at(condition, "version");
         if (target == "MOD")
@@ -281,6 +292,8 @@
     std::list<watcher> watchers_;
     std::mt19937_64 random_{1};
     std::int64_t revision_ = 0;
+    /// Contents and revision at the last copy.
+    std::pair<std::map<std::string, stored_value>, std::int64_t> copy_;
     std::int64_t last_lease_ = 0;
     std::uint64_t reads_ = 0;
     std::uint64_t writes_ = 0;
--- a/unittests/config/config_test.cpp
+++ b/unittests/config/config_test.cpp
@@ -146,6 +146,27 @@
     EXPECT_EQ(follower.current_generation(), 4U);
 }
 
+// Guards against a KV service that was restored from an older copy and keeps
+// the older preset or none.
+TEST(preset_follower, replaces_an_older_stored_preset_by_its_own)
+{
+    preset_follower follower{1};
+    const auto newest = to_envelope(make_accepted_preset(4));
+    const auto older = to_envelope(make_accepted_preset(3));
+    follower.handle_kv_response(time_point{}, newest);
+    EXPECT_FALSE(follower.take_replacement());
+    for (const auto& stored : {std::optional{older}, {}})
+    {
+        EXPECT_FALSE(follower.handle_kv_response(time_point{}, stored));
+        const auto replacement = follower.take_replacement();
+        ASSERT_TRUE(replacement);
+        EXPECT_EQ(replacement->stored, stored);
+        EXPECT_EQ(replacement->envelope, newest);
+    }
+    follower.handle_kv_response(time_point{}, "malformed");
+    EXPECT_FALSE(follower.take_replacement());
+}
+
 TEST(preset_follower, keeps_its_preset_when_the_stored_envelope_is_malformed)
 {
     preset_follower follower{1};
--- a/unittests/endtoend/endtoend_test.py
+++ b/unittests/endtoend/endtoend_test.py
@@ -208,6 +208,22 @@
         self.assertEqual(self.fleet.send_booking(2, key)[0], 200)
         self.assertEqual(self.fleet.execution_counts()[key], 1)
 
+    # Guards against a preset that a restored store has lost: its number was
+    # given to the next change, which no router adopted.
+    def test_preset_lost_by_a_restored_store_is_stored_again(self):
+        self.set_store_faults(copy=True)
+        self.fleet.baobabctl("data-centre", "out", "fyn-b", "--wait")
+        self.set_store_faults(restore=True)
+        time.sleep(3)
+        history = json.loads(self.fleet.baobabctl(
+            "--output", "json", "preset", "history").stdout)
+        self.assertEqual([item["generation"] for item in history], [1, 2])
+        self.fleet.baobabctl("data-centre", "out", "fyn-a", "--wait")
+        shown = json.loads(self.fleet.baobabctl("preset", "show").stdout)
+        self.assertEqual(
+            [item["name"] for item in shown["data_centres"]
+             if not item.get("in_service", True)], ["fyn-a", "fyn-b"])
+
     def test_router_starts_during_a_store_outage(self):
         self.set_store_faults(outage=True)
         self.fleet.send_signal("router-2", signal.SIGKILL)
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -135,6 +135,29 @@
     EXPECT_TRUE(all_have_preset(target, 6));
 }
 
+// Guards against a generation that is given out twice with different presets,
+// after the KV service was restored from a copy without the newest one.
+TEST(fleet, preset_lost_by_the_kv_service_is_restored_and_never_numbered_again)
+{
+    world target{{.seed = 10}};
+    target.start();
+    const auto copy = target.kv();
+    target.set_data_centre(1, false);
+    target.run_for(5s);
+    target.restore_kv(copy);
+    target.run_for(5s);
+    target.set_data_centre(2, false);
+    target.run_for(5s);
+    EXPECT_TRUE(all_have_preset(target, 3));
+    for (const auto centre : {1, 2})
+        EXPECT_FALSE(target.node(0)
+                         ->preset()
+                         ->value
+                         .find_data_centre(target.data_centre_name(
+                             static_cast<std::size_t>(centre)))
+                         ->in_service);
+}
+
 TEST(fleet, restarted_router_gets_preset_from_peers_during_kv_outage)
 {
     world target{{.seed = 6}};
