Presets: a change accepted by a restored KV service gets the next number

Seen by operators (own interface): a change accepted right after the key-value service returned from an older copy, before a router had stored the newest preset again, got the number of a lost preset, or a lower one. Routers ignored it; with a lower number they would have replaced it by the lost one.

Cause: a number alone does not say which of two presets is the later one after numbers were given out again.

An envelope now names the nonces of up to 16 generations before it. A router that reads a number not above its own knows by them whether the stored preset is older than its own, which it then stores again, or was accepted after its own was lost; that one gets the number after its own and is adopted everywhere. Envelopes without the field are read as before.

Not covered: such a change made by an edit was an edit of the older text; `--wait` compares numbers and may return up to two seconds early.

--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -234,13 +234,16 @@
     std::vector<config::preset_error> errors;
     auto value = config::parse_preset(text, errors);
     assert(value && "the preset of the simulation must be valid");
-    store_preset(config::to_envelope(
-        {.generation_number = (stored ? stored->generation_number : 0) + 1,
-         .nonce = "change " + std::to_string(++last_change_),
-         .author = "driver",
-         .accepted_at = 0,
-         .text = text,
-         .value = std::move(*value)}));
+    config::accepted_preset next{.generation_number = 1,
+                                 .nonce =
+                                     "change " + std::to_string(++last_change_),
+                                 .author = "driver",
+                                 .accepted_at = 0,
+                                 .text = text,
+                                 .value = std::move(*value)};
+    if (stored)
+        next = config::succeed(*stored, std::move(next));
+    store_preset(config::to_envelope(next));
 }
 
 void world::store_preset(const std::string& envelope)
--- a/include/baobabloft/config/preset.hpp
+++ b/include/baobabloft/config/preset.hpp
@@ -174,8 +174,19 @@
     std::string text;
     /// The preset parsed from `text`.
     preset value;
+    /// Nonces of the generations before this one, newest first; limited in
+    /// number.
+    std::vector<std::string> predecessors{};
 };
 
+/// Returns `next` with the number and the predecessors that follow `previous`.
+accepted_preset succeed(const accepted_preset& previous, accepted_preset next);
+
+/// Returns true if `other`, of the same or a lower generation, was accepted by
+/// a KV service that had lost `accepted`, and so is the later of the two.
+bool is_superseded_by(const accepted_preset& accepted,
+                      const accepted_preset& other);
+
 using preset_snapshot = std::shared_ptr<const accepted_preset>;
 
 /// Returns true if `upstream` may receive new requests under `preset`: it is
--- a/include/baobabloft/config/preset_follower.hpp
+++ b/include/baobabloft/config/preset_follower.hpp
@@ -85,7 +85,9 @@
     /// Adopts the preset in `envelope` if it is valid and of a higher
     /// generation. Returns true if it was adopted.
     bool adopt(std::string_view envelope);
-    /// Returns the write that restores the adopted preset if `stored` is older.
+    /// Returns the write that restores the adopted preset if `stored` is older,
+    /// or that gives `stored` the next generation if it was accepted after the
+    /// adopted preset was lost.
     [[nodiscard]] std::optional<preset_replacement>
     replacement_of(const std::optional<std::string>& stored) const;
 
--- a/lib/config/preset.cpp
+++ b/lib/config/preset.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr std::size_t max_predecessors = 16;
+
 template <typename Items>
 auto find_by_name(const Items& items, std::string_view name) -> const
     typename Items::value_type*
@@ -49,6 +51,26 @@
     return 1;
 }
 
+accepted_preset succeed(const accepted_preset& previous, accepted_preset next)
+{
+    next.generation_number = previous.generation_number + 1;
+    next.predecessors = previous.predecessors;
+    next.predecessors.insert(next.predecessors.begin(), previous.nonce);
+    if (next.predecessors.size() > max_predecessors)
+        next.predecessors.resize(max_predecessors);
+    return next;
+}
+
+bool is_superseded_by(const accepted_preset& accepted,
+                      const accepted_preset& other)
+{
+    const auto distance = accepted.generation_number - other.generation_number;
+    if (distance == 0)
+        return accepted.nonce != other.nonce;
+    return distance <= accepted.predecessors.size() &&
+           accepted.predecessors[distance - 1] != other.nonce;
+}
+
 bool may_receive_work(const preset& preset, const upstream& upstream)
 {
     if (upstream.intent != upstream_intent::serving)
--- a/lib/config/preset_follower.cpp
+++ b/lib/config/preset_follower.cpp
@@ -114,15 +114,19 @@
 {
     if (!current_)
         return std::nullopt;
+    auto newest = *current_;
     if (stored)
     {
         failure ignored;
-        const auto accepted = parse_envelope(*stored, ignored);
-        if (!accepted || accepted->generation_number >= current_generation())
+        auto accepted = parse_envelope(*stored, ignored);
+        if (!accepted || (accepted->generation_number == current_generation() &&
+                          accepted->nonce == current_->nonce))
             return std::nullopt;
+        if (is_superseded_by(*current_, *accepted))
+            newest = succeed(*current_, std::move(*accepted));
     }
-    return preset_replacement{stored, current_generation(),
-                              to_envelope(*current_)};
+    return preset_replacement{stored, newest.generation_number,
+                              to_envelope(newest)};
 }
 
 bool preset_follower::adopt(std::string_view envelope)
--- a/lib/config/preset_parser.cpp
+++ b/lib/config/preset_parser.cpp
@@ -436,6 +436,7 @@
                 {"nonce", accepted.nonce},
                 {"author", accepted.author},
                 {"accepted_at", accepted.accepted_at},
+                {"predecessors", accepted.predecessors},
                 {"preset", accepted.text}}
         .dump();
 }
@@ -452,6 +453,8 @@
         result.author = root.at("author").get<std::string>();
         result.accepted_at = root.at("accepted_at").get<std::int64_t>();
         result.text = root.at("preset").get<std::string>();
+        result.predecessors =
+            root.value("predecessors", std::vector<std::string>{});
     }
     catch (const json::exception&)
     {
--- a/lib/operators/preset_store.cpp
+++ b/lib/operators/preset_store.cpp
@@ -200,14 +200,14 @@
         reason = invalid_preset_failure(errors.front());
         return std::nullopt;
     }
-    config::accepted_preset next{
-        .generation_number =
-            (current.preset ? current.preset->generation_number : 0) + 1,
-        .nonce = metadata.nonce,
-        .author = metadata.author,
-        .accepted_at = metadata.accepted_at_s,
-        .text = text,
-        .value = std::move(*value)};
+    config::accepted_preset next{.generation_number = 1,
+                                 .nonce = metadata.nonce,
+                                 .author = metadata.author,
+                                 .accepted_at = metadata.accepted_at_s,
+                                 .text = text,
+                                 .value = std::move(*value)};
+    if (current.preset)
+        next = config::succeed(*current.preset, std::move(next));
     for (int attempt = 0; attempt < max_swap_attempts; ++attempt)
     {
         switch (try_swap(current, next, reason))
--- a/unittests/config/config_test.cpp
+++ b/unittests/config/config_test.cpp
@@ -167,6 +167,39 @@
     EXPECT_FALSE(follower.take_replacement());
 }
 
+// Guards against a change that is mistaken for an older preset because a
+// restored KV service gave it the number of a lost one or a lower number.
+TEST(preset_follower, numbers_a_change_accepted_after_a_restore_anew)
+{
+    const auto change = [](const accepted_preset& previous, const char* nonce)
+    {
+        auto next = make_accepted_preset(0);
+        next.nonce = nonce;
+        return succeed(previous, std::move(next));
+    };
+    const auto first = make_accepted_preset(1);
+    const auto second = change(first, "second");
+    const auto third = change(second, "third");
+    preset_follower follower{1};
+    follower.handle_kv_response(time_point{}, to_envelope(third));
+    const auto replacement_of = [&](const accepted_preset& stored)
+    {
+        follower.handle_kv_response(time_point{}, to_envelope(stored));
+        return follower.take_replacement();
+    };
+    for (const auto& old : {first, second})
+        EXPECT_EQ(replacement_of(old)->envelope, to_envelope(third));
+    for (const auto& later : {change(second, "x"), change(first, "y")})
+    {
+        const auto replacement = replacement_of(later);
+        ASSERT_TRUE(replacement);
+        EXPECT_EQ(replacement->number, 4U);
+        failure reason;
+        EXPECT_EQ(parse_envelope(replacement->envelope, reason)->nonce,
+                  later.nonce);
+    }
+}
+
 TEST(preset_follower, keeps_its_preset_when_the_stored_envelope_is_malformed)
 {
     preset_follower follower{1};
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -135,6 +135,36 @@
     EXPECT_TRUE(all_have_preset(target, 6));
 }
 
+// Guards against a change that was accepted right after a restore under the
+// number of a lost one, and never adopted by the routers that had the lost one.
+TEST(fleet, preset_accepted_right_after_a_restore_is_in_force_everywhere)
+{
+    world target{{.seed = 11}};
+    target.start();
+    const auto copy = target.kv();
+    for (const int lost_changes : {1, 3})
+    {
+        for (int count = 0; count < lost_changes; ++count)
+        {
+            target.set_data_centre(1, count % 2 != 0);
+            target.run_for(5s);
+        }
+        target.restore_kv(copy);
+        target.set_data_centre(2, false);
+        target.run_for(5s);
+        const auto newest = target.node(0)->preset();
+        EXPECT_TRUE(all_have_preset(target, newest->generation_number));
+        for (std::size_t index = 0; index < 9; ++index)
+            EXPECT_FALSE(
+                target.node(index)
+                    ->preset()
+                    ->value.find_data_centre(target.data_centre_name(2))
+                    ->in_service);
+        target.set_data_centre(2, true);
+        target.run_for(5s);
+    }
+}
+
 // Guards against a generation that is given out twice with different presets,
 // after the KV service was restored from a copy without the newest one.
 TEST(fleet, preset_lost_by_the_kv_service_is_restored_and_never_numbered_again)
