Ledger: an entry is created only behind the entry that its writer has read

Seen by callers (own interface): a call that may not be repeated could run twice after the key-value service returned from an older copy. The log had lost its last entries and grew again by another appender to the number at which the first one stood. That one's next entry was created, since a predecessor with this number existed, and it accepted claims of keys that the new entries had claimed already: it never read them.

Cause: the number of an entry was taken to identify it.

The condition on the predecessor now compares its value, which holds a random nonce; its revision would not do, as revisions are given out again. An appender reads its last entry again with what follows. If that entry is missing or another one, the appender holds claims until their deadline, as it did before when no entry followed. The value of the predecessor is sent with each write: writes of the ledger are about twice as large.

--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -661,9 +661,11 @@
         {
             ++kv_.writes;
             auto& log = kv_.shard_logs[effect.shard];
+            const auto previous = log.find(effect.number - 1);
             const bool follows =
                 effect.number == 1 ? !kv_.started_shards.contains(effect.shard)
-                                   : log.contains(effect.number - 1);
+                                   : previous != log.end() &&
+                                         previous->second == effect.predecessor;
             if (!follows || log.contains(effect.number))
                 return;
             log[effect.number] = effect.bytes;
--- a/include/baobabloft/ledger/appender.hpp
+++ b/include/baobabloft/ledger/appender.hpp
@@ -28,8 +28,10 @@
     std::size_t limit = 0;
 };
 
-/// Action: create entry `number` if it does not exist and its predecessor does;
-/// both conditions are checked in one transaction. Entry 1 has no predecessor.
+/// Action: create entry `number` if it does not exist and the value of its
+/// predecessor is `predecessor`; both conditions are checked in one
+/// transaction. A KV service that was restored from an older copy may hold
+/// another entry under the predecessor's number. Entry 1 has no predecessor.
 /// It requires instead that a marker, which is never deleted, does not exist,
 /// and it creates the marker in the same transaction.
 struct create_entry
@@ -37,6 +39,7 @@
     std::uint32_t shard = 0;
     entry_number number = 0;
     std::string bytes;
+    std::string predecessor{};
 };
 
 /// Action: delete the entries in [first, end).
@@ -159,6 +162,9 @@
     };
 
     void read_log(time_point now);
+    /// Returns true if the entry that was applied last is not in the log.
+    [[nodiscard]] bool
+    has_lost_entries(const std::vector<log_entry>& entries) const;
     /// Starts a write if records wait and the rate limit allows one.
     void write_if_allowed(time_point now);
     void start_write(time_point now);
@@ -182,9 +188,12 @@
     appender_options options_;
     std::mt19937_64 random_;
     shard_state state_;
+    /// Stored form of the last entry in `state_`.
+    std::string last_entry_bytes_;
     phase phase_ = phase::unloaded;
     std::deque<waiting_record> waiting_;
     batch batch_in_flight_;
+    std::string bytes_in_flight_;
     std::vector<log_action> actions_;
     std::vector<append_outcome> outcomes_;
     std::uint64_t wall_ms_ = 0;
--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -82,9 +82,17 @@
     assert(phase_ == phase::loading && "no read is in progress");
     consecutive_failures_ = 0;
     last_contact_at_ = now;
+    if (has_lost_entries(entries))
+    {
+        // A claim accepted now could be of a key that a lost entry claimed.
+        back_off(now);
+        return;
+    }
     for (const auto& entry : entries)
     {
         const auto last = state_.last_entry();
+        if (last && entry.number == *last)
+            continue;
         if (last && entry.number != *last + 1)
         {
             // Entries in between were deleted since the last read; rebuild the
@@ -102,6 +110,7 @@
             return;
         }
         state_.apply(entry.number, *content);
+        last_entry_bytes_ = entry.bytes;
     }
     if (entries.size() >= entries_per_read)
     {
@@ -132,6 +141,7 @@
     last_contact_at_ = now;
     counts_.records += batch_in_flight_.records.size();
     state_.apply(state_.last_entry().value_or(0) + 1, batch_in_flight_);
+    last_entry_bytes_ = std::move(bytes_in_flight_);
     phase_ = phase::ready;
     respond_to_written();
     respond_to_settled();
@@ -191,11 +201,20 @@
 {
     phase_ = phase::loading;
     ++counts_.reads;
-    std::optional<entry_number> first;
-    if (const auto last = state_.last_entry())
-        first = *last + 1;
+    // The last entry applied is read again to see whether it is still there.
     actions_.emplace_back(
-        read_entries{options_.shard, first, entries_per_read});
+        read_entries{options_.shard, state_.last_entry(), entries_per_read});
+}
+
+bool appender::has_lost_entries(const std::vector<log_entry>& entries) const
+{
+    const auto last = state_.last_entry();
+    if (!last)
+        return false;
+    if (entries.empty())
+        return true;
+    return entries.front().number == *last &&
+           entries.front().bytes != last_entry_bytes_;
 }
 
 void appender::write_if_allowed(time_point now)
@@ -209,9 +228,11 @@
     batch_in_flight_ = make_batch();
     phase_ = phase::writing;
     ++counts_.writes;
-    actions_.emplace_back(create_entry{options_.shard,
-                                       state_.last_entry().value_or(0) + 1,
-                                       encode_batch(batch_in_flight_)});
+    bytes_in_flight_ = encode_batch(batch_in_flight_);
+    const auto last = state_.last_entry();
+    actions_.emplace_back(
+        create_entry{options_.shard, last.value_or(0) + 1, bytes_in_flight_,
+                     last ? last_entry_bytes_ : std::string{}});
 }
 
 void appender::respond_to_settled()
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -638,8 +638,9 @@
     }
     else
         transaction.conditions.push_back(
-            {entry_key(effect.shard, effect.number - 1), target::version,
-             relation::greater, 0});
+            {.key = entry_key(effect.shard, effect.number - 1),
+             .target = target::value,
+             .value_operand = effect.predecessor});
     kv_client_->commit(
         transaction,
         [this, shard = effect.shard](
--- a/unittests/ledger/ledger_test.cpp
+++ b/unittests/ledger/ledger_test.cpp
@@ -93,9 +93,11 @@
 
     bool create(const create_entry& action)
     {
-        const bool has_predecessor = action.number == 1
-                                         ? !marker_exists
-                                         : entries.contains(action.number - 1);
+        const auto previous = entries.find(action.number - 1);
+        const bool has_predecessor =
+            action.number == 1 ? !marker_exists
+                               : previous != entries.end() &&
+                                     previous->second == action.predecessor;
         if (!has_predecessor || entries.contains(action.number))
             return false;
         marker_exists = true;
@@ -260,6 +262,34 @@
     EXPECT_EQ(results.back(), append_result::claimed_by_other);
 }
 
+/// Submits a claim of `key` by `attempt` and returns the results so far.
+std::vector<append_result> claim_at(test_appender& target, fake_log& store,
+                                    const idempotency_key& key,
+                                    std::uint32_t attempt)
+{
+    const auto now = start + attempt * 10s;
+    target.log.submit(now, wall_ms, {1, attempt}, claim_of(key, attempt));
+    target.run_all(store, now);
+    return target.results();
+}
+
+// Guards against an appender that extends a log which was restored from an
+// older copy and grew again to the number of its own last entry: it did not
+// know the claims in these entries and accepted them a second time.
+TEST(appender, does_not_extend_a_log_that_was_replaced_under_its_last_entry)
+{
+    fake_log store;
+    test_appender old{1};
+    claim_at(old, store, make_key(1), 1);
+    const auto copy = store;
+    claim_at(old, store, make_key(2), 2);
+    store = copy;
+    test_appender fresh{2};
+    ASSERT_EQ(claim_at(fresh, store, make_key(3), 3),
+              std::vector{append_result::accepted});
+    EXPECT_TRUE(claim_at(old, store, make_key(3), 4).empty());
+}
+
 TEST(appender, refuses_old_keys_and_keys_from_the_future)
 {
     fake_log store;
