Ledger: claims lost by a restored KV service are stored again or refused

Seen by callers (own interface): after the key-value service returned from a copy some seconds old, an appender that knew the lost entries accepted no claim any more, and one that did not know them accepted the keys of lost claims a second time: the call could run twice.

Cause: an acknowledged entry was taken as lasting.

An appender whose last entry is missing or another one now reads the log anew, appends the claims and results that only it still knows, and behind them a record that entries were lost. A key created up to the time of that record whose claim is not in the log is refused with the result for keys whose outcome is unknown (`key_too_old`, executed unknown). The same record is appended when the caller reports a possible loss (handle_possible_loss); claims that wait at that moment are answered as unknown, since a write in flight may have reached the restored service. Old routers treat an entry with the new record as damaged and stop at it.

--- a/include/baobabloft/ledger/appender.hpp
+++ b/include/baobabloft/ledger/appender.hpp
@@ -102,6 +102,8 @@
     std::uint64_t records = 0;
     std::uint64_t reads = 0;
     std::uint64_t damaged_entries = 0;
+    /// Times at which the KV service had lost entries.
+    std::uint64_t losses = 0;
 };
 
 /// Appends to the log of one shard on behalf of one router.
@@ -130,6 +132,11 @@
     /// Handles the confirmed deletion of the entries before `end`.
     void on_entries_deleted(entry_number end);
 
+    /// Records that the KV service may have lost entries: reads the log again
+    /// and refuses keys that may have been claimed in entries that this
+    /// appender does not know.
+    void handle_possible_loss(time_point now, std::uint64_t wall_ms);
+
     /// Starts writes that the rate limit has delayed; must be called at least
     /// every 50 ms.
     void tick(time_point now, std::uint64_t wall_ms);
@@ -162,6 +169,13 @@
     };
 
     void read_log(time_point now);
+    /// Plans to append the records of the entries read so far again, and reads
+    /// the log from its oldest entry.
+    void recover_lost_entries(time_point now);
+    /// Plans an entries_lost record as the last of `lost_records_`.
+    void plan_loss_record();
+    /// Drops the records of `lost_records_` that the log already contains.
+    void drop_stored_records();
     /// Returns true if the entry that was applied last is not in the log.
     [[nodiscard]] bool
     has_lost_entries(const std::vector<log_entry>& entries) const;
@@ -194,6 +208,10 @@
     std::deque<waiting_record> waiting_;
     batch batch_in_flight_;
     std::string bytes_in_flight_;
+    /// Records of lost entries, followed by an entries_lost record. They are
+    /// written before any other.
+    std::deque<record> lost_records_;
+    std::size_t lost_records_in_flight_ = 0;
     std::vector<log_action> actions_;
     std::vector<append_outcome> outcomes_;
     std::uint64_t wall_ms_ = 0;
--- a/include/baobabloft/ledger/batch.hpp
+++ b/include/baobabloft/ledger/batch.hpp
@@ -22,13 +22,17 @@
     /// The attempt certainly sent nothing; the key is free again.
     released,
     /// The upstream has responded.
-    done
+    done,
+    /// The KV service has lost entries. Keys that were created no later than
+    /// the key of this record may have been claimed in one of them.
+    entries_lost
 };
 
 inline constexpr std::array record_kind_names{
     enum_name<record_kind>{record_kind::claimed, "claimed"},
     enum_name<record_kind>{record_kind::released, "released"},
     enum_name<record_kind>{record_kind::done, "done"},
+    enum_name<record_kind>{record_kind::entries_lost, "entries_lost"},
 };
 
 /// An upstream's response, stored for repetitions of the call.
--- a/include/baobabloft/ledger/shard_state.hpp
+++ b/include/baobabloft/ledger/shard_state.hpp
@@ -17,8 +17,8 @@
     free,
     claimed,
     done,
-    /// Created before the low-water mark; the outcome of the call is no longer
-    /// known.
+    /// Created before the low-water mark, or before entries were lost and not
+    /// in the log; the outcome of the call is no longer known.
     below_low_water_mark
 };
 
@@ -64,6 +64,9 @@
     /// since the epoch.
     [[nodiscard]] std::uint64_t newest_key_ms() const;
 
+    /// Returns the records of all keys that are claimed or done.
+    [[nodiscard]] std::vector<record> records() const;
+
     /// Returns the number of keys at or above the low-water mark.
     [[nodiscard]] std::size_t key_count() const;
 
@@ -91,6 +94,7 @@
     };
 
     void apply(const record& item);
+    [[nodiscard]] bool may_be_lost(const idempotency_key& key) const;
     void raise_low_water_mark(std::uint64_t low_water_mark_ms);
 
     std::unordered_map<idempotency_key, key_state, key_hash> keys_;
@@ -99,6 +103,8 @@
     std::optional<entry_number> last_entry_;
     std::uint64_t low_water_mark_ms_ = 0;
     std::uint64_t newest_key_ms_ = 0;
+    /// Entries with claims of keys created up to this time may be lost.
+    std::uint64_t lost_until_ms_ = 0;
 };
 
 } // namespace baobabloft::ledger
--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -84,8 +84,7 @@
     last_contact_at_ = now;
     if (has_lost_entries(entries))
     {
-        // A claim accepted now could be of a key that a lost entry claimed.
-        back_off(now);
+        recover_lost_entries(now);
         return;
     }
     for (const auto& entry : entries)
@@ -117,6 +116,7 @@
         read_log(now);
         return;
     }
+    drop_stored_records();
     phase_ = phase::ready;
     respond_to_settled();
     write_if_allowed(now);
@@ -131,6 +131,7 @@
 void appender::on_entry_created(time_point now, bool created)
 {
     assert(phase_ == phase::writing && "no write is in progress");
+    const auto lost_records_written = std::exchange(lost_records_in_flight_, 0);
     if (!created)
     {
         ++counts_.lost_races;
@@ -141,6 +142,9 @@
     last_contact_at_ = now;
     counts_.records += batch_in_flight_.records.size();
     state_.apply(state_.last_entry().value_or(0) + 1, batch_in_flight_);
+    lost_records_.erase(lost_records_.begin(),
+                        lost_records_.begin() +
+                            static_cast<std::ptrdiff_t>(lost_records_written));
     last_entry_bytes_ = std::move(bytes_in_flight_);
     phase_ = phase::ready;
     respond_to_written();
@@ -154,6 +158,7 @@
     // Reading the log shows whether the entry exists. The waiting records are
     // settled by what is read, regardless of which appender wrote it.
     ++counts_.unknown_writes;
+    lost_records_in_flight_ = 0;
     back_off(now);
 }
 
@@ -162,6 +167,29 @@
     state_.record_deleted_before(end);
 }
 
+void appender::handle_possible_loss(time_point now, std::uint64_t wall_ms)
+{
+    wall_ms_ = std::max(wall_ms_, wall_ms);
+    plan_loss_record();
+    // A write in flight may have reached the service after its entries were
+    // lost, so these claims cannot be accepted any more.
+    const auto lost_until_ms = created_at_ms(lost_records_.back().key);
+    std::erase_if(waiting_,
+                  [&](const waiting_record& item)
+                  {
+                      if (item.content.kind != record_kind::claimed ||
+                          created_at_ms(item.content.key) > lost_until_ms)
+                          return false;
+                      respond(item.ticket, item.content,
+                              {.result = append_result::below_low_water_mark});
+                      return true;
+                  });
+    // In any other phase a read follows, or a write that fails if entries are
+    // missing.
+    if (phase_ == phase::unloaded || phase_ == phase::ready)
+        read_log(now);
+}
+
 void appender::tick(time_point now, std::uint64_t wall_ms)
 {
     wall_ms_ = std::max(wall_ms_, wall_ms);
@@ -217,9 +245,51 @@
            entries.front().bytes != last_entry_bytes_;
 }
 
+void appender::recover_lost_entries(time_point now)
+{
+    ++counts_.losses;
+    std::erase_if(lost_records_, [](const record& item)
+                  { return item.kind == record_kind::entries_lost; });
+    for (auto& item : state_.records())
+        lost_records_.push_back(std::move(item));
+    plan_loss_record();
+    state_ = {};
+    read_log(now);
+}
+
+void appender::plan_loss_record()
+{
+    // Replaces an earlier one unless it is being written.
+    const bool has_unsent = lost_records_.size() > lost_records_in_flight_;
+    if (has_unsent && lost_records_.back().kind == record_kind::entries_lost)
+        lost_records_.pop_back();
+    const auto lost_until_ms = std::max(wall_ms_, state_.newest_key_ms());
+    lost_records_.push_back({record_kind::entries_lost,
+                             make_idempotency_key(lost_until_ms, 0, 0),
+                             random_(),
+                             {}});
+}
+
+void appender::drop_stored_records()
+{
+    std::erase_if(lost_records_,
+                  [this](const record& item)
+                  {
+                      if (item.kind == record_kind::entries_lost)
+                          return false;
+                      const auto known = state_.find(item.key);
+                      if (known.status == key_status::free)
+                          return false;
+                      return item.kind == record_kind::claimed ||
+                             known.status != key_status::claimed ||
+                             known.attempt != item.attempt;
+                  });
+}
+
 void appender::write_if_allowed(time_point now)
 {
-    if (!waiting_.empty() && take_write_token(now))
+    const bool has_records = !waiting_.empty() || !lost_records_.empty();
+    if (has_records && take_write_token(now))
         start_write(now);
 }
 
@@ -329,15 +399,22 @@
                      std::max(state_.low_water_mark_ms(), oldest_retained_ms),
                  .records = {}};
     std::size_t bytes = 0;
-    for (const auto& item : waiting_)
+    const auto add = [&](const record& content)
     {
-        if (result.records.size() >= options_.max_records_per_entry)
-            break;
-        bytes += stored_size(item.content);
-        if (bytes > options_.max_bytes_per_entry && !result.records.empty())
-            break;
-        result.records.push_back(item.content);
-    }
+        bytes += stored_size(content);
+        if (result.records.size() >= options_.max_records_per_entry ||
+            (bytes > options_.max_bytes_per_entry && !result.records.empty()))
+            return false;
+        result.records.push_back(content);
+        return true;
+    };
+    const bool all_lost_added =
+        std::all_of(lost_records_.begin(), lost_records_.end(), add);
+    lost_records_in_flight_ = result.records.size();
+    if (all_lost_added)
+        for (const auto& item : waiting_)
+            if (!add(item.content))
+                break;
     return result;
 }
 
--- a/lib/ledger/batch.cpp
+++ b/lib/ledger/batch.cpp
@@ -71,7 +71,7 @@
         return std::nullopt;
     }
     for (const auto& item : result.records)
-        if (item.kind > record_kind::done)
+        if (item.kind > record_kind::entries_lost)
             return std::nullopt;
     return result;
 }
--- a/lib/ledger/shard_state.cpp
+++ b/lib/ledger/shard_state.cpp
@@ -32,11 +32,12 @@
 
 key_state shard_state::find(const idempotency_key& key) const
 {
-    if (const auto found = keys_.find(key); found != keys_.end())
+    const auto found = keys_.find(key);
+    if (found != keys_.end() && found->second.status != key_status::free)
         return found->second;
-    if (created_at_ms(key) < low_water_mark_ms_)
+    if (created_at_ms(key) < low_water_mark_ms_ || may_be_lost(key))
         return {.status = key_status::below_low_water_mark};
-    return {};
+    return found != keys_.end() ? found->second : key_state{};
 }
 
 std::optional<entry_number> shard_state::last_entry() const
@@ -54,6 +55,21 @@
     return newest_key_ms_;
 }
 
+std::vector<record> shard_state::records() const
+{
+    std::vector<record> result;
+    for (const auto& [key, known] : keys_)
+    {
+        if (known.status == key_status::free)
+            continue;
+        result.push_back({record_kind::claimed, key, known.attempt, {}});
+        if (known.status == key_status::done)
+            result.push_back({record_kind::done, key, known.attempt,
+                              known.upstream_response});
+    }
+    return result;
+}
+
 std::size_t shard_state::key_count() const
 {
     return keys_.size();
@@ -85,17 +101,26 @@
         {reinterpret_cast<const char*>(key.bytes.data()), key.bytes.size()});
 }
 
+bool shard_state::may_be_lost(const idempotency_key& key) const
+{
+    return created_at_ms(key) <= lost_until_ms_;
+}
+
 void shard_state::apply(const record& item)
 {
+    if (item.kind == record_kind::entries_lost)
+    {
+        lost_until_ms_ = std::max(lost_until_ms_, created_at_ms(item.key));
+        return;
+    }
     if (item.kind == record_kind::claimed)
     {
         // All readers must agree whether a claim came too late, so the
         // low-water mark in the log decides this, not a reader's clock.
-        if (created_at_ms(item.key) < low_water_mark_ms_)
+        if (find(item.key).status != key_status::free)
             return;
         auto& known = keys_[item.key];
-        if (known.status != key_status::free ||
-            known.has_released(item.attempt))
+        if (known.has_released(item.attempt))
             return;
         known.status = key_status::claimed;
         known.attempt = item.attempt;
--- a/unittests/ledger/ledger_test.cpp
+++ b/unittests/ledger/ledger_test.cpp
@@ -287,7 +287,50 @@
     test_appender fresh{2};
     ASSERT_EQ(claim_at(fresh, store, make_key(3), 3),
               std::vector{append_result::accepted});
-    EXPECT_TRUE(claim_at(old, store, make_key(3), 4).empty());
+    EXPECT_EQ(claim_at(old, store, make_key(3), 4),
+              std::vector{append_result::claimed_by_other});
+}
+
+// Guards against a claim that is forgotten with its entry and accepted again,
+// by the appender that wrote it or by any other, and against an appender that
+// accepts no claim any more.
+TEST(appender, stores_lost_claims_again_and_refuses_keys_that_may_be_lost)
+{
+    fake_log store;
+    test_appender one{1};
+    claim_at(one, store, make_key(1), 1);
+    const auto copy = store;
+    claim_at(one, store, make_key(2), 2);
+    claim_at(one, store, make_key(3), 3);
+    store = copy;
+    EXPECT_EQ(claim_at(one, store, make_key(4, wall_ms + 1), 4),
+              std::vector{append_result::accepted});
+    test_appender fresh{2};
+    using enum append_result;
+    EXPECT_EQ(claim_at(fresh, store, make_key(2), 5),
+              std::vector{claimed_by_other});
+    EXPECT_EQ(claim_at(fresh, store, make_key(5), 6),
+              std::vector{below_low_water_mark});
+    EXPECT_EQ(claim_at(fresh, store, make_key(6, wall_ms + 1), 7),
+              std::vector{accepted});
+}
+
+// Guards against an appender without memory that accepts the key of a lost
+// claim although its router has seen that the KV service was restored.
+TEST(appender, refuses_older_keys_after_a_possible_loss)
+{
+    fake_log store;
+    test_appender one{1};
+    claim_at(one, store, make_key(1), 1);
+    one.log.handle_possible_loss(start + 15s, wall_ms);
+    one.run_all(store, start + 15s);
+    using enum append_result;
+    EXPECT_EQ(claim_at(one, store, make_key(2), 2),
+              std::vector{below_low_water_mark});
+    EXPECT_EQ(claim_at(one, store, make_key(1), 3),
+              std::vector{claimed_by_other});
+    EXPECT_EQ(claim_at(one, store, make_key(3, wall_ms + 1), 4),
+              std::vector{accepted});
 }
 
 TEST(appender, refuses_old_keys_and_keys_from_the_future)
@@ -414,6 +457,61 @@
     }
 }
 
+// Guards against a claim that is accepted twice because its entry was lost when
+// the KV service was restored from an older copy, at any moment and repeatedly.
+RC_GTEST_PROP(appender, no_lost_claim_is_accepted_again, ())
+{
+    fake_log store;
+    fake_log copy;
+    std::vector<test_appender> appenders{
+        test_appender{1, 2s}, test_appender{2, 2s}, test_appender{3, 2s}};
+    std::map<idempotency_key, std::uint32_t> accepted_attempts;
+    std::vector<idempotency_key> keys;
+    time_point now = start;
+    std::uint64_t clock_ms = wall_ms;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 6000));
+    for (const int step : steps)
+    {
+        auto& chosen = appenders[static_cast<std::size_t>(step) % 3];
+        now += 100ms;
+        clock_ms += 100;
+        const auto action = step / 3 % 20;
+        if (action < 7)
+        {
+            const auto created = clock_ms / 1000 * 1000;
+            keys.push_back(
+                make_key(static_cast<std::uint64_t>(step) % 5, created));
+            chosen.log.submit(now, clock_ms,
+                              {1, static_cast<std::uint32_t>(keys.size() - 1)},
+                              claim_of(keys.back(), keys.size()));
+        }
+        else if (action == 7)
+            copy = store;
+        else if (action == 8)
+        {
+            store = copy;
+            for (auto& item : appenders)
+                item.log.handle_possible_loss(now, clock_ms);
+        }
+        else
+            chosen.run_one(store, now,
+                           action == 9 ? test_appender::fault::response_lost
+                                       : test_appender::fault::none);
+        chosen.log.tick(now, clock_ms);
+        for (auto& item : appenders)
+            for (const auto& outcome : item.log.take_outcomes())
+            {
+                if (outcome.response.result != append_result::accepted)
+                    continue;
+                const auto sequence = outcome.ticket.sequence;
+                const auto [accepted, inserted] =
+                    accepted_attempts.try_emplace(keys[sequence], sequence);
+                RC_ASSERT(inserted || accepted->second == sequence);
+            }
+    }
+}
+
 TEST(claim_client, ignores_response_to_request_from_before_restart)
 {
     claim_client client{
