Ledger: a router that sees the KV service go back records the loss

Seen by callers (own interface): after the key-value service returned from an older copy, a log whose last known entry was still there looked sound. Keys of lost claims were free at appenders that had not read these entries.

Cause: revisions were taken as only rising, and no client compared them.

The control task compares the revision in each response with the highest one that was known when its request was sent, so that responses out of order are not taken for a restore, and reports a restore once. The node then lets the appender of each shard record the loss. An appender that finds a record of the same loss, later than its last contact with the service, appends none, so that a router that notices late refuses no newer keys. Only claims of a write whose outcome is in doubt are answered as unknown.

Evidence: - revision_monitor.reports_each_restore_once - fleet.no_call_runs_twice_after_a_restore: 40 claims, a copy, 60 claims, 2 s away, the copy, all keys again four times.

--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -174,6 +174,7 @@
     for (int count = 0; count < seed_router_count; ++count)
         options.seed_routers.push_back(router_id_at(pick(random_)));
     state.node = std::make_unique<fleet::node>(options);
+    state.kv_revisions = {};
     std::uniform_int_distribution<duration::rep> phase(
         0, duration{tick_period}.count());
     events_.schedule_after(duration{phase(random_)},
@@ -490,16 +491,26 @@
     }
     events_.schedule_after(
         kv_.delay / 2,
-        [this, index, epoch, operation, on_response, fail]
+        [this, index, epoch, operation, on_response, fail,
+         sent = routers_[index].kv_revisions.current()]
         {
             operation();
             std::uniform_real_distribution<double> chance(0, 1);
             if (kv_.outage || chance(random_) < kv_.response_loss_probability)
+            {
                 fail();
-            else
-                events_.schedule_after(kv_.delay / 2,
-                                       [this, index, epoch, on_response]
-                                       { deliver(index, epoch, on_response); });
+                return;
+            }
+            const auto respond =
+                [this, index, on_response, sent, revision = kv_.revision]
+            {
+                auto& state = routers_[index];
+                if (state.kv_revisions.record(now(), sent, revision))
+                    state.node->on_kv_restored(now(), sent.known_at);
+                on_response();
+            };
+            events_.schedule_after(kv_.delay / 2, [this, index, epoch, respond]
+                                   { deliver(index, epoch, respond); });
         });
 }
 
--- a/benchmarks/driver/world.hpp
+++ b/benchmarks/driver/world.hpp
@@ -7,6 +7,7 @@
 #include "baobabloft/config/preset_parser.hpp"
 #include "baobabloft/fleet/node.hpp"
 #include "baobabloft/net/codec.hpp"
+#include "baobabloft/net/revision_monitor.hpp"
 
 #include <functional>
 #include <list>
@@ -311,6 +312,7 @@
         std::int64_t read_revision = 0;
         /// Incremented with each watch.
         std::uint64_t watch_number = 0;
+        net::revision_monitor kv_revisions;
     };
 
     void make_preset();
--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -225,6 +225,11 @@
     /// Handles the confirmed deletion of the entries before `end`.
     void on_entries_deleted(std::uint32_t shard, ledger::entry_number end);
 
+    /// Records that the KV service was restored from an older copy after
+    /// `known_at`, the time of its last response before: it may have lost
+    /// entries of any shard.
+    void on_kv_restored(time_point now, time_point known_at);
+
     /// Starts the search for an upstream; a route_decided effect follows.
     routing::permit_ticket begin_route(time_point now,
                                        const route_requirements& requirements);
--- a/include/baobabloft/ledger/appender.hpp
+++ b/include/baobabloft/ledger/appender.hpp
@@ -135,7 +135,10 @@
     /// Records that the KV service may have lost entries: reads the log again
     /// and refuses keys that may have been claimed in entries that this
     /// appender does not know.
-    void handle_possible_loss(time_point now, std::uint64_t wall_ms);
+    /// The service held all entries at `since_ms`, in milliseconds since the
+    /// epoch; if the log has a later record of a loss, none is appended.
+    void handle_possible_loss(time_point now, std::uint64_t wall_ms,
+                              std::uint64_t since_ms);
 
     /// Starts writes that the rate limit has delayed; must be called at least
     /// every 50 ms.
@@ -174,6 +177,8 @@
     void recover_lost_entries(time_point now);
     /// Plans an entries_lost record as the last of `lost_records_`.
     void plan_loss_record();
+    /// Answers the claims of the last write as unknown.
+    void refuse_claims_in_flight();
     /// Drops the records of `lost_records_` that the log already contains.
     void drop_stored_records();
     /// Returns true if the entry that was applied last is not in the log.
@@ -212,6 +217,12 @@
     /// written before any other.
     std::deque<record> lost_records_;
     std::size_t lost_records_in_flight_ = 0;
+    /// Start of the time in which the loss of a planned record happened.
+    std::optional<std::uint64_t> loss_since_ms_;
+    /// True from the start of a write until it is known whether it was stored.
+    bool may_have_written_ = false;
+    /// True if entries may have been lost during the current write.
+    bool lost_during_write_ = false;
     std::vector<log_action> actions_;
     std::vector<append_outcome> outcomes_;
     std::uint64_t wall_ms_ = 0;
--- a/include/baobabloft/ledger/shard_state.hpp
+++ b/include/baobabloft/ledger/shard_state.hpp
@@ -64,6 +64,10 @@
     /// since the epoch.
     [[nodiscard]] std::uint64_t newest_key_ms() const;
 
+    /// Returns up to which creation time keys may have been claimed in entries
+    /// that are lost; 0 if none are lost.
+    [[nodiscard]] std::uint64_t lost_until_ms() const;
+
     /// Returns the records of all keys that are claimed or done.
     [[nodiscard]] std::vector<record> records() const;
 
--- a/include/baobabloft/router/control_task.hpp
+++ b/include/baobabloft/router/control_task.hpp
@@ -7,6 +7,7 @@
 #include "baobabloft/net/codec.hpp"
 #include "baobabloft/net/datagram_socket.hpp"
 #include "baobabloft/net/kv_client.hpp"
+#include "baobabloft/net/revision_monitor.hpp"
 #include "baobabloft/router/burn.hpp"
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/settings.hpp"
@@ -225,6 +226,11 @@
     void apply(const fleet::claim_decided& effect);
     void apply(const fleet::preset_adopted& effect);
 
+    /// Handles the revision in a response of the KV service to a request that
+    /// was sent at `sent`.
+    void record_kv_revision(const net::revision_monitor::mark& sent,
+                            std::int64_t revision);
+
     /// Sends the fleet state to the subscribers if it has changed.
     void publish_state();
     void update_gauges();
@@ -249,6 +255,7 @@
     std::unordered_map<ledger::claim_ticket, operation_id> claims_by_ticket_;
     std::vector<subscriber> subscribers_;
     published_state state_;
+    net::revision_monitor kv_revisions_;
     /// Revision of the KV service at the last read of the preset.
     std::int64_t preset_revision_ = 0;
 };
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -251,6 +251,17 @@
         found->second.appender.on_entries_deleted(end);
 }
 
+void node::on_kv_restored(time_point now, time_point known_at)
+{
+    const auto since_ms =
+        wall_ms_ - static_cast<std::uint64_t>((now - known_at) / 1ms);
+    for (std::uint32_t shard = 0; shard < options_.ledger_shards; ++shard)
+        appender_for(now, shard)
+            .appender.handle_possible_loss(now, wall_ms_, since_ms);
+    preset_follower_.request_kv_read(now);
+    collect_effects(now);
+}
+
 routing::permit_ticket node::begin_route(time_point now,
                                          const route_requirements& requirements)
 {
--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -81,12 +81,12 @@
 {
     assert(phase_ == phase::loading && "no read is in progress");
     consecutive_failures_ = 0;
-    last_contact_at_ = now;
     if (has_lost_entries(entries))
     {
         recover_lost_entries(now);
         return;
     }
+    last_contact_at_ = now;
     for (const auto& entry : entries)
     {
         const auto last = state_.last_entry();
@@ -117,6 +117,7 @@
         return;
     }
     drop_stored_records();
+    may_have_written_ = false;
     phase_ = phase::ready;
     respond_to_settled();
     write_if_allowed(now);
@@ -132,12 +133,16 @@
 {
     assert(phase_ == phase::writing && "no write is in progress");
     const auto lost_records_written = std::exchange(lost_records_in_flight_, 0);
+    may_have_written_ = false;
+    const bool lost_during_write = std::exchange(lost_during_write_, false);
     if (!created)
     {
         ++counts_.lost_races;
         read_log(now);
         return;
     }
+    if (lost_during_write)
+        refuse_claims_in_flight();
     consecutive_failures_ = 0;
     last_contact_at_ = now;
     counts_.records += batch_in_flight_.records.size();
@@ -158,6 +163,8 @@
     // Reading the log shows whether the entry exists. The waiting records are
     // settled by what is read, regardless of which appender wrote it.
     ++counts_.unknown_writes;
+    if (std::exchange(lost_during_write_, false))
+        refuse_claims_in_flight();
     lost_records_in_flight_ = 0;
     back_off(now);
 }
@@ -167,23 +174,16 @@
     state_.record_deleted_before(end);
 }
 
-void appender::handle_possible_loss(time_point now, std::uint64_t wall_ms)
+void appender::handle_possible_loss(time_point now, std::uint64_t wall_ms,
+                                    std::uint64_t since_ms)
 {
     wall_ms_ = std::max(wall_ms_, wall_ms);
     plan_loss_record();
-    // A write in flight may have reached the service after its entries were
-    // lost, so these claims cannot be accepted any more.
-    const auto lost_until_ms = created_at_ms(lost_records_.back().key);
-    std::erase_if(waiting_,
-                  [&](const waiting_record& item)
-                  {
-                      if (item.content.kind != record_kind::claimed ||
-                          created_at_ms(item.content.key) > lost_until_ms)
-                          return false;
-                      respond(item.ticket, item.content,
-                              {.result = append_result::below_low_water_mark});
-                      return true;
-                  });
+    loss_since_ms_ = since_ms;
+    if (phase_ == phase::writing)
+        lost_during_write_ = true;
+    else if (may_have_written_)
+        refuse_claims_in_flight();
     // In any other phase a read follows, or a write that fails if entries are
     // missing.
     if (phase_ == phase::unloaded || phase_ == phase::ready)
@@ -253,6 +253,9 @@
     for (auto& item : state_.records())
         lost_records_.push_back(std::move(item));
     plan_loss_record();
+    if (!loss_since_ms_)
+        loss_since_ms_ = wall_ms_ - static_cast<std::uint64_t>(
+                                        (now - last_contact_at_) / 1ms);
     state_ = {};
     read_log(now);
 }
@@ -270,13 +273,33 @@
                              {}});
 }
 
+void appender::refuse_claims_in_flight()
+{
+    // The write may have reached the service after its entries were lost.
+    const auto& written = batch_in_flight_.records;
+    std::erase_if(waiting_,
+                  [&](const waiting_record& item)
+                  {
+                      if (item.content.kind != record_kind::claimed ||
+                          std::find(written.begin(), written.end(),
+                                    item.content) == written.end())
+                          return false;
+                      respond(item.ticket, item.content,
+                              {.result = append_result::below_low_water_mark});
+                      return true;
+                  });
+}
+
 void appender::drop_stored_records()
 {
+    const auto since_ms = std::exchange(loss_since_ms_, std::nullopt);
+    // True if another appender has recorded the same loss.
+    const bool is_recorded = since_ms && state_.lost_until_ms() > *since_ms;
     std::erase_if(lost_records_,
-                  [this](const record& item)
+                  [this, is_recorded](const record& item)
                   {
                       if (item.kind == record_kind::entries_lost)
-                          return false;
+                          return is_recorded;
                       const auto known = state_.find(item.key);
                       if (known.status == key_status::free)
                           return false;
@@ -299,6 +322,7 @@
     phase_ = phase::writing;
     ++counts_.writes;
     bytes_in_flight_ = encode_batch(batch_in_flight_);
+    may_have_written_ = true;
     const auto last = state_.last_entry();
     actions_.emplace_back(
         create_entry{options_.shard, last.value_or(0) + 1, bytes_in_flight_,
--- a/lib/ledger/shard_state.cpp
+++ b/lib/ledger/shard_state.cpp
@@ -55,6 +55,11 @@
     return newest_key_ms_;
 }
 
+std::uint64_t shard_state::lost_until_ms() const
+{
+    return lost_until_ms_;
+}
+
 std::vector<record> shard_state::records() const
 {
     std::vector<record> result;
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -447,17 +447,32 @@
     socket_->send(effect.to, bytes);
 }
 
+void control_task::record_kv_revision(const net::revision_monitor::mark& sent,
+                                      std::int64_t revision)
+{
+    const auto now = net::monotonic_now();
+    if (!kv_revisions_.record(now, sent, revision))
+        return;
+    log_event(log_level::warning, "kv_restored",
+              {{"known_revision", std::to_string(sent.revision)},
+               {"revision", std::to_string(revision)}});
+    node_.on_kv_restored(now, sent.known_at);
+}
+
 void control_task::apply(const fleet::read_preset& /*effect*/)
 {
     kv_client_->read(
         {active_preset_key(), {}},
-        [this](const std::optional<net::kv_range_result>& result,
-               const failure&)
+        [this, sent = kv_revisions_.current()](
+            const std::optional<net::kv_range_result>& result, const failure&)
         {
             metrics_->record_platform_call("preset_read", result.has_value());
             fleet::node::preset_response response{result.has_value(), {}};
             if (result)
+            {
                 preset_revision_ = result->revision;
+                record_kv_revision(sent, result->revision);
+            }
             if (result && !result->entries.empty())
                 response.envelope = result->entries.front().value;
             node_.on_preset_read(net::monotonic_now(), response);
@@ -502,11 +517,14 @@
         {preset_history_key(item.number), item.envelope});
     kv_client_->commit(
         transaction,
-        [this](const std::optional<net::kv_transaction_result>& result,
-               const failure&)
+        [this, sent = kv_revisions_.current()](
+            const std::optional<net::kv_transaction_result>& result,
+            const failure&)
         {
             metrics_->record_platform_call("preset_replace",
                                            result.has_value());
+            if (result)
+                record_kv_revision(sent, result->revision);
             node_.on_preset_replaced(net::monotonic_now(), result.has_value());
             apply_effects();
         });
@@ -603,13 +621,14 @@
     range.limit = effect.limit;
     kv_client_->read(
         range,
-        [this, shard = effect.shard, prefix](
+        [this, sent = kv_revisions_.current(), shard = effect.shard, prefix](
             const std::optional<net::kv_range_result>& result, const failure&)
         {
             metrics_->record_platform_call("ledger_read", result.has_value());
             std::optional<std::vector<ledger::log_entry>> entries;
             if (result)
             {
+                record_kv_revision(sent, result->revision);
                 entries.emplace();
                 for (const auto& item : result->entries)
                     entries->push_back(
@@ -643,14 +662,17 @@
              .value_operand = effect.predecessor});
     kv_client_->commit(
         transaction,
-        [this, shard = effect.shard](
+        [this, sent = kv_revisions_.current(), shard = effect.shard](
             const std::optional<net::kv_transaction_result>& result,
             const failure&)
         {
             metrics_->record_platform_call("ledger_write", result.has_value());
             std::optional<bool> created;
             if (result)
+            {
+                record_kv_revision(sent, result->revision);
                 created = result->succeeded;
+            }
             node_.on_entry_created(net::monotonic_now(), shard, created);
             apply_effects();
         });
--- a/unittests/endtoend/endtoend_test.py
+++ b/unittests/endtoend/endtoend_test.py
@@ -224,6 +224,26 @@
             [item["name"] for item in shown["data_centres"]
              if not item.get("in_service", True)], ["fyn-a", "fyn-b"])
 
+    # Guards against a booking that runs again because a restored store has lost
+    # its claim, and against bookings that are refused for good.
+    def test_booking_lost_by_a_restored_store_does_not_run_again(self):
+        self.assertEqual(
+            self.fleet.send_booking(0, fleet_lib.new_idempotency_key())[0], 200)
+        self.set_store_faults(copy=True)
+        keys = [fleet_lib.new_idempotency_key() for _ in range(20)]
+        for index, key in enumerate(keys):
+            self.assertEqual(self.fleet.send_booking(index % 3, key)[0], 200)
+        self.set_store_faults(restore=True)
+        for _ in range(2):
+            for index, key in enumerate(keys):
+                self.fleet.send_booking((index + 1) % 3, key)
+        executions = self.fleet.execution_counts()
+        self.assertEqual([executions[key] for key in keys], [1] * len(keys))
+        time.sleep(2)
+        for router in range(3):
+            key = fleet_lib.new_idempotency_key()
+            self.assertEqual(self.fleet.send_booking(router, key)[0], 200)
+
     def test_router_starts_during_a_store_outage(self):
         self.set_store_faults(outage=True)
         self.fleet.send_signal("router-2", signal.SIGKILL)
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -321,6 +321,96 @@
     }
 }
 
+/// Attempts idempotent keys at routers of `target` and counts their runs.
+struct keyed_load
+{
+    explicit keyed_load(world& target) : target(target) {}
+
+    /// Claims `key` at a router and runs its call if the claim is accepted.
+    void attempt(const ledger::idempotency_key& key, std::size_t router)
+    {
+        if (!target.is_router_up(router))
+            return;
+        target.claim(router, key, 3s,
+                     [this, key, router](const ledger::claim_decision& decision)
+                     {
+                         ++decisions[decision.result];
+                         if (decision.result != ledger::claim_result::accepted)
+                             return;
+                         ++runs_by_key[key];
+                         target.events().schedule_after(
+                             1ms,
+                             [this, router, ticket = decision.ticket]
+                             {
+                                 target.run_on_router(
+                                     router,
+                                     [this, router, ticket] {
+                                         target.node(router)->finish_claim(
+                                             target.now(), ticket, {});
+                                     });
+                             });
+                     });
+    }
+
+    /// Attempts `count` new keys, one each 50 ms.
+    void claim_new_keys(int count)
+    {
+        auto& random = target.random();
+        for (; count > 0; --count)
+        {
+            keys.push_back(ledger::make_idempotency_key(target.wall_clock_ms(),
+                                                        random(), random()));
+            attempt(keys.back(), random() % 9);
+            target.run_for(50ms);
+        }
+    }
+
+    world& target;
+    std::vector<ledger::idempotency_key> keys;
+    std::map<ledger::idempotency_key, int> runs_by_key;
+    std::map<ledger::claim_result, int> decisions;
+};
+
+/// Sends calls, restores the KV service from a copy without the later claims
+/// while `restarted_routers` routers restart, and sends all calls again.
+void run_calls_around_a_restore(keyed_load& load, std::size_t restarted_routers)
+{
+    auto& target = load.target;
+    target.start();
+    load.claim_new_keys(40);
+    const auto copy = target.kv();
+    load.claim_new_keys(60);
+    target.kv().outage = true;
+    target.run_for(2s);
+    for (std::size_t index = 0; index < restarted_routers; ++index)
+        target.restart_router(index);
+    target.restore_kv(copy);
+    target.kv().outage = false;
+    for (int repetition = 0; repetition < 4; ++repetition)
+    {
+        for (const auto& key : load.keys)
+            load.attempt(key, target.random()() % 9);
+        target.run_for(1s);
+    }
+}
+
+// Guards against a call that runs twice because the KV service was restored
+// from a copy without its claim, and against new calls that are refused for
+// good.
+RC_GTEST_PROP(fleet, no_call_runs_twice_after_a_restore, (std::uint16_t seed))
+{
+    world target{{.seed = seed}};
+    keyed_load load{target};
+    run_calls_around_a_restore(load, 0);
+    for (const auto& [key, runs] : load.runs_by_key)
+        RC_ASSERT(runs == 1);
+    target.run_for(10s);
+    load.decisions.clear();
+    load.claim_new_keys(20);
+    target.run_for(5s);
+    RC_ASSERT(load.decisions[ledger::claim_result::accepted] == 20);
+}
+
 /// Sends several attempts with the same idempotency key through different
 /// routers during message loss, router pauses and restarts, and KV outages.
 RC_GTEST_PROP(fleet, no_idempotency_key_runs_twice, (std::uint16_t seed))
--- a/unittests/ledger/ledger_test.cpp
+++ b/unittests/ledger/ledger_test.cpp
@@ -322,7 +322,7 @@
     fake_log store;
     test_appender one{1};
     claim_at(one, store, make_key(1), 1);
-    one.log.handle_possible_loss(start + 15s, wall_ms);
+    one.log.handle_possible_loss(start + 15s, wall_ms, wall_ms - 1);
     one.run_all(store, start + 15s);
     using enum append_result;
     EXPECT_EQ(claim_at(one, store, make_key(2), 2),
@@ -492,7 +492,7 @@
         {
             store = copy;
             for (auto& item : appenders)
-                item.log.handle_possible_loss(now, clock_ms);
+                item.log.handle_possible_loss(now, clock_ms, clock_ms - 1);
         }
         else
             chosen.run_one(store, now,
--- a/unittests/router/kv_client_test.cpp
+++ b/unittests/router/kv_client_test.cpp
@@ -3,6 +3,7 @@
 #include "baobabloft/http/caller_table.hpp"
 #include "baobabloft/http/tcp_stream.hpp"
 #include "baobabloft/net/kv_client.hpp"
+#include "baobabloft/net/revision_monitor.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -111,6 +112,23 @@
     }
 }
 
+// Guards against responses out of order that are taken for a restored service,
+// and against a restore that is reported by each response.
+TEST(revision_monitor, reports_each_restore_once)
+{
+    revision_monitor monitor;
+    EXPECT_FALSE(monitor.record(time_point{}, monitor.current(), 7));
+    const auto early = monitor.current();
+    EXPECT_FALSE(monitor.record(time_point{}, monitor.current(), 9));
+    EXPECT_FALSE(monitor.record(time_point{}, early, 8));
+    const auto first = monitor.current();
+    const auto second = monitor.current();
+    EXPECT_TRUE(monitor.record(time_point{}, first, 5));
+    EXPECT_FALSE(monitor.record(time_point{}, second, 6));
+    EXPECT_FALSE(monitor.record(time_point{}, monitor.current(), 5));
+    EXPECT_TRUE(monitor.record(time_point{}, monitor.current(), 4));
+}
+
 TEST_F(kv_client_test, a_well_formed_response_is_parsed)
 {
     response_body = R"({"header":{"revision":"9"},
