Preset store: a change replaces the preset that was read, not a revision

Seen by operators (own interface): if the key-value service was restored between the read and the write of a change, and had given the revision that was read to another operator's change, that accepted change was overwritten unseen.

Cause: the condition of the swap named a revision, which is given out again. The condition now compares the stored value, whose nonce is unique, or requires that none is stored.

Evidence: preset_store_test.a_revision_given_out_again_is_a_conflict fails with a condition on the revision and passes now; test_operators and OutageTest pass. The key-value service of the test evaluates all kinds of conditions.

--- a/include/baobabloft/operators/preset_store.hpp
+++ b/include/baobabloft/operators/preset_store.hpp
@@ -74,12 +74,12 @@
     history(failure& reason);
 
 private:
-    /// The preset in force with the modification revision of its key, which is
-    /// 0 if no preset was ever activated.
-    struct versioned_preset
+    /// The preset in force with its stored envelope, both empty if no preset
+    /// was ever activated.
+    struct stored_preset
     {
         std::optional<config::accepted_preset> preset;
-        std::int64_t revision = 0;
+        std::optional<std::string> envelope;
     };
 
     /// Outcome of a compare-and-swap of the preset in force.
@@ -96,11 +96,11 @@
                                              failure& reason);
     std::optional<net::kv_transaction_result>
     commit(const net::kv_transaction& transaction, failure& reason);
-    std::optional<versioned_preset> read_active(failure& reason);
+    std::optional<stored_preset> read_active(failure& reason);
     std::optional<config::accepted_preset>
-    replace_active(const versioned_preset& current, const std::string& text,
+    replace_active(const stored_preset& current, const std::string& text,
                    const change_metadata& metadata, failure& reason);
-    swap_result try_swap(const versioned_preset& current,
+    swap_result try_swap(const stored_preset& current,
                          const config::accepted_preset& next, failure& reason);
     /// Looks up in the history whether `next` or another change was accepted
     /// under its generation number.
--- a/lib/operators/preset_store.cpp
+++ b/lib/operators/preset_store.cpp
@@ -171,25 +171,24 @@
     return response;
 }
 
-std::optional<preset_store::versioned_preset>
+std::optional<preset_store::stored_preset>
 preset_store::read_active(failure& reason)
 {
     const auto found = read({router::active_preset_key(), {}}, reason);
     if (!found)
         return std::nullopt;
-    versioned_preset result;
+    stored_preset result;
     if (found->entries.empty())
         return result;
-    result.revision = found->entries.front().mod_revision;
-    result.preset =
-        config::parse_envelope(found->entries.front().value, reason);
+    result.envelope = found->entries.front().value;
+    result.preset = config::parse_envelope(*result.envelope, reason);
     if (!result.preset)
         return std::nullopt;
     return result;
 }
 
 std::optional<config::accepted_preset>
-preset_store::replace_active(const versioned_preset& current,
+preset_store::replace_active(const stored_preset& current,
                              const std::string& text,
                              const change_metadata& metadata, failure& reason)
 {
@@ -225,13 +224,21 @@
 }
 
 preset_store::swap_result
-preset_store::try_swap(const versioned_preset& current,
+preset_store::try_swap(const stored_preset& current,
                        const config::accepted_preset& next, failure& reason)
 {
     const auto envelope = config::to_envelope(next);
     net::kv_transaction transaction;
-    transaction.conditions.push_back(
-        {.key = router::active_preset_key(), .operand = current.revision});
+    // A restored service gives out revisions again, so only the value
+    // identifies the preset that was read.
+    net::kv_compare is_unchanged{.key = router::active_preset_key(),
+                                 .target = net::kv_compare_target::version};
+    if (current.envelope)
+    {
+        is_unchanged.target = net::kv_compare_target::value;
+        is_unchanged.value_operand = *current.envelope;
+    }
+    transaction.conditions.push_back(std::move(is_unchanged));
     transaction.puts.push_back({router::active_preset_key(), envelope});
     transaction.puts.push_back(
         {router::preset_history_key(next.generation_number), envelope});
--- a/unittests/operators/operators_test.cpp
+++ b/unittests/operators/operators_test.cpp
@@ -30,8 +30,7 @@
             std::exchange(before_commit, {})();
         bool conditions_hold = true;
         for (const auto& item : transaction.conditions)
-            conditions_hold =
-                conditions_hold && data_[item.key].mod_revision == item.operand;
+            conditions_hold = conditions_hold && is_met(item);
         if (conditions_hold)
             for (const auto& put : transaction.puts)
                 data_[put.key] = {put.key, put.value, ++revision_};
@@ -57,11 +56,35 @@
         done(std::nullopt, {});
     }
 
+    /// Replaces the preset in force without a new revision, as a restored
+    /// service does that gives out a revision again.
+    void replace_active(const std::string& envelope)
+    {
+        data_[router::active_preset_key()].value = envelope;
+    }
+
     int responses_to_lose = 0;
     /// Runs once, before the next commit.
     std::function<void()> before_commit;
 
 private:
+    bool is_met(const net::kv_compare& condition)
+    {
+        const auto found = data_.find(condition.key);
+        const bool exists = found != data_.end();
+        switch (condition.target)
+        {
+        case net::kv_compare_target::mod_revision:
+            return (exists ? found->second.mod_revision : 0) ==
+                   condition.operand;
+        case net::kv_compare_target::version:
+            return (exists ? 1 : 0) == condition.operand;
+        case net::kv_compare_target::value:
+            return exists && found->second.value == condition.value_operand;
+        }
+        return false;
+    }
+
     template <typename Result>
     void respond(const Result& result, callback<Result> done)
     {
@@ -141,6 +164,21 @@
     EXPECT_NE(reason.message.find("bob"), std::string::npos);
 }
 
+// Guards against a change that overwrites another operator's change because a
+// restored service gave that one the revision of the preset that was read.
+TEST_F(preset_store_test, a_revision_given_out_again_is_a_conflict)
+{
+    ASSERT_TRUE(store.activate(preset_text, {"ann", "n1", 0}, reason));
+    kv.before_commit = [this]
+    {
+        kv.replace_active(
+            config::to_envelope({1, "rival", "bob", 0, preset_text, {}}));
+    };
+    EXPECT_FALSE(store.activate(preset_text, {"ann", "n2", 0}, reason));
+    EXPECT_EQ(reason.kind, failure_kind::conflict);
+    EXPECT_EQ(store.active_preset(reason)->author, "bob");
+}
+
 TEST_F(preset_store_test, an_edit_is_repeated_after_a_conflict)
 {
     ASSERT_TRUE(store.activate(preset_text, {"ann", "n1", 0}, reason));
