Readiness: a started router first compares its preset with its peers

Seen by callers (own interface): a router that started right after the key-value service had returned from an older copy took the older preset from it and served requests under it until a peer's number reached it.

Cause: the first preset read from the service was taken for the newest.

A router without seed routers is ready with its first preset as before.

Not covered: if the first peer that responds has itself just started.

--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -138,7 +138,8 @@
 /// Whether a router accepts new requests.
 enum class readiness
 {
-    /// Has no preset yet.
+    /// Has no preset yet, or has not compared its first one with those of its
+    /// peers.
     joining,
     ready,
     /// Has recently received nothing from the KV service or any peer, so its
@@ -330,6 +331,9 @@
     /// the preset.
     [[nodiscard]] load_poll load_poll_for(const config::upstream& item) const;
     void start_preset_reads(time_point now);
+    /// Records whether the preset is at least as new as those that peers
+    /// report, or no peer responds.
+    void compare_first_preset(time_point now);
     void start_host_list_read(time_point now);
     void start_load_reads(time_point now);
     void record_gossiped_crashes(time_point now);
@@ -372,6 +376,8 @@
     bool can_open_preset_watch_ = false;
     time_point next_preset_watch_;
     time_point next_host_list_read_;
+    std::optional<time_point> started_at_;
+    bool has_compared_preset_ = false;
     bool leaving_ = false;
     /// True once the fleet had a second live member.
     bool had_peers_ = false;
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -79,6 +79,7 @@
     swim_.tick(now);
     record_gossiped_crashes(now);
     update_owned_upstreams(now);
+    compare_first_preset(now);
     start_preset_reads(now);
     start_host_list_read(now);
     start_load_reads(now);
@@ -383,7 +384,7 @@
 {
     if (leaving_)
         return readiness::leaving;
-    if (!preset())
+    if (!preset() || !has_compared_preset_)
         return readiness::joining;
     const auto kv = preset_follower_.last_kv_response_at();
     const bool kv_responds = kv && now - *kv < isolation_timeout;
@@ -554,6 +555,20 @@
         }
 }
 
+void node::compare_first_preset(time_point now)
+{
+    if (!started_at_)
+        started_at_ = now;
+    if (has_compared_preset_ || !preset())
+        return;
+    // The KV service may have been restored from an older copy.
+    const auto highest = swim_.highest_generation();
+    const bool is_newest =
+        highest && highest->second <= preset()->generation_number;
+    has_compared_preset_ = is_newest || options_.seed_routers.empty() ||
+                           now - *started_at_ > peer_timeout;
+}
+
 void node::start_preset_reads(time_point now)
 {
     if (leaving_)
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -135,6 +135,28 @@
     EXPECT_TRUE(all_have_preset(target, 6));
 }
 
+// Guards against a router that starts with the older preset of a restored KV
+// service although its peers have a newer one.
+TEST(fleet, started_router_serves_no_older_preset_than_its_peers)
+{
+    world target{{.seed = 12}};
+    target.start();
+    const auto copy = target.kv();
+    target.set_data_centre(1, false);
+    target.run_for(5s);
+    target.restore_kv(copy);
+    target.restart_router(4);
+    for (int step = 0; step < 1000; ++step)
+    {
+        target.run_for(5ms);
+        if (target.node(4)->current_readiness(target.now()) ==
+            fleet::readiness::ready)
+            ASSERT_EQ(target.node(4)->preset()->generation_number, 2U);
+    }
+    EXPECT_EQ(target.node(4)->current_readiness(target.now()),
+              fleet::readiness::ready);
+}
+
 // Guards against a change that was accepted right after a restore under the
 // number of a lost one, and never adopted by the routers that had the lost one.
 TEST(fleet, preset_accepted_right_after_a_restore_is_in_force_everywhere)
