--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -174,6 +174,7 @@
     for (int count = 0; count < seed_router_count; ++count)
         options.seed_routers.push_back(router_id_at(pick(random_)));
     state.node = std::make_unique<fleet::node>(options);
+    state.kv_revisions = {};
     std::uniform_int_distribution<duration::rep> phase(
         0, duration{tick_period}.count());
     events_.schedule_after(duration{phase(random_)},
@@ -226,21 +227,44 @@
 
 void world::activate_preset(const std::function<void(std::string&)>& change)
 {
+    failure reason;
+    const auto stored = config::parse_envelope(kv_.preset_envelope, reason);
+    auto text = stored ? stored->text : preset_text_;
     if (change)
-        change(preset_text_);
+        change(text);
     std::vector<config::preset_error> errors;
-    auto value = config::parse_preset(preset_text_, errors);
+    auto value = config::parse_preset(text, errors);
     assert(value && "the preset of the simulation must be valid");
-    kv_.preset_envelope =
-        config::to_envelope({.generation_number = ++generation_,
-                             .nonce = "driver",
-                             .author = "driver",
-                             .accepted_at = 0,
-                             .text = preset_text_,
-                             .value = std::move(*value)});
+    config::accepted_preset next{.generation_number = 1,
+                                 .nonce =
+                                     "change " + std::to_string(++last_change_),
+                                 .author = "driver",
+                                 .accepted_at = 0,
+                                 .text = text,
+                                 .value = std::move(*value)};
+    if (stored)
+        next = config::succeed(*stored, std::move(next));
+    store_preset(config::to_envelope(next));
+}
+
+void world::store_preset(const std::string& envelope)
+{
+    kv_.preset_envelope = envelope;
+    kv_.preset_revision = ++kv_.revision;
     notify_watchers();
 }
 
+void world::restore_kv(const fake_kv& copy)
+{
+    auto restored = copy;
+    restored.outage = kv_.outage;
+    restored.delay = kv_.delay;
+    restored.response_loss_probability = kv_.response_loss_probability;
+    kv_ = std::move(restored);
+    for (std::size_t index = 0; index < routers_.size(); ++index)
+        end_watch(index, kv_.delay, {});
+}
+
 void world::set_data_centre(std::size_t index, bool in_service)
 {
     activate_preset(
@@ -467,31 +491,45 @@
     }
     events_.schedule_after(
         kv_.delay / 2,
-        [this, index, epoch, operation, on_response, fail]
+        [this, index, epoch, operation, on_response, fail,
+         sent = routers_[index].kv_revisions.current()]
         {
             operation();
             std::uniform_real_distribution<double> chance(0, 1);
             if (kv_.outage || chance(random_) < kv_.response_loss_probability)
+            {
                 fail();
-            else
-                events_.schedule_after(kv_.delay / 2,
-                                       [this, index, epoch, on_response]
-                                       { deliver(index, epoch, on_response); });
+                return;
+            }
+            const auto respond =
+                [this, index, on_response, sent, revision = kv_.revision]
+            {
+                auto& state = routers_[index];
+                if (state.kv_revisions.record(now(), sent, revision))
+                    state.node->on_kv_restored(now(), sent.known_at);
+                on_response();
+            };
+            events_.schedule_after(kv_.delay / 2, [this, index, epoch, respond]
+                                   { deliver(index, epoch, respond); });
         });
 }
 
 void world::apply(std::size_t index, const fleet::read_preset& /*effect*/)
 {
-    const auto result = std::make_shared<std::string>();
+    const auto result = std::make_shared<fake_kv>();
     call_kv(
         index,
         [this, result]
         {
             ++kv_.reads;
-            *result = kv_.preset_envelope;
+            result->preset_envelope = kv_.preset_envelope;
+            result->revision = kv_.revision;
         },
-        [this, index, result] {
-            routers_[index].node->on_preset_read(now(), {true, *result});
+        [this, index, result]
+        {
+            routers_[index].read_revision = result->revision;
+            routers_[index].node->on_preset_read(
+                now(), {true, result->preset_envelope});
         },
         [this, index] { routers_[index].node->on_preset_read(now(), {}); });
 }
@@ -499,41 +537,61 @@
 void world::apply(std::size_t index, const fleet::watch_preset& /*effect*/)
 {
     ++kv_.reads;
-    routers_[index].watches_preset = true;
-    routers_[index].watched_generation = generation_;
+    auto& state = routers_[index];
+    state.watches_preset = true;
+    ++state.watch_number;
     if (kv_.outage)
-        events_.schedule_after(
-            kv_timeout,
-            [this, index, epoch = routers_[index].epoch]
-            {
-                routers_[index].watches_preset = false;
-                deliver(index, epoch,
-                        [this, index]
-                        { routers_[index].node->on_watch_ended(now(), {}); });
-            });
+        end_watch(index, kv_timeout, {});
+    else if (kv_.preset_revision > state.read_revision)
+        end_watch(index, kv_.delay, {true, kv_.preset_envelope});
+}
+
+void world::apply(std::size_t index, const fleet::replace_preset& effect)
+{
+    call_kv(
+        index,
+        [this, replacement = effect.replacement]
+        {
+            ++kv_.writes;
+            if (kv_.preset_envelope == replacement.stored.value_or(""))
+                store_preset(replacement.envelope);
+        },
+        [this, index]
+        { routers_[index].node->on_preset_replaced(now(), true); },
+        [this, index]
+        { routers_[index].node->on_preset_replaced(now(), false); });
 }
 
 void world::notify_watchers()
 {
     for (std::size_t index = 0; index < routers_.size(); ++index)
     {
-        auto& state = routers_[index];
-        if (!state.watches_preset || kv_.outage)
-            continue;
-        state.watches_preset = false;
-        events_.schedule_after(
-            kv_.delay,
-            [this, index, epoch = state.epoch, text = kv_.preset_envelope]
-            {
-                deliver(index, epoch,
-                        [this, index, text] {
-                            routers_[index].node->on_watch_ended(now(),
-                                                                 {true, text});
-                        });
-            });
+        if (!kv_.outage && kv_.preset_revision > routers_[index].read_revision)
+            end_watch(index, kv_.delay, {true, kv_.preset_envelope});
     }
 }
 
+void world::end_watch(std::size_t index, duration delay,
+                      const fleet::node::preset_response& response)
+{
+    const auto& state = routers_[index];
+    if (!state.watches_preset)
+        return;
+    events_.schedule_after(
+        delay,
+        [this, index, epoch = state.epoch, number = state.watch_number,
+         response]
+        {
+            auto& watcher = routers_[index];
+            if (watcher.watch_number != number || !watcher.watches_preset)
+                return;
+            watcher.watches_preset = false;
+            deliver(index, epoch,
+                    [this, index, response]
+                    { routers_[index].node->on_watch_ended(now(), response); });
+        });
+}
+
 void world::apply(std::size_t index, const fleet::pull_preset& effect)
 {
     const auto peer = router_index_.at(effect.peer);
@@ -614,12 +672,15 @@
         {
             ++kv_.writes;
             auto& log = kv_.shard_logs[effect.shard];
+            const auto previous = log.find(effect.number - 1);
             const bool follows =
                 effect.number == 1 ? !kv_.started_shards.contains(effect.shard)
-                                   : log.contains(effect.number - 1);
+                                   : previous != log.end() &&
+                                         previous->second == effect.predecessor;
             if (!follows || log.contains(effect.number))
                 return;
             log[effect.number] = effect.bytes;
+            ++kv_.revision;
             kv_.started_shards.insert(effect.shard);
             kv_.bytes_written += effect.bytes.size();
             *created = true;
--- a/benchmarks/driver/world.hpp
+++ b/benchmarks/driver/world.hpp
@@ -7,6 +7,7 @@
 #include "baobabloft/config/preset_parser.hpp"
 #include "baobabloft/fleet/node.hpp"
 #include "baobabloft/net/codec.hpp"
+#include "baobabloft/net/revision_monitor.hpp"
 
 #include <functional>
 #include <list>
@@ -110,6 +111,9 @@
 struct fake_kv
 {
     std::string preset_envelope;
+    /// Revision of the store, and of the last change of the preset.
+    std::int64_t revision = 0;
+    std::int64_t preset_revision = 0;
     /// Ledger entries by shard and entry number.
     std::map<std::uint32_t, std::map<ledger::entry_number, std::string>>
         shard_logs;
@@ -230,10 +234,15 @@
     void start_engine(std::size_t index, duration cold_start_duration);
 
     /// Applies `change` to the JSON text of the preset and stores the result in
-    /// the KV service as a new generation. An empty `change` keeps the text.
+    /// the KV service as the generation that follows the stored one. An empty
+    /// `change` keeps the text.
     void activate_preset(const std::function<void(std::string& text)>& change);
     void set_data_centre(std::size_t index, bool in_service);
 
+    /// Replaces the contents of the KV service with `copy`, which ends all
+    /// watches. Its faults stay as they are.
+    void restore_kv(const fake_kv& copy);
+
     /// Returns the node of a router, or null if the router is not running.
     [[nodiscard]] fleet::node* node(std::size_t index);
     [[nodiscard]] router_id router_id_at(std::size_t index) const;
@@ -299,7 +308,11 @@
             waiting_requests;
         std::unordered_map<ledger::claim_ticket, claim_callback> open_claims;
         bool watches_preset = false;
-        std::uint64_t watched_generation = 0;
+        /// Revision of the last preset read, from which a watch continues.
+        std::int64_t read_revision = 0;
+        /// Incremented with each watch.
+        std::uint64_t watch_number = 0;
+        net::revision_monitor kv_revisions;
     };
 
     void make_preset();
@@ -313,6 +326,7 @@
     void apply(std::size_t index, const fleet::send_message& effect);
     void apply(std::size_t index, const fleet::read_preset& effect);
     void apply(std::size_t index, const fleet::watch_preset& effect);
+    void apply(std::size_t index, const fleet::replace_preset& effect);
     void apply(std::size_t index, const fleet::pull_preset& effect);
     void apply(std::size_t index, const fleet::read_load& effect);
     void apply(std::size_t index, const fleet::read_host_list& effect);
@@ -322,6 +336,8 @@
     void apply(std::size_t index, const fleet::route_decided& effect);
     void apply(std::size_t index, const fleet::claim_decided& effect);
     void apply(std::size_t index, const fleet::preset_adopted& effect);
+    /// Stores `envelope` in the KV service and notifies the watchers.
+    void store_preset(const std::string& envelope);
     /// Calls the KV service: runs `operation` at half of its delay, then
     /// `on_response` at the router after the other half. Runs `on_failure`
     /// after a time-out if the service is unavailable or the response is lost.
@@ -332,6 +348,9 @@
                        std::uint32_t candidate_index);
     void end_run(engine_run& run);
     void notify_watchers();
+    /// Ends the watch of a router after `delay` with `response`.
+    void end_watch(std::size_t index, duration delay,
+                   const fleet::node::preset_response& response);
     /// Records a load report of every running engine and reschedules itself, so
     /// that lagged reports do not depend on when routers read.
     void record_reports_periodically();
@@ -353,7 +372,7 @@
     net::datagram_keys keys_;
     traffic sent_traffic_;
     std::string preset_text_;
-    std::uint64_t generation_ = 0;
+    std::uint64_t last_change_ = 0;
     std::uint64_t load_report_reads_ = 0;
 };
 
--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -40,12 +40,19 @@
 {
 };
 
-/// Effect: wait until the preset in the KV service changes, then call
-/// on_watch_ended().
+/// Effect: wait until the preset in the KV service changes after the last
+/// response to read_preset, then call on_watch_ended().
 struct watch_preset
 {
 };
 
+/// Effect: replace the preset in the KV service if it is still the one that
+/// was read, then call on_preset_replaced().
+struct replace_preset
+{
+    config::preset_replacement replacement;
+};
+
 /// Effect: fetch the preset from a peer over HTTP, then call
 /// on_preset_pulled().
 struct pull_preset
@@ -89,8 +96,8 @@
 };
 
 using effect =
-    std::variant<send_message, read_preset, watch_preset, pull_preset,
-                 read_load, read_host_list, ledger::read_entries,
+    std::variant<send_message, read_preset, watch_preset, replace_preset,
+                 pull_preset, read_load, read_host_list, ledger::read_entries,
                  ledger::create_entry, ledger::delete_entries, route_decided,
                  claim_decided, preset_adopted>;
 
@@ -131,7 +138,8 @@
 /// Whether a router accepts new requests.
 enum class readiness
 {
-    /// Has no preset yet.
+    /// Has no preset yet, or has not compared its first one with those of its
+    /// peers.
     joining,
     ready,
     /// Has recently received nothing from the KV service or any peer, so its
@@ -185,6 +193,10 @@
     /// Handles the end of watch_preset; tick() starts the next watch.
     void on_watch_ended(time_point now, const preset_response& response);
 
+    /// Handles the end of replace_preset. `responded` is false if the KV
+    /// service did not respond.
+    void on_preset_replaced(time_point now, bool responded);
+
     /// Handles the end of pull_preset. `envelope` is empty if the peer did not
     /// send a preset.
     void on_preset_pulled(time_point now,
@@ -214,6 +226,11 @@
     /// Handles the confirmed deletion of the entries before `end`.
     void on_entries_deleted(std::uint32_t shard, ledger::entry_number end);
 
+    /// Records that the KV service was restored from an older copy after
+    /// `known_at`, the time of its last response before: it may have lost
+    /// entries of any shard.
+    void on_kv_restored(time_point now, time_point known_at);
+
     /// Starts the search for an upstream; a route_decided effect follows.
     routing::permit_ticket begin_route(time_point now,
                                        const route_requirements& requirements);
@@ -314,6 +331,9 @@
     /// the preset.
     [[nodiscard]] load_poll load_poll_for(const config::upstream& item) const;
     void start_preset_reads(time_point now);
+    /// Records whether the preset is at least as new as those that peers
+    /// report, or no peer responds.
+    void compare_first_preset(time_point now);
     void start_host_list_read(time_point now);
     void start_load_reads(time_point now);
     void record_gossiped_crashes(time_point now);
@@ -350,8 +370,14 @@
     std::uint64_t applied_view_ = 0;
     std::uint64_t wall_ms_ = 0;
     bool preset_watch_open_ = false;
+    /// True if the KV service has responded to a read since the last watch. A
+    /// service restored from an older copy has lower revisions, so a watch that
+    /// continued from an earlier one would miss changes.
+    bool can_open_preset_watch_ = false;
     time_point next_preset_watch_;
     time_point next_host_list_read_;
+    std::optional<time_point> started_at_;
+    bool has_compared_preset_ = false;
     bool leaving_ = false;
     /// True once the fleet had a second live member.
     bool had_peers_ = false;
--- a/include/baobabloft/ledger/appender.hpp
+++ b/include/baobabloft/ledger/appender.hpp
@@ -28,8 +28,10 @@
     std::size_t limit = 0;
 };
 
-/// Action: create entry `number` if it does not exist and its predecessor does;
-/// both conditions are checked in one transaction. Entry 1 has no predecessor.
+/// Action: create entry `number` if it does not exist and the value of its
+/// predecessor is `predecessor`; both conditions are checked in one
+/// transaction. A KV service that was restored from an older copy may hold
+/// another entry under the predecessor's number. Entry 1 has no predecessor.
 /// It requires instead that a marker, which is never deleted, does not exist,
 /// and it creates the marker in the same transaction.
 struct create_entry
@@ -37,6 +39,7 @@
     std::uint32_t shard = 0;
     entry_number number = 0;
     std::string bytes;
+    std::string predecessor{};
 };
 
 /// Action: delete the entries in [first, end).
@@ -99,6 +102,8 @@
     std::uint64_t records = 0;
     std::uint64_t reads = 0;
     std::uint64_t damaged_entries = 0;
+    /// Times at which the KV service had lost entries.
+    std::uint64_t losses = 0;
 };
 
 /// Appends to the log of one shard on behalf of one router.
@@ -127,6 +132,14 @@
     /// Handles the confirmed deletion of the entries before `end`.
     void on_entries_deleted(entry_number end);
 
+    /// Records that the KV service may have lost entries: reads the log again
+    /// and refuses keys that may have been claimed in entries that this
+    /// appender does not know.
+    /// The service held all entries at `since_ms`, in milliseconds since the
+    /// epoch; if the log has a later record of a loss, none is appended.
+    void handle_possible_loss(time_point now, std::uint64_t wall_ms,
+                              std::uint64_t since_ms);
+
     /// Starts writes that the rate limit has delayed; must be called at least
     /// every 50 ms.
     void tick(time_point now, std::uint64_t wall_ms);
@@ -159,6 +172,18 @@
     };
 
     void read_log(time_point now);
+    /// Plans to append the records of the entries read so far again, and reads
+    /// the log from its oldest entry.
+    void recover_lost_entries(time_point now);
+    /// Plans an entries_lost record as the last of `lost_records_`.
+    void plan_loss_record();
+    /// Answers the claims of the last write as unknown.
+    void refuse_claims_in_flight();
+    /// Drops the records of `lost_records_` that the log already contains.
+    void drop_stored_records();
+    /// Returns true if the entry that was applied last is not in the log.
+    [[nodiscard]] bool
+    has_lost_entries(const std::vector<log_entry>& entries) const;
     /// Starts a write if records wait and the rate limit allows one.
     void write_if_allowed(time_point now);
     void start_write(time_point now);
@@ -182,9 +207,22 @@
     appender_options options_;
     std::mt19937_64 random_;
     shard_state state_;
+    /// Stored form of the last entry in `state_`.
+    std::string last_entry_bytes_;
     phase phase_ = phase::unloaded;
     std::deque<waiting_record> waiting_;
     batch batch_in_flight_;
+    std::string bytes_in_flight_;
+    /// Records of lost entries, followed by an entries_lost record. They are
+    /// written before any other.
+    std::deque<record> lost_records_;
+    std::size_t lost_records_in_flight_ = 0;
+    /// Start of the time in which the loss of a planned record happened.
+    std::optional<std::uint64_t> loss_since_ms_;
+    /// True from the start of a write until it is known whether it was stored.
+    bool may_have_written_ = false;
+    /// True if entries may have been lost during the current write.
+    bool lost_during_write_ = false;
     std::vector<log_action> actions_;
     std::vector<append_outcome> outcomes_;
     std::uint64_t wall_ms_ = 0;
--- a/lib/config/preset_follower.cpp
+++ b/lib/config/preset_follower.cpp
@@ -3,6 +3,8 @@
 
 #include "baobabloft/config/preset_parser.hpp"
 
+#include <utility>
+
 namespace baobabloft::config
 {
 
@@ -31,7 +33,10 @@
 {
     reading_kv_ = false;
     last_kv_response_at_ = now;
-    return envelope && adopt(*envelope);
+    if (envelope && adopt(*envelope))
+        return true;
+    replacement_ = replacement_of(envelope);
+    return false;
 }
 
 void preset_follower::handle_kv_failure(time_point now)
@@ -50,6 +55,16 @@
     return envelope && adopt(*envelope);
 }
 
+std::optional<preset_replacement> preset_follower::take_replacement()
+{
+    return std::exchange(replacement_, std::nullopt);
+}
+
+void preset_follower::request_kv_read(time_point now)
+{
+    next_kv_read_at_ = std::min(next_kv_read_at_, now);
+}
+
 preset_reads preset_follower::start_due_reads(time_point now, bool frequent)
 {
     preset_reads reads;
@@ -94,6 +109,26 @@
     return last_failure_;
 }
 
+std::optional<preset_replacement>
+preset_follower::replacement_of(const std::optional<std::string>& stored) const
+{
+    if (!current_)
+        return std::nullopt;
+    auto newest = *current_;
+    if (stored)
+    {
+        failure ignored;
+        auto accepted = parse_envelope(*stored, ignored);
+        if (!accepted || (accepted->generation_number == current_generation() &&
+                          accepted->nonce == current_->nonce))
+            return std::nullopt;
+        if (is_superseded_by(*current_, *accepted))
+            newest = succeed(*current_, std::move(*accepted));
+    }
+    return preset_replacement{stored, newest.generation_number,
+                              to_envelope(newest)};
+}
+
 bool preset_follower::adopt(std::string_view envelope)
 {
     auto accepted = parse_envelope(envelope, last_failure_);
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -79,6 +79,7 @@
     swim_.tick(now);
     record_gossiped_crashes(now);
     update_owned_upstreams(now);
+    compare_first_preset(now);
     start_preset_reads(now);
     start_host_list_read(now);
     start_load_reads(now);
@@ -160,20 +161,34 @@
 {
     if (!response.responded)
         preset_follower_.handle_kv_failure(now);
-    else if (preset_follower_.handle_kv_response(now, response.envelope))
-        apply_adopted_preset(now);
+    else
+    {
+        can_open_preset_watch_ = !preset_watch_open_;
+        if (preset_follower_.handle_kv_response(now, response.envelope))
+            apply_adopted_preset(now);
+        if (auto replacement = preset_follower_.take_replacement())
+            effects_.emplace_back(replace_preset{std::move(*replacement)});
+    }
     collect_effects(now);
 }
 
+void node::on_preset_replaced(time_point now, bool responded)
+{
+    // The next read shows which preset is stored now.
+    if (responded)
+        preset_follower_.request_kv_read(now);
+    else
+        preset_follower_.handle_kv_failure(now);
+}
+
 void node::on_watch_ended(time_point now, const preset_response& response)
 {
     preset_watch_open_ = false;
     if (response.responded && response.envelope)
-    {
         on_preset_read(now, response);
-        return;
-    }
-    next_preset_watch_ = now + watch_retry_period;
+    else
+        next_preset_watch_ = now + watch_retry_period;
+    can_open_preset_watch_ = false;
 }
 
 void node::on_preset_pulled(time_point now,
@@ -239,6 +254,17 @@
         found->second.appender.on_entries_deleted(end);
 }
 
+void node::on_kv_restored(time_point now, time_point known_at)
+{
+    const auto since_ms =
+        wall_ms_ - static_cast<std::uint64_t>((now - known_at) / 1ms);
+    for (std::uint32_t shard = 0; shard < options_.ledger_shards; ++shard)
+        appender_for(now, shard)
+            .appender.handle_possible_loss(now, wall_ms_, since_ms);
+    preset_follower_.request_kv_read(now);
+    collect_effects(now);
+}
+
 routing::permit_ticket node::begin_route(time_point now,
                                          const route_requirements& requirements)
 {
@@ -360,7 +386,7 @@
 {
     if (leaving_)
         return readiness::leaving;
-    if (!preset())
+    if (!preset() || !has_compared_preset_)
         return readiness::joining;
     const auto kv = preset_follower_.last_kv_response_at();
     const bool kv_responds = kv && now - *kv < isolation_timeout;
@@ -531,6 +557,20 @@
         }
 }
 
+void node::compare_first_preset(time_point now)
+{
+    if (!started_at_)
+        started_at_ = now;
+    if (has_compared_preset_ || !preset())
+        return;
+    // The KV service may have been restored from an older copy.
+    const auto highest = swim_.highest_generation();
+    const bool is_newest =
+        highest && highest->second <= preset()->generation_number;
+    has_compared_preset_ = is_newest || options_.seed_routers.empty() ||
+                           now - *started_at_ > peer_timeout;
+}
+
 void node::start_preset_reads(time_point now)
 {
     if (leaving_)
@@ -538,6 +578,10 @@
     const bool is_watcher = is_data_centre_watcher();
     const bool peers_unresponsive =
         now - swim_.last_received_at() > peer_timeout;
+    const bool needs_watch =
+        is_watcher && !preset_watch_open_ && now >= next_preset_watch_;
+    if (needs_watch && !can_open_preset_watch_)
+        preset_follower_.request_kv_read(now);
     const auto reads =
         preset_follower_.start_due_reads(now, peers_unresponsive || !preset());
     if (reads.from_kv)
@@ -553,8 +597,9 @@
         else
             preset_follower_.handle_peer_response(std::nullopt);
     }
-    if (!is_watcher || preset_watch_open_ || now < next_preset_watch_)
+    if (!needs_watch || !can_open_preset_watch_)
         return;
+    can_open_preset_watch_ = false;
     preset_watch_open_ = true;
     effects_.emplace_back(watch_preset{});
 }
--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -81,10 +81,17 @@
 {
     assert(phase_ == phase::loading && "no read is in progress");
     consecutive_failures_ = 0;
+    if (has_lost_entries(entries))
+    {
+        recover_lost_entries(now);
+        return;
+    }
     last_contact_at_ = now;
     for (const auto& entry : entries)
     {
         const auto last = state_.last_entry();
+        if (last && entry.number == *last)
+            continue;
         if (last && entry.number != *last + 1)
         {
             // Entries in between were deleted since the last read; rebuild the
@@ -102,12 +109,15 @@
             return;
         }
         state_.apply(entry.number, *content);
+        last_entry_bytes_ = entry.bytes;
     }
     if (entries.size() >= entries_per_read)
     {
         read_log(now);
         return;
     }
+    drop_stored_records();
+    may_have_written_ = false;
     phase_ = phase::ready;
     respond_to_settled();
     write_if_allowed(now);
@@ -122,16 +132,25 @@
 void appender::on_entry_created(time_point now, bool created)
 {
     assert(phase_ == phase::writing && "no write is in progress");
+    const auto lost_records_written = std::exchange(lost_records_in_flight_, 0);
+    may_have_written_ = false;
+    const bool lost_during_write = std::exchange(lost_during_write_, false);
     if (!created)
     {
         ++counts_.lost_races;
         read_log(now);
         return;
     }
+    if (lost_during_write)
+        refuse_claims_in_flight();
     consecutive_failures_ = 0;
     last_contact_at_ = now;
     counts_.records += batch_in_flight_.records.size();
     state_.apply(state_.last_entry().value_or(0) + 1, batch_in_flight_);
+    lost_records_.erase(lost_records_.begin(),
+                        lost_records_.begin() +
+                            static_cast<std::ptrdiff_t>(lost_records_written));
+    last_entry_bytes_ = std::move(bytes_in_flight_);
     phase_ = phase::ready;
     respond_to_written();
     respond_to_settled();
@@ -144,6 +163,9 @@
     // Reading the log shows whether the entry exists. The waiting records are
     // settled by what is read, regardless of which appender wrote it.
     ++counts_.unknown_writes;
+    if (std::exchange(lost_during_write_, false))
+        refuse_claims_in_flight();
+    lost_records_in_flight_ = 0;
     back_off(now);
 }
 
@@ -152,6 +174,22 @@
     state_.record_deleted_before(end);
 }
 
+void appender::handle_possible_loss(time_point now, std::uint64_t wall_ms,
+                                    std::uint64_t since_ms)
+{
+    wall_ms_ = std::max(wall_ms_, wall_ms);
+    plan_loss_record();
+    loss_since_ms_ = since_ms;
+    if (phase_ == phase::writing)
+        lost_during_write_ = true;
+    else if (may_have_written_)
+        refuse_claims_in_flight();
+    // In any other phase a read follows, or a write that fails if entries are
+    // missing.
+    if (phase_ == phase::unloaded || phase_ == phase::ready)
+        read_log(now);
+}
+
 void appender::tick(time_point now, std::uint64_t wall_ms)
 {
     wall_ms_ = std::max(wall_ms_, wall_ms);
@@ -191,16 +229,90 @@
 {
     phase_ = phase::loading;
     ++counts_.reads;
-    std::optional<entry_number> first;
-    if (const auto last = state_.last_entry())
-        first = *last + 1;
+    // The last entry applied is read again to see whether it is still there.
     actions_.emplace_back(
-        read_entries{options_.shard, first, entries_per_read});
+        read_entries{options_.shard, state_.last_entry(), entries_per_read});
+}
+
+bool appender::has_lost_entries(const std::vector<log_entry>& entries) const
+{
+    const auto last = state_.last_entry();
+    if (!last)
+        return false;
+    if (entries.empty())
+        return true;
+    return entries.front().number == *last &&
+           entries.front().bytes != last_entry_bytes_;
+}
+
+void appender::recover_lost_entries(time_point now)
+{
+    ++counts_.losses;
+    std::erase_if(lost_records_, [](const record& item)
+                  { return item.kind == record_kind::entries_lost; });
+    for (auto& item : state_.records())
+        lost_records_.push_back(std::move(item));
+    plan_loss_record();
+    if (!loss_since_ms_)
+        loss_since_ms_ = wall_ms_ - static_cast<std::uint64_t>(
+                                        (now - last_contact_at_) / 1ms);
+    state_ = {};
+    read_log(now);
+}
+
+void appender::plan_loss_record()
+{
+    // Replaces an earlier one unless it is being written.
+    const bool has_unsent = lost_records_.size() > lost_records_in_flight_;
+    if (has_unsent && lost_records_.back().kind == record_kind::entries_lost)
+        lost_records_.pop_back();
+    const auto lost_until_ms = std::max(wall_ms_, state_.newest_key_ms());
+    lost_records_.push_back({record_kind::entries_lost,
+                             make_idempotency_key(lost_until_ms, 0, 0),
+                             random_(),
+                             {}});
+}
+
+void appender::refuse_claims_in_flight()
+{
+    // The write may have reached the service after its entries were lost.
+    const auto& written = batch_in_flight_.records;
+    std::erase_if(waiting_,
+                  [&](const waiting_record& item)
+                  {
+                      if (item.content.kind != record_kind::claimed ||
+                          std::find(written.begin(), written.end(),
+                                    item.content) == written.end())
+                          return false;
+                      respond(item.ticket, item.content,
+                              {.result = append_result::below_low_water_mark});
+                      return true;
+                  });
+}
+
+void appender::drop_stored_records()
+{
+    const auto since_ms = std::exchange(loss_since_ms_, std::nullopt);
+    // True if another appender has recorded the same loss.
+    const bool is_recorded = since_ms && state_.lost_until_ms() > *since_ms;
+    std::erase_if(lost_records_,
+                  [this, is_recorded](const record& item)
+                  {
+                      if (item.kind == record_kind::entries_lost)
+                          return is_recorded;
+                      const auto known = state_.find(item.key);
+                      if (known.status == key_status::free)
+                          return false;
+                      return item.kind == record_kind::claimed ||
+                             known.status != key_status::claimed ||
+                             known.attempt != item.attempt;
+                  });
 }
 
 void appender::write_if_allowed(time_point now)
 {
-    if (!waiting_.empty() && take_write_token(now))
+    const bool has_records = !waiting_.empty() || !lost_records_.empty();
+    if (has_records && take_write_token(now))
         start_write(now);
 }
 
@@ -209,9 +321,12 @@
     batch_in_flight_ = make_batch();
     phase_ = phase::writing;
     ++counts_.writes;
-    actions_.emplace_back(create_entry{options_.shard,
-                                       state_.last_entry().value_or(0) + 1,
-                                       encode_batch(batch_in_flight_)});
+    bytes_in_flight_ = encode_batch(batch_in_flight_);
+    may_have_written_ = true;
+    const auto last = state_.last_entry();
+    actions_.emplace_back(
+        create_entry{options_.shard, last.value_or(0) + 1, bytes_in_flight_,
+                     last ? last_entry_bytes_ : std::string{}});
 }
 
 void appender::respond_to_settled()
@@ -308,15 +423,22 @@
                      std::max(state_.low_water_mark_ms(), oldest_retained_ms),
                  .records = {}};
     std::size_t bytes = 0;
-    for (const auto& item : waiting_)
+    const auto add = [&](const record& content)
     {
-        if (result.records.size() >= options_.max_records_per_entry)
-            break;
-        bytes += stored_size(item.content);
-        if (bytes > options_.max_bytes_per_entry && !result.records.empty())
-            break;
-        result.records.push_back(item.content);
-    }
+        bytes += stored_size(content);
+        if (result.records.size() >= options_.max_records_per_entry ||
+            (bytes > options_.max_bytes_per_entry && !result.records.empty()))
+            return false;
+        result.records.push_back(content);
+        return true;
+    };
+    const bool all_lost_added =
+        std::all_of(lost_records_.begin(), lost_records_.end(), add);
+    lost_records_in_flight_ = result.records.size();
+    if (all_lost_added)
+        for (const auto& item : waiting_)
+            if (!add(item.content))
+                break;
     return result;
 }
 
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -447,20 +447,34 @@
     socket_->send(effect.to, bytes);
 }
 
+void control_task::record_kv_revision(const net::revision_monitor::mark& sent,
+                                      std::int64_t revision)
+{
+    const auto now = net::monotonic_now();
+    if (!kv_revisions_.record(now, sent, revision))
+        return;
+    log_event(log_level::warning, "kv_restored",
+              {{"known_revision", std::to_string(sent.revision)},
+               {"revision", std::to_string(revision)}});
+    node_.on_kv_restored(now, sent.known_at);
+}
+
 void control_task::apply(const fleet::read_preset& /*effect*/)
 {
     kv_client_->read(
         {active_preset_key(), {}},
-        [this](const std::optional<net::kv_range_result>& result,
-               const failure&)
+        [this, sent = kv_revisions_.current()](
+            const std::optional<net::kv_range_result>& result, const failure&)
         {
             metrics_->record_platform_call("preset_read", result.has_value());
             fleet::node::preset_response response{result.has_value(), {}};
-            if (result && !result->entries.empty())
+            if (result)
             {
-                response.envelope = result->entries.front().value;
-                preset_revision_ = result->entries.front().mod_revision;
+                preset_revision_ = result->revision;
+                record_kv_revision(sent, result->revision);
             }
+            if (result && !result->entries.empty())
+                response.envelope = result->entries.front().value;
             node_.on_preset_read(net::monotonic_now(), response);
             apply_effects();
         });
@@ -475,15 +489,47 @@
             metrics_->record_platform_call("preset_watch", entry.has_value());
             fleet::node::preset_response response{entry.has_value(), {}};
             if (entry)
-            {
                 response.envelope = entry->value;
-                preset_revision_ = entry->mod_revision;
-            }
             node_.on_watch_ended(net::monotonic_now(), response);
             apply_effects();
         });
 }
 
+void control_task::apply(const fleet::replace_preset& effect)
+{
+    const auto& item = effect.replacement;
+    log_event(log_level::warning, "preset_outdated_in_kv",
+              {{"generation", std::to_string(item.number)}});
+    net::kv_transaction transaction;
+    // A restored service gives out revisions again, so only the value
+    // identifies the preset that was read.
+    if (item.stored)
+        transaction.conditions.push_back(
+            {.key = active_preset_key(),
+             .target = net::kv_compare_target::value,
+             .value_operand = *item.stored});
+    else
+        transaction.conditions.push_back(
+            {.key = active_preset_key(),
+             .target = net::kv_compare_target::version});
+    transaction.puts.push_back({active_preset_key(), item.envelope});
+    transaction.puts.push_back(
+        {preset_history_key(item.number), item.envelope});
+    kv_client_->commit(
+        transaction,
+        [this, sent = kv_revisions_.current()](
+            const std::optional<net::kv_transaction_result>& result,
+            const failure&)
+        {
+            metrics_->record_platform_call("preset_replace",
+                                           result.has_value());
+            if (result)
+                record_kv_revision(sent, result->revision);
+            node_.on_preset_replaced(net::monotonic_now(), result.has_value());
+            apply_effects();
+        });
+}
+
 void control_task::apply(const fleet::pull_preset& effect)
 {
     net::http_request request;
@@ -575,13 +621,14 @@
     range.limit = effect.limit;
     kv_client_->read(
         range,
-        [this, shard = effect.shard, prefix](
+        [this, sent = kv_revisions_.current(), shard = effect.shard, prefix](
             const std::optional<net::kv_range_result>& result, const failure&)
         {
             metrics_->record_platform_call("ledger_read", result.has_value());
             std::optional<std::vector<ledger::log_entry>> entries;
             if (result)
             {
+                record_kv_revision(sent, result->revision);
                 entries.emplace();
                 for (const auto& item : result->entries)
                     entries->push_back(
@@ -610,18 +657,22 @@
     }
     else
         transaction.conditions.push_back(
-            {entry_key(effect.shard, effect.number - 1), target::version,
-             relation::greater, 0});
+            {.key = entry_key(effect.shard, effect.number - 1),
+             .target = target::value,
+             .value_operand = effect.predecessor});
     kv_client_->commit(
         transaction,
-        [this, shard = effect.shard](
+        [this, sent = kv_revisions_.current(), shard = effect.shard](
             const std::optional<net::kv_transaction_result>& result,
             const failure&)
         {
             metrics_->record_platform_call("ledger_write", result.has_value());
             std::optional<bool> created;
             if (result)
+            {
+                record_kv_revision(sent, result->revision);
                 created = result->succeeded;
+            }
             node_.on_entry_created(net::monotonic_now(), shard, created);
             apply_effects();
         });
--- a/unittests/endtoend/endtoend_test.py
+++ b/unittests/endtoend/endtoend_test.py
@@ -241,6 +241,42 @@
         self.assertEqual(self.fleet.send_booking(2, key)[0], 200)
         self.assertEqual(self.fleet.execution_counts()[key], 1)
 
+    # Guards against a preset that a restored store has lost: its number was
+    # given to the next change, which no router adopted.
+    def test_preset_lost_by_a_restored_store_is_stored_again(self):
+        self.set_store_faults(copy=True)
+        self.fleet.baobabctl("data-centre", "out", "fyn-b", "--wait")
+        self.set_store_faults(restore=True)
+        time.sleep(3)
+        history = json.loads(self.fleet.baobabctl(
+            "--output", "json", "preset", "history").stdout)
+        self.assertEqual([item["generation"] for item in history], [1, 2])
+        self.fleet.baobabctl("data-centre", "out", "fyn-a", "--wait")
+        shown = json.loads(self.fleet.baobabctl("preset", "show").stdout)
+        self.assertEqual(
+            [item["name"] for item in shown["data_centres"]
+             if not item.get("in_service", True)], ["fyn-a", "fyn-b"])
+
+    # Guards against a booking that runs again because a restored store has lost
+    # its claim, and against bookings that are refused for good.
+    def test_booking_lost_by_a_restored_store_does_not_run_again(self):
+        self.assertEqual(
+            self.fleet.send_booking(0, fleet_lib.new_idempotency_key())[0], 200)
+        self.set_store_faults(copy=True)
+        keys = [fleet_lib.new_idempotency_key() for _ in range(20)]
+        for index, key in enumerate(keys):
+            self.assertEqual(self.fleet.send_booking(index % 3, key)[0], 200)
+        self.set_store_faults(restore=True)
+        for _ in range(2):
+            for index, key in enumerate(keys):
+                self.fleet.send_booking((index + 1) % 3, key)
+        executions = self.fleet.execution_counts()
+        self.assertEqual([executions[key] for key in keys], [1] * len(keys))
+        time.sleep(2)
+        for router in range(3):
+            key = fleet_lib.new_idempotency_key()
+            self.assertEqual(self.fleet.send_booking(router, key)[0], 200)
+
     def test_router_starts_during_a_store_outage(self):
         self.set_store_faults(outage=True)
         self.fleet.send_signal("router-2", signal.SIGKILL)
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -116,6 +116,100 @@
     EXPECT_TRUE(all_have_preset(target, 2));
 }
 
+// Guards against watches that continue from a revision that the KV service no
+// longer has after it was restored, and so miss the next change.
+TEST(fleet, preset_change_after_a_restore_reaches_all_routers)
+{
+    world target{{.seed = 9}};
+    target.start();
+    const auto copy = target.kv();
+    for (int count = 0; count < 4; ++count)
+    {
+        target.set_data_centre(1, count % 2 != 0);
+        target.run_for(5s);
+    }
+    target.restore_kv(copy);
+    target.run_for(5s);
+    target.set_data_centre(2, false);
+    target.run_for(5s);
+    EXPECT_TRUE(all_have_preset(target, 6));
+}
+
+// Guards against a router that starts with the older preset of a restored KV
+// service although its peers have a newer one.
+TEST(fleet, started_router_serves_no_older_preset_than_its_peers)
+{
+    world target{{.seed = 12}};
+    target.start();
+    const auto copy = target.kv();
+    target.set_data_centre(1, false);
+    target.run_for(5s);
+    target.restore_kv(copy);
+    target.restart_router(4);
+    for (int step = 0; step < 1000; ++step)
+    {
+        target.run_for(5ms);
+        if (target.node(4)->current_readiness(target.now()) ==
+            fleet::readiness::ready)
+            ASSERT_EQ(target.node(4)->preset()->generation_number, 2U);
+    }
+    EXPECT_EQ(target.node(4)->current_readiness(target.now()),
+              fleet::readiness::ready);
+}
+
+// Guards against a change that was accepted right after a restore under the
+// number of a lost one, and never adopted by the routers that had the lost one.
+TEST(fleet, preset_accepted_right_after_a_restore_is_in_force_everywhere)
+{
+    world target{{.seed = 11}};
+    target.start();
+    const auto copy = target.kv();
+    for (const int lost_changes : {1, 3})
+    {
+        for (int count = 0; count < lost_changes; ++count)
+        {
+            target.set_data_centre(1, count % 2 != 0);
+            target.run_for(5s);
+        }
+        target.restore_kv(copy);
+        target.set_data_centre(2, false);
+        target.run_for(5s);
+        const auto newest = target.node(0)->preset();
+        EXPECT_TRUE(all_have_preset(target, newest->generation_number));
+        for (std::size_t index = 0; index < 9; ++index)
+            EXPECT_FALSE(
+                target.node(index)
+                    ->preset()
+                    ->value.find_data_centre(target.data_centre_name(2))
+                    ->in_service);
+        target.set_data_centre(2, true);
+        target.run_for(5s);
+    }
+}
+
+// Guards against a generation that is given out twice with different presets,
+// after the KV service was restored from a copy without the newest one.
+TEST(fleet, preset_lost_by_the_kv_service_is_restored_and_never_numbered_again)
+{
+    world target{{.seed = 10}};
+    target.start();
+    const auto copy = target.kv();
+    target.set_data_centre(1, false);
+    target.run_for(5s);
+    target.restore_kv(copy);
+    target.run_for(5s);
+    target.set_data_centre(2, false);
+    target.run_for(5s);
+    EXPECT_TRUE(all_have_preset(target, 3));
+    for (const auto centre : {1, 2})
+        EXPECT_FALSE(target.node(0)
+                         ->preset()
+                         ->value
+                         .find_data_centre(target.data_centre_name(
+                             static_cast<std::size_t>(centre)))
+                         ->in_service);
+}
+
 TEST(fleet, restarted_router_gets_preset_from_peers_during_kv_outage)
 {
     world target{{.seed = 6}};
@@ -249,6 +343,108 @@
     }
 }
 
+/// Attempts idempotent keys at routers of `target` and counts their runs.
+struct keyed_load
+{
+    explicit keyed_load(world& target) : target(target) {}
+
+    /// Claims `key` at a router and runs its call if the claim is accepted.
+    void attempt(const ledger::idempotency_key& key, std::size_t router)
+    {
+        if (!target.is_router_up(router))
+            return;
+        target.claim(router, key, 3s,
+                     [this, key, router](const ledger::claim_decision& decision)
+                     {
+                         ++decisions[decision.result];
+                         if (decision.result != ledger::claim_result::accepted)
+                             return;
+                         ++runs_by_key[key];
+                         target.events().schedule_after(
+                             1ms,
+                             [this, router, ticket = decision.ticket]
+                             {
+                                 target.run_on_router(
+                                     router,
+                                     [this, router, ticket] {
+                                         target.node(router)->finish_claim(
+                                             target.now(), ticket, {});
+                                     });
+                             });
+                     });
+    }
+
+    /// Attempts `count` new keys, one each 50 ms.
+    void claim_new_keys(int count)
+    {
+        auto& random = target.random();
+        for (; count > 0; --count)
+        {
+            keys.push_back(ledger::make_idempotency_key(target.wall_clock_ms(),
+                                                        random(), random()));
+            attempt(keys.back(), random() % 9);
+            target.run_for(50ms);
+        }
+    }
+
+    world& target;
+    std::vector<ledger::idempotency_key> keys;
+    std::map<ledger::idempotency_key, int> runs_by_key;
+    std::map<ledger::claim_result, int> decisions;
+};
+
+/// Sends calls, restores the KV service from a copy without the later claims
+/// while `restarted_routers` routers restart, and sends all calls again.
+void run_calls_around_a_restore(keyed_load& load, std::size_t restarted_routers)
+{
+    auto& target = load.target;
+    target.start();
+    load.claim_new_keys(40);
+    const auto copy = target.kv();
+    load.claim_new_keys(60);
+    target.kv().outage = true;
+    target.run_for(2s);
+    for (std::size_t index = 0; index < restarted_routers; ++index)
+        target.restart_router(index);
+    target.restore_kv(copy);
+    target.kv().outage = false;
+    for (int repetition = 0; repetition < 4; ++repetition)
+    {
+        for (const auto& key : load.keys)
+            load.attempt(key, target.random()() % 9);
+        target.run_for(1s);
+    }
+}
+
+// Guards against a call that runs twice because the KV service was restored
+// from a copy without its claim, and against new calls that are refused for
+// good.
+RC_GTEST_PROP(fleet, no_call_runs_twice_after_a_restore, (std::uint16_t seed))
+{
+    world target{{.seed = seed}};
+    keyed_load load{target};
+    run_calls_around_a_restore(load, 0);
+    for (const auto& [key, runs] : load.runs_by_key)
+        RC_ASSERT(runs == 1);
+    target.run_for(10s);
+    load.decisions.clear();
+    load.claim_new_keys(20);
+    target.run_for(5s);
+    RC_ASSERT(load.decisions[ledger::claim_result::accepted] == 20);
+}
+
+// Guards against a call that runs twice because a router that started during
+// the outage accepts the key of a lost claim before the loss is recorded.
+RC_GTEST_PROP(fleet, no_call_runs_twice_after_a_restore_and_restarts,
+              (std::uint16_t seed))
+{
+    world target{{.seed = seed}};
+    keyed_load load{target};
+    run_calls_around_a_restore(load, 5);
+    for (const auto& [key, runs] : load.runs_by_key)
+        RC_ASSERT(runs == 1);
+}
+
 /// Sends several attempts with the same idempotency key through different
 /// routers during message loss, router pauses and restarts, and KV outages.
 RC_GTEST_PROP(fleet, no_idempotency_key_runs_twice, (std::uint16_t seed))
