--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -29,7 +29,7 @@
 /// Bytes sent to an upstream that stay unacknowledged, or cannot be sent as its
 /// buffers are full, for this long mean a dead connection. A sound upstream may
 /// be silent for a second or two, and TCP doubles the time between its tries.
-constexpr duration upstream_unacknowledged_timeout = 4s;
+constexpr duration upstream_unacknowledged_timeout = 2500ms;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
