A second restore within seconds forgets no deferred removal

A data centre out of service, or a router, whose removal was deferred as the store was restored again was never removed: the removal was dropped with the era, and the key was not looked at any more. The next full read decides it again. The listing for other routers no longer holds the fleet's secret, since datagrams are not encrypted.

Evidence: restored_store_test.a_second_restore_forgets_no_departure now also asks for the release; all of test_directory passes, three times.

--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -36,7 +36,10 @@
 {
     rewritten_by_ = rewritten_by;
     is_secret_listed_ = false;
-    deferred_.clear();
+    // Removals that are not due yet are decided again by the next full read.
+    for (const auto& [key, item] : std::exchange(deferred_, {}))
+        if (item.removed)
+            seen_entries_[key] = {};
     for (auto& [key, seen] : seen_entries_)
         seen.is_of_earlier_era = true;
     log_.clear();
@@ -127,8 +130,10 @@
     {
         const auto& [key, seen] = *item;
         const auto size = key.size() + seen.value.size() + entry_overhead_bytes;
+        const auto kind = codec_.read_key(key).kind;
+        // Datagrams are signed, not encrypted.
         if (seen.is_of_earlier_era || size > max_listing_bytes ||
-            codec_.read_key(key).kind == key_kind::config)
+            kind == key_kind::config || kind == key_kind::fleet_secret)
             continue;
         bytes += size;
         result.has_more = bytes > max_listing_bytes;
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -391,6 +391,8 @@
     EXPECT_FALSE(follower.state().is_out_of_service("dc1"));
 }
 
+// Guards against departures that a second restore forgets, and against removals
+// that were not due before it and are never made.
 TEST_F(restored_store_test, a_second_restore_forgets_no_departure)
 {
     store.restore();
@@ -400,6 +402,9 @@
     EXPECT_FALSE(is_usable("gone"));
     EXPECT_FALSE(is_usable("leaving"));
     EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
+    for (int call = 0; call < 6; ++call)
+        run_call(follower, store, now += 1s);
+    EXPECT_FALSE(follower.state().is_out_of_service("dc1"));
 }
 
 TEST(directory_follower,
