A configuration that a router cannot read is not requested for ever

During an upgrade another release may have a configuration in force that this one rejects. Its version was then reported again after each transfer, and kept the own state from being confirmed. The version is remembered. Two more findings of the same review: the time of the first report holds when a newer one follows, and a response of the store without an era does not begin one. No tests of their own yet.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -319,6 +319,8 @@
     };
     std::optional<reported_config> reported_config_;
     bool config_query_in_progress_ = false;
+    /// Version of a configuration that this router could not read.
+    std::uint64_t unusable_config_version_ = 0;
     /// The version and era at the last call of take_config_peers() that
     /// returned routers.
     std::uint64_t compared_version_ = 0;
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -116,18 +116,19 @@
                                                const endpoint& from)
 {
     if (version <= state_.config_version() ||
+        version == unusable_config_version_ ||
         (reported_config_ && version <= reported_config_->version))
         return;
     const auto& routers = state_.routers();
     const auto sender =
         std::ranges::find_if(routers, [&from](const auto& item)
                              { return item.second.control_address == from; });
-    reported_config_ = {.version = version,
-                        .router = sender == routers.end() ? to_string(from)
-                                                          : sender->first,
-                        .control_address = from,
-                        .reported_at = now,
-                        .value = {}};
+    reported_config_ = {
+        .version = version,
+        .router = sender == routers.end() ? to_string(from) : sender->first,
+        .control_address = from,
+        .reported_at = reported_config_ ? reported_config_->reported_at : now,
+        .value = {}};
     next_call_due_ = std::min(next_call_due_, now);
 }
 
@@ -157,6 +158,9 @@
     if (reported.value.size() < part.total_bytes)
         return true;
     state_.adopt_reported_config(reported.value);
+    // Another release may accept what this one cannot read.
+    if (state_.config_version() < part.version)
+        unusable_config_version_ = part.version;
     reported_config_.reset();
     return true;
 }
@@ -214,6 +218,12 @@
 {
     if (!era_)
         era_ = era;
+    if (era == 0 && *era_ != 0)
+    {
+        // The response does not tell its era.
+        next_call_due_ = now + options_.max_retry_pause;
+        return false;
+    }
     // A call that was sent in the era before asked for changes after a revision
     // of that era.
     const bool is_usable = *era_ == era && !era_began_during_call_;
