A superseded configuration shows no absence

A router that knows of a newer configuration answered 404 and 401 by the older one for up to 1.5 s, also right after a restore. Found by a review.

--- a/lib/dispatch/freshness.cpp
+++ b/lib/dispatch/freshness.cpp
@@ -31,7 +31,7 @@
         return permitted_use::superseded;
     if (age >= bounds.key_revocation - key_margin)
         return permitted_use::routes_only;
-    if (doubt == config_doubt::store_restored ||
+    if (doubt != config_doubt::none ||
         age >= bounds.in_force * deny_numerator / deny_denominator)
         return permitted_use::serve;
     return permitted_use::full;
