relay: a lease of an era before is neither renewed nor ended

The copy may list this router's entry under an older lease while the id of its latest one is given to somebody else. Renewing it keeps another entry alive, ending it removes one. Found by a review; no test.

--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -357,7 +357,7 @@
     if (callers_.size() > 0 && phase < dispatch::shutdown_phase::over)
         return;
     const bool graceful = callers_.size() == 0;
-    if (lease_)
+    if (lease_ && registration_era_ == context_.follower.era())
         store_.end_lease(*lease_, store_timeout);
     const auto done = std::exchange(on_shutdown_done_, nullptr);
     done(graceful);
--- a/lib/relay/relay_directory.cpp
+++ b/lib/relay/relay_directory.cpp
@@ -143,9 +143,8 @@
     const auto& follower = context_.follower;
     if (!follower.has_complete_state() || registration_era_ == follower.era())
         return;
-    // The lease may be lost, and its id given out again, unless the store has
-    // the entry that it was granted for.
-    if (!follower.state().is_router_listed(options_.router_name))
+    // The lease may be lost and its id given out again.
+    if (registration_era_)
         lease_.reset();
     std::uniform_real_distribution<double> distribution{0, 1};
     if (registration_era_)
