http: idle time begins when the last response has been sent

While a caller read a response for longer than the idle limit, its connection was closed as idle behind the response, and a request that arrived meanwhile was served and lost (LOST).

--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -91,6 +91,9 @@
 
 void caller_channel::on_drained()
 {
+    // A response that the caller reads slowly takes nothing from its idle time.
+    if (!closing_ && !serving_)
+        phase_start_ = net::boot_now();
     const auto callback = closing_ ? handlers_.on_closed : handlers_.on_drained;
     if (callback)
         callback();
@@ -335,7 +338,7 @@
     }
     const auto limit = std::max(limits_.idle_timeout, promised_idle_timeout_) +
                        limits_.idle_grace;
-    if (now - phase_start_ <= limit)
+    if (now - phase_start_ <= limit || stream_->unsent_bytes() > 0)
         return true;
     if (handlers_.on_idle_timeout)
         handlers_.on_idle_timeout(
