--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -39,7 +39,7 @@
 /// for safe requests, of the time to the first event or between two events for
 /// streams.
 constexpr int safe_timeout_factor = 2;
-constexpr duration min_safe_timeout = 150ms;
+constexpr duration min_attempt_timeout = 150ms;
 constexpr double first_event_timeout_factor = 1.5;
 constexpr int event_gap_timeout_factor = 3;
 /// Pause after which a stream that has begun looks for an upstream again.
@@ -417,17 +417,20 @@
         return time_left;
     if (route_->kind == directory::request_kind::safe)
         return std::min(time_left,
-                        std::max<duration>(min_safe_timeout,
+                        std::max<duration>(min_attempt_timeout,
                                            safe_timeout_factor *
                                                route_->response_objective));
     if (last_event_id_ && stream_started_)
-        return std::min(time_left,
-                        event_gap_timeout_factor * route_->gap_objective);
-    return std::min(
-        time_left,
-        duration{static_cast<duration::rep>(
-            first_event_timeout_factor *
-            static_cast<double>(route_->response_objective.count()))});
+        return std::min(
+            time_left,
+            std::max<duration>(min_attempt_timeout, event_gap_timeout_factor *
+                                                        route_->gap_objective));
+    return std::min(time_left,
+                    std::max(min_attempt_timeout,
+                             duration{static_cast<duration::rep>(
+                                 first_event_timeout_factor *
+                                 static_cast<double>(
+                                     route_->response_objective.count()))}));
 }
 
 void relay_session::arm_attempt_timer(const attempt_ptr& attempt)
