--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -225,7 +225,7 @@
     std::map<std::string, known_upstream> upstreams_;
     /// No grace period ends and no deferred entry is due before this.
     time_point next_grace_end_ = time_point::max();
-    /// Upstreams that were removed lately.
+    /// Upstreams that were removed within the last minute.
     struct removed_upstream
     {
         std::uint64_t started_ms = 0;
--- a/include/baobabloft/directory/messages.hpp
+++ b/include/baobabloft/directory/messages.hpp
@@ -101,8 +101,9 @@
     std::string after;
 };
 
-/// Response to a listing_query. Lists neither the configuration, which is read
-/// by config_query, nor entries that are too long for a datagram.
+/// Response to a listing_query. Lists neither the fleet's secret, nor the
+/// configuration, which is read by config_query, nor entries that are too long
+/// for a datagram.
 struct listing_response
 {
     std::uint32_t sequence = 0;
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -220,7 +220,7 @@
         era_ = era;
     if (era == 0 && *era_ != 0)
     {
-        // The response does not tell its era.
+        // The response has no era.
         next_call_due_ = now + options_.max_retry_pause;
         return false;
     }
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -375,7 +375,7 @@
     store.write("up/gone", "restarted");
     run_call(follower, store, now += 1s);
     EXPECT_TRUE(is_usable("gone"));
-    // What nobody has written again is as the store lists it.
+    // What is not written again is as the store lists it.
     for (int call = 0; call < 6; ++call)
         run_call(follower, store, now += 1s);
     EXPECT_TRUE(follower.state().is_out_of_service("dc1"));
