--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -191,6 +191,7 @@
                       [](const auto& item) { return item.first; });
     ranked.resize(std::min(ranked.size(), options_.max_config_peers));
     std::vector<router_record> peers;
+    peers.reserve(ranked.size());
     for (const auto& [score, router] : ranked)
         peers.push_back(*router);
     return peers;
