--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -180,12 +180,14 @@
     async def _expire(self):
         while True:
             await asyncio.sleep(0.1)
-            if self.away:
-                continue
-            now = time.monotonic()
-            for lease in [l for l, (end, _) in self._leases.items()
-                          if end < now]:
-                self._end_lease(lease)
+            if not self.away:
+                self.expire_now()
+
+    def expire_now(self):
+        """Ends the leases whose time is over, and removes their keys."""
+        now = time.monotonic()
+        for lease in [l for l, (end, _) in self._leases.items() if end < now]:
+            self._end_lease(lease)
 
     def _end_lease(self, lease):
         self._leases.pop(lease, None)
