--- a/review/build.sh
+++ b/review/build.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
-# The stand-ins of the scripts are Python programs; this only checks that they
-# compile. Run it after the build of the deploy file.
+# Builds baobabctl, with which case 1 activates a preset, into the folder of the
+# deploy file's build, and checks that the stand-ins, Python programs, compile.
+# Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
+cmake --build ../target -j4 --target baobabctl
 python3 - lib/*.py [1-5]/*.py <<'EOF'
 import sys
 for path in sys.argv[1:]:
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 import urllib.parse
@@ -38,12 +39,14 @@
         self._file = open(os.path.join(folder, "record.txt"), "w",
                           encoding="utf-8")
         self._start = time.monotonic()
+        self._lock = threading.Lock()
 
     def now(self):
         return time.monotonic() - self._start
 
     def line(self, text):
-        self._file.write(f"{self.now():9.3f} {text}\n")
+        with self._lock:
+            self._file.write(f"{self.now():9.3f} {text}\n")
 
     def result(self, text):
         self.line(text)
