--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,11 +2,8 @@
 every router for ten minutes."""
 import asyncio
 import os
-import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lib"))
 from standins import (STABILITY_S, Router, Server, Store, call, run_case,
                       wait_ready)
 
