--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cmake --build ../target -j4 --target baobabctl
-python3 - lib/*.py [1-5]/*.py <<'EOF'
+python3 - [1-5]/*.py <<'EOF'
 import sys
 for path in sys.argv[1:]:
     with open(path, encoding="utf-8") as file:
