routing: crashes are explained by one feature, and trials prove one

Cause: crashes, successes and trials were counted for each part by itself, although a crash has one cause. A part that always comes with the deadly one has the same crashes and was acquitted only by a success in the 2 s before them. The trial of a sound part went to a request with the deadly part, failed and lengthened the pause. Only one router could try, which in a large fleet sees almost none of the rare sound requests.

Why this works: a crash that a feature in quarantine explains, one that was at two or more crashes of the suspect, is no evidence against the suspect. A request whose features in quarantine are all explained by features that it lacks is tried at once, at whichever router it arrives, after a judge has granted it; its success clears them everywhere. Trials that nothing explains keep their pauses of 10, 40 and 160 s, which bound the deadly requests.

--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -28,10 +28,12 @@
     routing::load_digest, directory::change_query, directory::change_response,
     directory::change_notice, routing::crash_notice, directory::entry_query,
     directory::entry_part, dispatch::traffic_report, dispatch::traffic_summary,
-    routing::part_crash_report, routing::part_query, routing::part_cleared,
-    routing::part_quarantine, routing::quarantine_query,
-    directory::config_query, directory::config_part, directory::listing_query,
-    directory::listing_response>;
+    routing::feature_crash_report, routing::success_query,
+    routing::features_cleared, routing::feature_quarantine,
+    routing::quarantine_query, directory::config_query, directory::config_part,
+    directory::listing_query, directory::listing_response,
+    routing::older_successes, routing::quarantine_notice, routing::trial_query,
+    routing::trial_response>;
 
 /// Names of the message kinds for metrics, in the order of the variant.
 inline constexpr std::array message_names{"ping",
@@ -58,15 +60,19 @@
                                           "entry_part",
                                           "traffic_report",
                                           "traffic_summary",
-                                          "part_crash_report",
-                                          "part_query",
-                                          "part_cleared",
-                                          "part_quarantine",
+                                          "feature_crash_report",
+                                          "success_query",
+                                          "features_cleared",
+                                          "feature_quarantine",
                                           "quarantine_query",
                                           "config_query",
                                           "config_part",
                                           "listing_query",
-                                          "listing_response"};
+                                          "listing_response",
+                                          "older_successes",
+                                          "quarantine_notice",
+                                          "trial_query",
+                                          "trial_response"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "message_names must have one name per message kind");
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -15,8 +15,8 @@
 #include "baobabloft/relay/platform_interface.hpp"
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/settings.hpp"
+#include "baobabloft/routing/crash_protection.hpp"
 #include "baobabloft/routing/crash_tracker.hpp"
-#include "baobabloft/routing/crashing_parts.hpp"
 
 #include <random>
 
@@ -29,9 +29,9 @@
 struct crash_suspect
 {
     fingerprint request{};
-    /// Parts of its prompt that other requests may share; empty if the answer
-    /// was well under way.
-    std::vector<prompt_part_id> parts;
+    /// What it has in common with other requests; empty if the answer was well
+    /// under way.
+    std::vector<request_feature> features;
 };
 
 /// State of a relay that its sessions share.
@@ -46,7 +46,7 @@
     dispatch::arrival_budget retry_budget;
     dispatch::freshness_bounds freshness;
     routing::crash_tracker crashes;
-    routing::crashing_parts crashing_parts;
+    routing::crash_protection protection;
     /// Bytes of responses that are not complete yet and not streamed.
     std::size_t buffered_response_bytes = 0;
     /// Schedules a check of whether `upstream` crashed while it ran the
@@ -54,8 +54,8 @@
     std::function<void(const crash_suspect& suspect,
                        const std::string& upstream)>
         schedule_crash_check;
-    /// Reports to the other routers that parts are no longer in quarantine.
-    std::function<void(std::vector<prompt_part_id> parts)> announce_cleared;
+    /// Sends the messages of `protection`, and logs its changes.
+    std::function<void()> send_protection_messages;
     std::mt19937_64 random;
     dispatch::shutdown_times shutdown;
     /// Start of the shutdown, if one is in progress; from then on responses
@@ -148,11 +148,19 @@
     /// Ends the query to another router after its response has arrived.
     void end_router_query();
     void handle(router_id from, const routing::crash_notice& message);
-    void handle(router_id from, const routing::part_crash_report& message);
-    void handle(router_id from, const routing::part_query& message);
-    void handle(router_id from, const routing::part_cleared& message);
-    void handle(router_id from, const routing::part_quarantine& message);
-    void handle(router_id from, const routing::quarantine_query& message);
+    /// Handles the messages by which routers find requests that crash
+    /// upstreams.
+    template <typename Message>
+    requires requires(routing::crash_protection& protection,
+                      const Message& message)
+    {
+        protection.handle(time_point{}, router_id{}, message);
+    }
+    void handle(router_id from, const Message& message)
+    {
+        context_.protection.handle(net::boot_now(), from, message);
+        send_protection_messages();
+    }
     void handle(router_id from, const dispatch::traffic_report& message);
     void handle(router_id from, const dispatch::traffic_summary& message);
     /// Reports what this router saw of the traffic to the router that watches
@@ -165,18 +173,12 @@
     /// If it is 0, opens a connection and records a crash if that is refused.
     void check_crash(const crash_suspect& suspect, const std::string& upstream,
                      std::size_t open_before);
-    /// Records a crash, notifies all other routers, and reports the suspect's
-    /// parts to their judges.
+    /// Records a crash, and reports it to the other routers.
     void record_crash(const crash_suspect& suspect,
                       const std::string& upstream);
-    void report_to_judges(time_point now,
-                          const routing::part_crash_report& report);
-    /// Sends what is due of the parts that this router judges.
-    void judge_parts();
-    void quarantine_parts(std::span<const prompt_part_id> parts);
-    void announce_cleared(std::vector<prompt_part_id> parts);
-    /// Asks a few routers for the parts in quarantine.
-    void query_quarantine();
+    void send_protection_messages();
+    /// Returns the routers of the fleet that can be reached.
+    [[nodiscard]] std::vector<routing::fleet_member> fleet_members() const;
     /// Returns the id under which this router sends datagrams.
     [[nodiscard]] router_id self_id() const;
     void send_datagram(router_id to, const fleet::message& message);
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -46,6 +46,9 @@
         std::string body;
         /// Events received with content.
         std::uint32_t events = 0;
+        /// The response has gone on for so long that the request no longer
+        /// counts as a possible cause of a crash.
+        bool is_under_way = false;
         /// The response is forwarded event by event as it arrives.
         bool is_stream = false;
         /// The attempt has ended; later callbacks of it are ignored.
@@ -65,11 +68,16 @@
     /// leaves `service_` null if there is none.
     void choose_service();
 
-    /// Returns true if the prompt has a part in quarantine. Starts a trial and
-    /// returns false if one is due and this request has not been sent yet.
-    [[nodiscard]] bool is_quarantined(time_point now);
+    /// Runs the request if a judge of its features in quarantine permits it as
+    /// a trial, or else refuses it.
+    void request_trial();
+    /// Returns true if the request must not be sent again, since it has a
+    /// feature in quarantine.
+    [[nodiscard]] bool is_quarantined(time_point now) const;
     /// Records that the request ended well.
     void record_success(const attempt_ptr& attempt);
+    /// Records that the response shows that the request crashes no upstream.
+    void record_sound_features(const attempt_ptr& attempt);
 
     /// Starts an attempt at the upstream that the selector chooses. If there is
     /// no upstream or retry budget left, tries again later if a response has
@@ -153,8 +161,11 @@
     /// Id of the longest prompt prefix shared with other requests.
     std::optional<std::uint64_t> affinity_;
     std::uint32_t shared_prefix_tokens_ = 0;
-    /// Parts of the prompt that other requests may share.
-    std::vector<prompt_part_id> shared_parts_;
+    /// What the request has in common with others: the parts of the prompt
+    /// that these may share.
+    std::vector<request_feature> features_;
+    /// The request has features in quarantine, and may run nevertheless.
+    bool is_trial_ = false;
     /// Hash of the path, customer and body; the same for a repetition under a
     /// new request id.
     fingerprint fingerprint_{};
--- a/include/baobabloft/routing/messages.hpp
+++ b/include/baobabloft/routing/messages.hpp
@@ -194,38 +194,92 @@
     upstream_id upstream{};
 };
 
-/// Reports that a request with these prompt parts was running on `upstream`
-/// when the upstream crashed. Sent to the judges of the parts.
-struct part_crash_report
+/// Reports that a request with these features was running on `upstream` when
+/// the upstream crashed. Sent to the judges of the features.
+struct feature_crash_report
 {
     fingerprint request{};
     upstream_id upstream{};
-    std::vector<prompt_part_id> parts;
+    std::vector<request_feature> features;
 };
 
-/// Asks every router whether a request with the part ended well in the last
-/// `within_ms`.
-struct part_query
+/// Asks every router whether a request with the feature ended well in the last
+/// `within_ms`, or earlier.
+struct success_query
 {
-    prompt_part_id part{};
+    request_feature feature{};
     std::uint32_t within_ms = 0;
 };
 
-/// Reports that requests with these parts ended well.
-struct part_cleared
+/// Reports that requests with these features ended well.
+struct features_cleared
 {
-    std::vector<prompt_part_id> parts;
+    std::vector<request_feature> features;
 };
 
-/// Reports that these parts crash upstreams; requests with them are refused.
-struct part_quarantine
+/// Reports that these features crash upstreams. Received from routers of
+/// former versions only; these send no quarantine_notice.
+struct feature_quarantine
 {
-    std::vector<prompt_part_id> parts;
+    std::vector<request_feature> features;
 };
 
-/// Asks for the parts in quarantine; sent by a router that has started.
+/// Asks for the features in quarantine; sent by a router that has started.
 struct quarantine_query
 {
 };
 
+/// Reports that requests with these features ended well, but not since the
+/// time that the query asks for.
+struct older_successes
+{
+    std::vector<request_feature> features;
+};
+
+/// A crash on which a quarantine is based.
+struct crash_sighting
+{
+    upstream_id upstream{};
+    std::uint32_t age_ms = 0;
+};
+
+/// A feature that crashes upstreams; requests with it are refused.
+struct quarantine_record
+{
+    request_feature feature{};
+    /// The feature stands for all repetitions of one request.
+    bool is_whole_request = false;
+    /// Pause after the next trial, and time left until then; 0 if no trial has
+    /// been run yet.
+    std::uint32_t trial_pause_ms = 0;
+    std::uint32_t next_trial_ms = 0;
+    std::vector<crash_sighting> crashes;
+};
+
+/// Announces features in quarantine.
+struct quarantine_notice
+{
+    std::vector<quarantine_record> records;
+    /// In a response to quarantine_query, one of possibly several: the sender
+    /// knows what the fleet has in quarantine, and has not just started itself.
+    bool is_complete = false;
+};
+
+/// Asks a judge whether a request with these features in quarantine may run as
+/// a trial.
+struct trial_query
+{
+    std::uint32_t sequence = 0;
+    std::vector<quarantine_record> records;
+};
+
+/// The response to trial_query.
+struct trial_response
+{
+    std::uint32_t sequence = 0;
+    bool granted = false;
+    /// If not granted, the time after which it is worth asking again.
+    std::uint32_t retry_ms = 0;
+};
+
 } // namespace baobabloft::routing
--- a/include/baobabloft/support/ids.hpp
+++ b/include/baobabloft/support/ids.hpp
@@ -37,8 +37,9 @@
 {
 };
 
-/// Identifies a part of prompts that several requests may share.
-enum class prompt_part_id : std::uint64_t
+/// Identifies a property that several requests may share and that may crash
+/// upstreams: a part of their prompts, or everything if they are repetitions.
+enum class request_feature : std::uint64_t
 {
 };
 
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -139,8 +139,10 @@
                            directory::config_part, directory::listing_query,
                            directory::listing_response,
                            dispatch::traffic_report, dispatch::traffic_summary,
-                           part_crash_report, part_query, part_cleared,
-                           part_quarantine, quarantine_query>)
+                           feature_crash_report, success_query,
+                           features_cleared, feature_quarantine,
+                           quarantine_query, older_successes, quarantine_notice,
+                           trial_query, trial_response>)
     {
         // A node follows no directory and ignores the messages of routers that
         // do.
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -236,28 +236,68 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, part_crash_report& object)
+void serialize(Archive& archive, feature_crash_report& object)
 {
     archive(object.request, object.upstream);
-    serialize_list(archive, object.parts);
+    serialize_list(archive, object.features);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, part_query& object)
+void serialize(Archive& archive, success_query& object)
 {
-    archive(object.part, object.within_ms);
+    archive(object.feature, object.within_ms);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, part_cleared& object)
+void serialize(Archive& archive, features_cleared& object)
 {
-    serialize_list(archive, object.parts);
+    serialize_list(archive, object.features);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, part_quarantine& object)
+void serialize(Archive& archive, feature_quarantine& object)
 {
-    serialize_list(archive, object.parts);
+    serialize_list(archive, object.features);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, older_successes& object)
+{
+    serialize_list(archive, object.features);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, crash_sighting& object)
+{
+    archive(object.upstream, object.age_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, quarantine_record& object)
+{
+    archive(object.feature, object.is_whole_request, object.trial_pause_ms,
+            object.next_trial_ms);
+    serialize_list(archive, object.crashes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, quarantine_notice& object)
+{
+    archive(object.is_complete);
+    serialize_list(archive, object.records);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, trial_query& object)
+{
+    archive(object.sequence);
+    serialize_list(archive, object.records);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, trial_response& object)
+{
+    archive(object.sequence, object.granted, object.retry_ms);
 }
 
 template <typename Archive>
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -111,12 +111,15 @@
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
           .freshness = freshness_of(options),
           .crashes = {},
-          .crashing_parts = routing::crashing_parts{},
+          .protection = {self_id(),
+                         [this]
+                         {
+                             return fleet_members();
+                         }},
           .schedule_crash_check =
               [this](const crash_suspect& suspect, const std::string& upstream)
           { schedule_crash_check(suspect, upstream); },
-          .announce_cleared = [this](std::vector<prompt_part_id> parts)
-          { announce_cleared(std::move(parts)); },
+          .send_protection_messages = [this] { send_protection_messages(); },
           .random = std::mt19937_64{net::random_seed()},
           .shutdown = {.limit = options.shutdown_timeout},
           .shutdown_started_at = std::nullopt},
@@ -270,7 +273,8 @@
         context_.selector.erase_removed_upstreams();
     }
     record_readiness();
-    judge_parts();
+    context_.protection.tick(now);
+    send_protection_messages();
     maintain_registration();
     update_router_socket();
     check_shutdown();
@@ -296,7 +300,7 @@
                  static_cast<double>(context_.crashes.quarantined_count(now)));
     counters.set(
         "baobab_quarantined_parts",
-        static_cast<double>(context_.crashing_parts.quarantined(now).size()));
+        static_cast<double>(context_.protection.quarantined(now).size()));
     counters.set("baobab_watches_store",
                  context_.follower.is_watching_store(now) ? 1 : 0);
     counters.set("baobab_log_lines_lost",
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -28,6 +28,9 @@
 constexpr unsigned status_unavailable = 503;
 /// Unsent bytes for one caller above which reading from the upstream pauses.
 constexpr std::size_t max_caller_backlog = std::size_t{256} * 1024;
+/// A request that crashes its upstream does so when its response begins. A
+/// response with more events than this is well under way.
+constexpr std::uint32_t max_events_of_suspect = 1;
 constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
 constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
 /// Limit of all responses that one router buffers, well below the memory of
@@ -154,6 +157,8 @@
             return;
         }
     }
+    if (attempt->events > max_events_of_suspect)
+        record_sound_features(attempt);
     if (!out.empty())
         caller_->send_body_part(out);
     if (caller_->unsent_bytes() > max_caller_backlog)
@@ -223,13 +228,18 @@
     const auto now = net::boot_now();
     context_.selector.record_success(now, attempt->upstream);
     context_.crashes.clear_suspicion(fingerprint_);
-    // Other responses need not have touched the prompt.
-    if (attempt->head.result_int() >= first_redirect)
+    record_sound_features(attempt);
+}
+
+void relay_session::record_sound_features(const attempt_ptr& attempt)
+{
+    // Other responses need not have touched the prompt. A response that was
+    // under way earlier has been recorded then.
+    if (attempt->head.result_int() >= first_redirect ||
+        std::exchange(attempt->is_under_way, true))
         return;
-    if (auto cleared =
-            context_.crashing_parts.record_success(now, shared_parts_);
-        !cleared.empty())
-        context_.announce_cleared(std::move(cleared));
+    context_.protection.record_success(net::boot_now(), features_);
+    context_.send_protection_messages();
 }
 
 void relay_session::finish_stream(const attempt_ptr& attempt)
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -84,7 +84,10 @@
             { receive(from, bytes); },
             reason);
     if (router_socket_)
-        query_quarantine();
+    {
+        context_.protection.query_quarantine(net::boot_now());
+        send_protection_messages();
+    }
     log_event(router_socket_ ? log_level::info : log_level::error,
               router_socket_ ? "linked" : "link_failed",
               {{"address", to_string(options_.control_listen)},
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -47,9 +47,8 @@
 /// A timer may fire this long before its time.
 constexpr duration timer_tolerance = 1ms;
 constexpr std::uint32_t max_urgency = 9;
-/// A request that crashes its upstream does so when its answer begins. An
-/// answer with more events than this is well under way.
-constexpr std::uint32_t max_events_of_suspect = 1;
+constexpr std::string_view quarantine_reason =
+    "a feature of the request crashes upstreams";
 
 } // namespace
 
@@ -104,20 +103,43 @@
         refuse(refusal_kind::no_upstream, "service is not configured");
         return;
     }
-    if (is_quarantined(arrived_at_))
+    switch (context_.protection.check(arrived_at_, features_))
     {
-        refuse(refusal_kind::quarantined, "prompt part crashes upstreams");
+    case routing::admission::admitted:
+        try_next_upstream();
+        return;
+    case routing::admission::refused:
+        refuse(refusal_kind::quarantined, quarantine_reason);
+        return;
+    case routing::admission::trial_due:
+        request_trial();
         return;
     }
-    try_next_upstream();
 }
 
-bool relay_session::is_quarantined(time_point now)
+void relay_session::request_trial()
+{
+    context_.protection.request_trial(
+        net::boot_now(), features_,
+        [weak = weak_from_this()](bool granted)
+        {
+            const auto self = weak.lock();
+            if (!self || self->finished_)
+                return;
+            self->is_trial_ = granted;
+            if (granted)
+                self->try_next_upstream();
+            else
+                self->refuse(refusal_kind::quarantined, quarantine_reason);
+        });
+    context_.send_protection_messages();
+}
+
+bool relay_session::is_quarantined(time_point now) const
 {
-    auto& parts = context_.crashing_parts;
-    const auto part = parts.find_quarantined(now, shared_parts_);
-    return part &&
-           (history_.attempts > 0 || !parts.try_begin_trial(now, *part));
+    const bool is_unproven_trial = is_trial_ && history_.runs == 0;
+    return !is_unproven_trial && context_.protection.check(now, features_) !=
+                                     routing::admission::admitted;
 }
 
 bool relay_session::admit()
@@ -198,7 +220,7 @@
         for (std::size_t index = 0; index + 1 < parts.size(); ++index)
         {
             shared_prefix_tokens_ += parts[index].tokens;
-            shared_parts_.push_back(prompt_part_id{parts[index].id});
+            features_.push_back(request_feature{parts[index].id});
         }
     }
     std::uint64_t total = 0;
@@ -250,12 +272,11 @@
     if (history_.attempts > 0 && is_quarantined(now))
     {
         if (stream_started_)
-            break_off("prompt part crashes upstreams");
+            break_off(quarantine_reason);
         else if (history_.runs > 0)
-            fail(refusal_kind::upstream_failed,
-                 "prompt part crashes upstreams");
+            fail(refusal_kind::upstream_failed, quarantine_reason);
         else
-            refuse(refusal_kind::quarantined, "prompt part crashes upstreams");
+            refuse(refusal_kind::quarantined, quarantine_reason);
         return;
     }
     const auto chosen =
@@ -460,7 +481,8 @@
     history.runs += may_have_run ? 1 : 0;
     history.has_time = now + min_attempt_time < deadline_;
     if (step_after(*route_, end, history) != next_step::try_other ||
-        context_.crashing_parts.find_quarantined(now, shared_parts_))
+        context_.protection.check(now, features_) !=
+            routing::admission::admitted)
         return false;
     auto excluded_ids = tried_upstreams_;
     excluded_ids.push_back(attempt->upstream);
@@ -533,10 +555,10 @@
             selector.record_failure(now, attempt->upstream);
         if (end == attempt_end::broken)
         {
-            const bool is_under_way = attempt->events > max_events_of_suspect;
             context_.schedule_crash_check(
-                {fingerprint_,
-                 is_under_way ? std::vector<prompt_part_id>{} : shared_parts_},
+                {fingerprint_, attempt->is_under_way
+                                   ? std::vector<request_feature>{}
+                                   : features_},
                 attempt->upstream);
         }
         ++upstream_arrivals_;
--- a/unittests/net/codec_test.cpp
+++ b/unittests/net/codec_test.cpp
@@ -139,17 +139,44 @@
         round_trip(routing::crash_notice{fingerprint{3}, upstream_id{4}});
     EXPECT_EQ(crash.request, fingerprint{3});
     EXPECT_EQ(crash.upstream, upstream_id{4});
-    const std::vector parts{prompt_part_id{7}, prompt_part_id{8}};
-    const auto report = round_trip(
-        routing::part_crash_report{fingerprint{3}, upstream_id{4}, parts});
+    const std::vector features{request_feature{7}, request_feature{8}};
+    const auto report = round_trip(routing::feature_crash_report{
+        fingerprint{3}, upstream_id{4}, features});
     EXPECT_EQ(report.request, fingerprint{3});
     EXPECT_EQ(report.upstream, upstream_id{4});
-    EXPECT_EQ(report.parts, parts);
-    const auto part_query = round_trip(routing::part_query{parts.front(), 900});
-    EXPECT_EQ(part_query.part, parts.front());
-    EXPECT_EQ(part_query.within_ms, 900U);
-    EXPECT_EQ(round_trip(routing::part_cleared{parts}).parts, parts);
-    EXPECT_EQ(round_trip(routing::part_quarantine{parts}).parts, parts);
+    EXPECT_EQ(report.features, features);
+    const auto success_query =
+        round_trip(routing::success_query{features.front(), 900});
+    EXPECT_EQ(success_query.feature, features.front());
+    EXPECT_EQ(success_query.within_ms, 900U);
+    EXPECT_EQ(round_trip(routing::features_cleared{features}).features,
+              features);
+    EXPECT_EQ(round_trip(routing::feature_quarantine{features}).features,
+              features);
+    EXPECT_EQ(round_trip(routing::older_successes{features}).features,
+              features);
+    const routing::quarantine_record record{
+        .feature = features.front(),
+        .is_whole_request = true,
+        .trial_pause_ms = 10'000,
+        .next_trial_ms = 700,
+        .crashes = {{upstream_id{4}, 50}, {upstream_id{5}, 20}}};
+    const auto trial = round_trip(routing::trial_query{6, {record}});
+    EXPECT_EQ(trial.sequence, 6U);
+    ASSERT_EQ(trial.records.size(), 1U);
+    EXPECT_EQ(trial.records[0].feature, record.feature);
+    EXPECT_TRUE(trial.records[0].is_whole_request);
+    EXPECT_EQ(trial.records[0].trial_pause_ms, 10'000U);
+    EXPECT_EQ(trial.records[0].next_trial_ms, 700U);
+    ASSERT_EQ(trial.records[0].crashes.size(), 2U);
+    EXPECT_EQ(trial.records[0].crashes[1].upstream, upstream_id{5});
+    EXPECT_EQ(trial.records[0].crashes[1].age_ms, 20U);
+    EXPECT_EQ(round_trip(routing::quarantine_notice{{record}}).records.size(),
+              1U);
+    const auto response = round_trip(routing::trial_response{6, true, 30});
+    EXPECT_EQ(response.sequence, 6U);
+    EXPECT_TRUE(response.granted);
+    EXPECT_EQ(response.retry_ms, 30U);
     round_trip(routing::quarantine_query{});
 }
 
