routing: repeated requests are judged and tried like parts of prompts

Cause: two crashes under the hash of a request quarantined it at all routers. Successes of other callers, before or after, did not count; a success cleared the hash only at the router that saw it, and one that came before its crash was recorded, 60 ms late, cleared nothing. Nothing but time ended the quarantine. The own interface used the same class.

Why this works: the hash becomes a feature of the request, with the judges, the question for successes since the first crash, the quarantine and the trials that parts of prompts have. A request that has crashed two upstreams at a router is refused there while its judges decide, at most 1 s, so that its own next attempt does not run. A stream that was well under way is not charged with a crash, and counts as a success from its second event on.

--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -786,9 +786,10 @@
         [this, request]
         {
             deliver(request.router, request.epoch,
-                    [this, request] {
+                    [this, request]
+                    {
                         routers_[request.router].node->record_first_token(
-                            request.ticket, {});
+                            now(), request.ticket, {});
                     });
         });
     events_.schedule_after(
--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -11,7 +11,7 @@
 #include "baobabloft/ledger/claim_client.hpp"
 #include "baobabloft/membership/swim.hpp"
 #include "baobabloft/routing/affinity.hpp"
-#include "baobabloft/routing/crash_tracker.hpp"
+#include "baobabloft/routing/crash_protection.hpp"
 #include "baobabloft/routing/permit_client.hpp"
 #include "baobabloft/routing/permit_owner.hpp"
 #include "baobabloft/routing/retry_budget.hpp"
@@ -242,7 +242,11 @@
 
     /// Records that a routed request has received its first token. `request`
     /// is the fingerprint of its body, which is no longer a crash suspect.
-    void record_first_token(routing::permit_ticket ticket, fingerprint request);
+    void record_first_token(time_point now, routing::permit_ticket ticket,
+                            fingerprint request);
+
+    /// Records that an upstream responded to the request body.
+    void record_response(time_point now, fingerprint request);
 
     /// Starts to claim `key`; a claim_decided effect follows, at the latest
     /// with the first tick() after `deadline`.
@@ -266,9 +270,15 @@
     void report_crash(time_point now, fingerprint request,
                       upstream_id upstream);
 
-    /// Returns whether a request body is a crash suspect or quarantined.
-    [[nodiscard]] routing::crash_state
-    crash_state_of(time_point now, fingerprint request) const;
+    /// Decides whether a request body may be sent, with regard to crashes of
+    /// upstreams; calls back once, now or a short time later.
+    void admit(time_point now, fingerprint request, bool is_retry,
+               std::function<void(bool admitted)> callback);
+
+    /// Returns true if the request body was running on an upstream that crashed
+    /// and has not been answered since.
+    [[nodiscard]] bool is_crash_suspect(time_point now,
+                                        fingerprint request) const;
 
     /// Credits the customer's retry budget with a first attempt.
     void record_first_attempt(time_point now, customer_id customer);
@@ -295,7 +305,10 @@
     /// Returns the component that acquires permits for the requests of this
     /// router.
     [[nodiscard]] const routing::permit_client& client() const;
-    [[nodiscard]] const routing::crash_tracker& crashes() const;
+    /// Returns the number of request bodies in quarantine.
+    [[nodiscard]] std::size_t quarantined_count(time_point now) const;
+    /// Returns what was quarantined and cleared since the last call.
+    routing::quarantine_changes take_quarantine_changes();
     [[nodiscard]] ledger_counts ledger_totals() const;
 
     /// Returns the router that owns `upstream`, or nothing if the preset does
@@ -337,6 +350,8 @@
     void start_host_list_read(time_point now);
     void start_load_reads(time_point now);
     void record_gossiped_crashes(time_point now);
+    /// Returns the routers that may judge request bodies.
+    [[nodiscard]] std::vector<routing::fleet_member> fleet_members() const;
     /// Returns true if this router watches the KV service and the host list
     /// on behalf of its data centre.
     [[nodiscard]] bool is_data_centre_watcher();
@@ -355,7 +370,7 @@
     config::preset_follower preset_follower_;
     routing::permit_owner permit_owner_;
     routing::permit_client permit_client_;
-    routing::crash_tracker crashes_;
+    routing::crash_protection protection_;
     routing::retry_budget retry_budget_;
     ledger::claim_client claim_client_;
     std::map<std::uint32_t, hosted_appender> hosted_appenders_;
@@ -379,6 +394,8 @@
     std::optional<time_point> started_at_;
     bool has_compared_preset_ = false;
     bool leaving_ = false;
+    /// Other routers were asked what is in quarantine.
+    bool has_queried_quarantine_ = false;
     /// True once the fleet had a second live member.
     bool had_peers_ = false;
     /// Version of the membership view that is_watcher_ was computed from.
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -16,7 +16,6 @@
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/settings.hpp"
 #include "baobabloft/routing/crash_protection.hpp"
-#include "baobabloft/routing/crash_tracker.hpp"
 
 #include <random>
 
@@ -45,7 +44,6 @@
     dispatch::upstream_selector selector;
     dispatch::arrival_budget retry_budget;
     dispatch::freshness_bounds freshness;
-    routing::crash_tracker crashes;
     routing::crash_protection protection;
     /// Bytes of responses that are not complete yet and not streamed.
     std::size_t buffered_response_bytes = 0;
@@ -147,7 +145,6 @@
     void compare_config_versions();
     /// Ends the query to another router after its response has arrived.
     void end_router_query();
-    void handle(router_id from, const routing::crash_notice& message);
     /// Handles the messages by which routers find requests that crash
     /// upstreams.
     template <typename Message>
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -161,8 +161,8 @@
     /// Id of the longest prompt prefix shared with other requests.
     std::optional<std::uint64_t> affinity_;
     std::uint32_t shared_prefix_tokens_ = 0;
-    /// What the request has in common with others: the parts of the prompt
-    /// that these may share.
+    /// What the request has in common with others: first that of its
+    /// repetitions, then the parts of the prompt that others may share.
     std::vector<request_feature> features_;
     /// The request has features in quarantine, and may run nevertheless.
     bool is_trial_ = false;
--- a/include/baobabloft/router/control_task.hpp
+++ b/include/baobabloft/router/control_task.hpp
@@ -205,6 +205,9 @@
     void receive(router_id from, std::string_view bytes);
     void start_route(operation_id id, route_query query,
                      callback_table& callbacks);
+    /// Starts the search for an upstream, once the request is known to crash
+    /// none.
+    void start_admitted_route(operation_id id, route_query query);
     void finish_route(operation_id id, const route_result& result);
     void deliver_route_response(operation_id id,
                                 const route_response& response);
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -64,6 +64,7 @@
       permit_client_([this](upstream_id upstream)
                      { return owner_of(upstream); },
                      static_cast<std::uint32_t>(hash_combine(options.seed, 1))),
+      protection_(options.self.id, [this] { return fleet_members(); }),
       retry_budget_(config::retry_limits{}.budget_share),
       claim_client_(
           options.ledger_shards,
@@ -85,6 +86,12 @@
     start_load_reads(now);
     permit_owner_.tick(now);
     permit_client_.tick(now);
+    protection_.tick(now);
+    if (!has_queried_quarantine_ && swim_.live_members().size() > 1)
+    {
+        has_queried_quarantine_ = true;
+        protection_.query_quarantine(now);
+    }
     claim_client_.tick(now);
     for (auto& [shard, hosted] : hosted_appenders_)
         hosted.appender.tick(now, wall_ms);
@@ -139,14 +146,16 @@
                            directory::config_part, directory::listing_query,
                            directory::listing_response,
                            dispatch::traffic_report, dispatch::traffic_summary,
-                           feature_crash_report, success_query,
-                           features_cleared, feature_quarantine,
-                           quarantine_query, older_successes, quarantine_notice,
-                           trial_query, trial_response>)
+                           feature_quarantine>)
     {
         // A node follows no directory and ignores the messages of routers that
         // do.
     }
+    else if constexpr (is_one_of<
+                           Alternative, feature_crash_report, success_query,
+                           features_cleared, quarantine_query, older_successes,
+                           quarantine_notice, trial_query, trial_response>)
+        protection_.handle(now, from, alternative);
     else
         permit_owner_.handle(now, from, alternative);
 }
@@ -309,11 +318,18 @@
     collect_effects(now);
 }
 
-void node::record_first_token(routing::permit_ticket ticket,
+void node::record_first_token(time_point now, routing::permit_ticket ticket,
                               fingerprint request)
 {
     permit_client_.record_first_token(ticket);
-    crashes_.clear_suspicion(request);
+    record_response(now, request);
+}
+
+void node::record_response(time_point now, fingerprint request)
+{
+    const auto feature = routing::feature_of(request);
+    protection_.record_success(now, {&feature, 1});
+    collect_effects(now);
 }
 
 ledger::claim_ticket node::begin_claim(time_point now,
@@ -352,12 +368,26 @@
     swim_.publish(membership::crash_record{
         request, upstream, static_cast<std::uint32_t>(event_id)});
     record_gossiped_crashes(now);
+    protection_.report_crash(
+        now, {request, upstream, {routing::feature_of(request)}});
+    collect_effects(now);
 }
 
-routing::crash_state node::crash_state_of(time_point now,
-                                          fingerprint request) const
+void node::admit(time_point now, fingerprint request, bool is_retry,
+                 std::function<void(bool admitted)> callback)
 {
-    return crashes_.state_of(now, request);
+    const auto feature = routing::feature_of(request);
+    const auto verdict = protection_.check(now, {&feature, 1});
+    if (verdict == routing::admission::trial_due && !is_retry)
+        protection_.request_trial(now, {&feature, 1}, std::move(callback));
+    else
+        callback(verdict == routing::admission::admitted);
+    collect_effects(now);
+}
+
+bool node::is_crash_suspect(time_point now, fingerprint request) const
+{
+    return protection_.is_suspect(now, request);
 }
 
 void node::record_first_attempt(time_point now, customer_id customer)
@@ -421,9 +451,14 @@
     return permit_client_;
 }
 
-const routing::crash_tracker& node::crashes() const
+std::size_t node::quarantined_count(time_point now) const
+{
+    return protection_.quarantined(now).size();
+}
+
+routing::quarantine_changes node::take_quarantine_changes()
 {
-    return crashes_;
+    return protection_.take_changes();
 }
 
 ledger_counts node::ledger_totals() const
@@ -641,7 +676,15 @@
 void node::record_gossiped_crashes(time_point now)
 {
     for (const auto& record : swim_.take_crashes())
-        crashes_.record_crash(now, record.request, record.upstream);
+        protection_.note_crash(now, record.request, record.upstream);
+}
+
+std::vector<routing::fleet_member> node::fleet_members() const
+{
+    std::vector<routing::fleet_member> members;
+    for (const auto& member : swim_.live_members())
+        members.push_back({member.id, raw(member.id)});
+    return members;
 }
 
 bool node::is_data_centre_watcher()
@@ -720,6 +763,10 @@
             std::visit([&](auto& alternative)
                        { send(item.to, std::move(alternative)); },
                        item.content);
+        for (auto& item : protection_.take_messages())
+            std::visit([&](auto& alternative)
+                       { send(item.to, std::move(alternative)); },
+                       item.content);
         for (auto& item : permit_owner_.take_responses())
             send(item.to, item.response);
         for (auto& item : permit_owner_.take_digests())
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -110,7 +110,6 @@
                        }},
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
           .freshness = freshness_of(options),
-          .crashes = {},
           .protection = {self_id(),
                          [this]
                          {
@@ -296,11 +295,12 @@
     counters.set("baobab_callers", static_cast<double>(callers_.size()));
     counters.set("baobab_upstream_channels_opened",
                  static_cast<double>(context_.pool.total_opened()));
-    counters.set("baobab_quarantined_requests",
-                 static_cast<double>(context_.crashes.quarantined_count(now)));
-    counters.set(
-        "baobab_quarantined_parts",
-        static_cast<double>(context_.protection.quarantined(now).size()));
+    const auto quarantined = context_.protection.quarantined(now);
+    const auto requests = std::ranges::count(
+        quarantined, true, &routing::quarantine_record::is_whole_request);
+    counters.set("baobab_quarantined_requests", static_cast<double>(requests));
+    counters.set("baobab_quarantined_parts",
+                 static_cast<double>(std::ssize(quarantined) - requests));
     counters.set("baobab_watches_store",
                  context_.follower.is_watching_store(now) ? 1 : 0);
     counters.set("baobab_log_lines_lost",
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -227,18 +227,19 @@
 {
     const auto now = net::boot_now();
     context_.selector.record_success(now, attempt->upstream);
-    context_.crashes.clear_suspicion(fingerprint_);
     record_sound_features(attempt);
 }
 
 void relay_session::record_sound_features(const attempt_ptr& attempt)
 {
-    // Other responses need not have touched the prompt. A response that was
-    // under way earlier has been recorded then.
-    if (attempt->head.result_int() >= first_redirect ||
-        std::exchange(attempt->is_under_way, true))
+    // A response that was under way earlier has been recorded then.
+    if (std::exchange(attempt->is_under_way, true))
         return;
-    context_.protection.record_success(net::boot_now(), features_);
+    // Other responses than successes need not have touched the prompt.
+    std::span<const request_feature> sound{features_};
+    if (attempt->head.result_int() >= first_redirect)
+        sound = sound.first(1);
+    context_.protection.record_success(net::boot_now(), sound);
     context_.send_protection_messages();
 }
 
--- a/lib/relay/relay_crashes.cpp
+++ b/lib/relay/relay_crashes.cpp
@@ -80,21 +80,13 @@
 void relay::record_crash(const crash_suspect& suspect,
                          const std::string& upstream)
 {
-    const auto now = net::boot_now();
-    const routing::crash_notice notice{suspect.request,
-                                       make_upstream_id(upstream)};
-    context_.crashes.record_crash(now, suspect.request, notice.upstream);
-    const bool is_quarantined =
-        context_.crashes.state_of(now, suspect.request) ==
-        routing::crash_state::quarantined;
     log_event(log_level::warning, "upstream_crashed",
               {{"upstream", upstream},
                {"fingerprint", std::to_string(raw(suspect.request))},
-               {"features", joined(suspect.features)},
-               {"quarantined", is_quarantined ? "yes" : "no"}});
-    send_to_all(notice);
+               {"features", joined(suspect.features)}});
     context_.protection.report_crash(
-        now, {suspect.request, notice.upstream, suspect.features});
+        net::boot_now(),
+        {suspect.request, make_upstream_id(upstream), suspect.features});
     send_protection_messages();
 }
 
@@ -123,10 +115,4 @@
                   {{"features", joined(cleared)}});
 }
 
-void relay::handle(router_id /*from*/, const routing::crash_notice& message)
-{
-    context_.crashes.record_crash(net::boot_now(), message.request,
-                                  message.upstream);
-}
-
 } // namespace baobabloft::relay
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -91,12 +91,7 @@
         hash_bytes(http::std_view(request_.target()),
                    hash_bytes(customer_ != nullptr ? customer_->name : "")),
         hash_bytes(request_.body()))};
-    if (context_.crashes.state_of(arrived_at_, fingerprint_) ==
-        routing::crash_state::quarantined)
-    {
-        refuse(refusal_kind::quarantined, "request crashed two upstreams");
-        return;
-    }
+    features_.push_back(routing::feature_of(fingerprint_));
     choose_service();
     if (service_ == nullptr)
     {
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -236,8 +236,9 @@
             const auto found = routes_.find(route_id);
             if (found == routes_.end())
                 return;
-            node_.record_first_token(found->second.ticket,
+            node_.record_first_token(net::monotonic_now(), found->second.ticket,
                                      found->second.body_hash);
+            apply_effects();
         });
 }
 
@@ -359,6 +360,13 @@
 {
     node_.tick(net::monotonic_now(), wall_clock_ms());
     apply_effects();
+    const auto [quarantined, cleared] = node_.take_quarantine_changes();
+    for (const auto feature : quarantined)
+        log_event(log_level::warning, "features_quarantined",
+                  {{"features", std::to_string(raw(feature))}});
+    for (const auto feature : cleared)
+        log_event(log_level::info, "features_cleared",
+                  {{"features", std::to_string(raw(feature))}});
     publish_state();
 }
 
@@ -384,14 +392,30 @@
                                callback_table& callbacks)
 {
     const auto now = net::monotonic_now();
-    const auto crash_state = node_.crash_state_of(now, query.body_hash);
     routes_[id] = {.callbacks = &callbacks, .body_hash = query.body_hash};
-    if (crash_state == routing::crash_state::quarantined)
-    {
-        deliver_route_response(id, {.status = route_status::quarantined});
-        routes_.erase(id);
-        return;
-    }
+    const auto request = query.body_hash;
+    const bool is_retry = query.is_retry;
+    node_.admit(now, request, is_retry,
+                [this, id, query = std::move(query)](bool admitted) mutable
+                {
+                    // The session may have ended while judges were asked.
+                    if (!routes_.contains(id))
+                        return;
+                    if (admitted)
+                    {
+                        start_admitted_route(id, std::move(query));
+                        return;
+                    }
+                    deliver_route_response(
+                        id, {.status = route_status::quarantined});
+                    routes_.erase(id);
+                });
+    apply_effects();
+}
+
+void control_task::start_admitted_route(operation_id id, route_query query)
+{
+    const auto now = net::monotonic_now();
     if (query.is_retry &&
         !node_.try_spend_retry(now, query.requirements.customer))
     {
@@ -401,11 +425,10 @@
     }
     if (!query.is_retry)
         node_.record_first_attempt(now, query.requirements.customer);
-    query.requirements.suspect = crash_state == routing::crash_state::suspect;
+    query.requirements.suspect = node_.is_crash_suspect(now, query.body_hash);
     const auto ticket = node_.begin_route(now, query.requirements);
     routes_[id].ticket = ticket;
     routes_by_ticket_[ticket] = id;
-    apply_effects();
 }
 
 void control_task::finish_route(operation_id id, const route_result& result)
@@ -419,6 +442,8 @@
     const auto now = net::monotonic_now();
     if (result.crashed)
         node_.report_crash(now, entry.body_hash, entry.upstream);
+    else if (result.outcome == routing::outcome::completed)
+        node_.record_response(now, entry.body_hash);
     node_.end_route(now, entry.ticket, result.outcome, result.first_token_ms);
     apply_effects();
 }
@@ -781,7 +806,7 @@
     metrics_->set("baobab_permit_other_choices",
                   to_double(permit_client.counts().other_choice_grants));
     metrics_->set("baobab_quarantined_requests",
-                  to_double(node_.crashes().quarantined_count(now)));
+                  to_double(node_.quarantined_count(now)));
     metrics_->set("baobab_ledger_writes",
                   to_double(ledger_totals.total.writes));
     metrics_->set("baobab_ledger_records",
--- a/lib/router/refusal.cpp
+++ b/lib/router/refusal.cpp
@@ -49,7 +49,7 @@
      "allow more time with X-Timeout-Ms, or send the request again", 2},
     {refusal_kind::quarantined, "quarantined", 422,
      "This request crashed upstreams before",
-     "change the request; it is refused for ten minutes", 0},
+     "change the request; one like it is tried again from time to time", 0},
     {refusal_kind::retries_spent, "retries_spent", 502,
      "Upstreams failed and the customer's retry budget is used up",
      "send the request again later", 5},
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -313,6 +313,63 @@
     }
 }
 
+// Guards against a request body that the fleet refuses after two engines
+// crashed under it by chance, though others have answered it since.
+TEST(fleet, sound_body_is_admitted_after_two_crashes)
+{
+    world target{{.seed = 8}};
+    target.start();
+    target.run_for(3s);
+    const fingerprint body{7};
+    std::map<bool, int> admitted;
+    const auto ask_all = [&]
+    {
+        for (std::size_t router = 0; router < 9; ++router)
+            target.run_on_router(router,
+                                 [&, router]
+                                 {
+                                     target.node(router)->admit(
+                                         target.now(), body, false,
+                                         [&](bool is_admitted)
+                                         { ++admitted[is_admitted]; });
+                                 });
+        target.run_for(1s);
+    };
+    for (std::size_t router = 0; router < 2; ++router)
+    {
+        target.run_on_router(router,
+                             [&, router]
+                             {
+                                 auto& node = *target.node(router);
+                                 node.report_crash(target.now(), body,
+                                                   target.engines()[router].id);
+                                 node.record_response(target.now(), body);
+                             });
+        target.run_for(4s);
+    }
+    ask_all();
+    EXPECT_EQ(admitted[true], 9);
+    // Without an answer in between, the body is refused at all routers, until
+    // one lets it through as a trial.
+    for (std::size_t router = 2; router < 4; ++router)
+    {
+        target.run_for(3s);
+        target.run_on_router(router,
+                             [&, router]
+                             {
+                                 target.node(router)->report_crash(
+                                     target.now(), body,
+                                     target.engines()[router].id);
+                             });
+    }
+    target.run_for(2s);
+    ask_all();
+    EXPECT_EQ(admitted[false], 9);
+    target.run_for(10s);
+    ask_all();
+    EXPECT_EQ(admitted[true], 10);
+}
+
 /// Checks the limit on the number of requests per engine while a router is
 /// killed and restarted. The `policy` measurement of the benchmarks gives the
 /// figures of the load's skew.
