http: one limit for all buffers of a router, and the largest source pays

Callers of a router lost their connections when it ran out of memory: 370 streams whose upstream sent one event without end held 378 MB, where a machine of the users has 260.

Cause: each event was limited to 1 MB and the buffered responses to 48 MB in all, but nothing limited the sum of partial events, of what callers had not read, and of the memory that strings reserve. A send queue kept its memory after its bytes had been sent.

Evidence: scripted upstreams beside sound requests, real processes.

Why this works: caller_table adds up what each caller's channel and session hold, each time that another 1 MB has arrived and with each check of timeouts. Over 48 MB the upstream with the largest sum loses its largest response, which ends its attempt, or a caller that does not read its connection. Many small pieces of one faulty upstream do not cost another one its large response.

--- a/include/baobabloft/http/byte_stream.hpp
+++ b/include/baobabloft/http/byte_stream.hpp
@@ -68,6 +68,8 @@
     [[nodiscard]] virtual bool is_open() const = 0;
     /// Returns the number of queued bytes that the system has not accepted yet.
     [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
+    /// Returns the memory that these bytes hold.
+    [[nodiscard]] virtual std::size_t queue_capacity() const = 0;
     /// Returns true if the system is known to hold bytes that have not been
     /// read.
     [[nodiscard]] virtual bool has_unread_bytes() const
--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -105,6 +105,10 @@
     /// Returns the number of bytes written but not yet accepted by the system.
     [[nodiscard]] std::size_t unsent_bytes() const;
 
+    /// Returns the memory of what has been received but not passed on, and of
+    /// what has been written but not yet accepted by the system.
+    [[nodiscard]] std::size_t buffered_bytes() const;
+
     /// Replaces the limits; they apply from the next request on, a lower idle
     /// timeout after the next response.
     void set_limits(const caller_limits& limits);
--- a/include/baobabloft/http/caller_table.hpp
+++ b/include/baobabloft/http/caller_table.hpp
@@ -2,6 +2,7 @@
 // current request.
 #pragma once
 
+#include "baobabloft/http/buffer_limit.hpp"
 #include "baobabloft/http/caller_channel.hpp"
 
 #include <unordered_map>
@@ -26,6 +27,13 @@
     /// The request ends at `last` at the latest, with an answer if the caller
     /// has no part of one yet.
     virtual void limit_deadline(time_point now, time_point last) = 0;
+    /// Returns the memory of what the session keeps of an upstream's response.
+    [[nodiscard]] virtual buffer_holder held_response() const
+    {
+        return {};
+    }
+    /// Gives up the current attempt, since its response holds too much memory.
+    virtual void release_response() {}
 };
 
 class caller_table
@@ -33,6 +41,13 @@
 public:
     using caller_ptr = std::shared_ptr<caller_channel>;
 
+    /// Default limit of the memory in the buffers of all connections, in bytes;
+    /// well below the memory of the smallest hosts.
+    static constexpr std::size_t default_buffer_limit =
+        std::size_t{48} * 1024 * 1024;
+
+    explicit caller_table(std::size_t buffer_limit = default_buffer_limit);
+
     /// Callbacks for requests.
     struct handlers
     {
@@ -53,7 +68,13 @@
     void accept(std::shared_ptr<byte_stream> stream,
                 const caller_limits& limits, handlers callbacks);
 
-    /// Closes connections whose timeouts have expired.
+    /// Records that a session has received bytes that it may keep. If all
+    /// buffers hold too much, gives up responses, possibly that of the session,
+    /// or connections of callers that do not read.
+    void record_received(std::size_t bytes);
+
+    /// Closes connections whose timeouts have expired, and checks the limit of
+    /// all buffers.
     void check_timeouts(time_point now);
 
     /// Closes the connections that carry no request.
@@ -79,7 +100,14 @@
     /// Returns the open connections. A call of one may remove it from the
     /// table.
     [[nodiscard]] std::vector<caller_ptr> open_callers() const;
-
+    /// Gives up what holds most until all buffers are within the limit.
+    void limit_buffers();
+    /// Ends a connection and its request.
+    void disconnect(const caller_ptr& channel);
+
+    std::size_t buffer_limit_;
+    /// Bytes received since the limit was last checked.
+    std::size_t unchecked_bytes_ = 0;
     /// Each connection's session of the current request, shared with its
     /// callbacks.
     std::unordered_map<caller_ptr, std::shared_ptr<session_ptr>> callers_;
--- a/include/baobabloft/http/tcp_stream.hpp
+++ b/include/baobabloft/http/tcp_stream.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobabloft/http/byte_stream.hpp"
+#include "baobabloft/http/send_queue.hpp"
 #include "baobabloft/http/tls_stream.hpp"
 #include "baobabloft/net/event_loop.hpp"
 #include "baobabloft/support/endpoint.hpp"
@@ -53,6 +54,7 @@
     void abort() override;
     [[nodiscard]] bool is_open() const override;
     [[nodiscard]] std::size_t unsent_bytes() const override;
+    [[nodiscard]] std::size_t queue_capacity() const override;
     [[nodiscard]] bool has_unread_bytes() const override;
     /// Returns the number of bytes that the system has accepted since the
     /// connection was created.
@@ -85,9 +87,7 @@
     /// Empty while the descriptor is not watched.
     std::optional<net::fd_poller::watch_id> watch_;
     handlers handlers_;
-    /// Bytes to send, from queue_offset_ on.
-    std::string queue_;
-    std::size_t queue_offset_ = 0;
+    send_queue queue_;
     std::uint64_t sent_bytes_ = 0;
 };
 
--- a/include/baobabloft/http/tls_stream.hpp
+++ b/include/baobabloft/http/tls_stream.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobabloft/http/byte_stream.hpp"
+#include "baobabloft/http/send_queue.hpp"
 #include "baobabloft/net/event_loop.hpp"
 #include "baobabloft/support/failure.hpp"
 
@@ -49,6 +50,7 @@
     void abort() override;
     [[nodiscard]] bool is_open() const override;
     [[nodiscard]] std::size_t unsent_bytes() const override;
+    [[nodiscard]] std::size_t queue_capacity() const override;
 
 private:
     void begin_handshake();
@@ -80,9 +82,7 @@
     bool reading_ = true;
     /// Close once the queue is empty.
     bool closing_ = false;
-    /// Bytes to send, from queue_offset_ on.
-    std::string queue_;
-    std::size_t queue_offset_ = 0;
+    send_queue queue_;
     /// Size in bytes of a write that would have blocked, or 0. The TLS library
     /// requires the retry to pass the same bytes.
     std::size_t blocked_write_size_ = 0;
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -45,8 +45,8 @@
     dispatch::arrival_budget retry_budget;
     dispatch::freshness_bounds freshness;
     routing::crash_protection protection;
-    /// Bytes of responses that are not complete yet and not streamed.
-    std::size_t buffered_response_bytes = 0;
+    /// See http::caller_table::record_received().
+    std::function<void(std::size_t bytes)> record_received;
     /// Schedules a check of whether `upstream` crashed while it ran the
     /// request.
     std::function<void(const crash_suspect& suspect,
--- a/include/baobabloft/router/proxy_session.hpp
+++ b/include/baobabloft/router/proxy_session.hpp
@@ -35,6 +35,8 @@
     void on_caller_disconnected() override;
     void on_caller_drained() override;
     void limit_deadline(time_point now, time_point last) override;
+    [[nodiscard]] http::buffer_holder held_response() const override;
+    void release_response() override;
 
 private:
     /// One attempt to send the request to an upstream.
--- a/include/baobabloft/router/sse.hpp
+++ b/include/baobabloft/router/sse.hpp
@@ -39,6 +39,8 @@
 
     /// Returns the number of bytes not yet returned as events.
     [[nodiscard]] std::size_t buffered_bytes() const;
+    /// Returns the memory that the splitter holds, in bytes.
+    [[nodiscard]] std::size_t capacity() const;
 
 private:
     std::string buffer_;
--- a/include/baobabloft/router/worker.hpp
+++ b/include/baobabloft/router/worker.hpp
@@ -30,6 +30,8 @@
     published_state state{};
     std::mt19937_64 random{};
     std::atomic<std::size_t> requests_in_progress{0};
+    /// See http::caller_table::record_received().
+    std::function<void(std::size_t bytes)> record_received{};
 
     worker_context(const settings& shared_options, control_task& shared_control,
                    metrics& shared_counters);
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -377,6 +377,12 @@
     return stream_->unsent_bytes();
 }
 
+std::size_t caller_channel::buffered_bytes() const
+{
+    return stream_->queue_capacity() + input_.capacity() +
+           (parser_ ? parser_->get().body().capacity() : 0);
+}
+
 void caller_channel::set_limits(const caller_limits& limits)
 {
     limits_ = applicable(limits);
--- a/lib/http/caller_table.cpp
+++ b/lib/http/caller_table.cpp
@@ -8,6 +8,19 @@
 namespace baobabloft::http
 {
 
+namespace
+{
+
+/// The limit of all buffers is checked each time this much has been received.
+constexpr std::size_t check_interval_bytes = std::size_t{1024} * 1024;
+
+} // namespace
+
+caller_table::caller_table(std::size_t buffer_limit)
+    : buffer_limit_(buffer_limit)
+{
+}
+
 void caller_table::accept(std::shared_ptr<byte_stream> stream,
                           const caller_limits& limits, handlers callbacks)
 {
@@ -46,6 +59,7 @@
     for (const auto& channel : open_callers())
         if (!channel->check_timeouts(now))
             callers_.erase(channel);
+    limit_buffers();
 }
 
 void caller_table::close_idle(time_point now)
@@ -69,6 +83,52 @@
         channel->refuse_unfinished();
 }
 
+void caller_table::record_received(std::size_t bytes)
+{
+    unchecked_bytes_ += bytes;
+    if (unchecked_bytes_ >= check_interval_bytes)
+        limit_buffers();
+}
+
+void caller_table::limit_buffers()
+{
+    unchecked_bytes_ = 0;
+    std::vector<buffer_holder> holders;
+    std::vector<std::pair<caller_ptr, std::shared_ptr<caller_session>>> owners;
+    holders.reserve(2 * callers_.size());
+    owners.reserve(2 * callers_.size());
+    for (const auto& [channel, current] : callers_)
+    {
+        holders.push_back({{}, channel->buffered_bytes()});
+        owners.emplace_back(channel, nullptr);
+        if (const auto session = current->lock())
+        {
+            holders.push_back(session->held_response());
+            owners.emplace_back(channel, session);
+        }
+    }
+    while (const auto index = holder_to_release(holders, buffer_limit_))
+    {
+        if (const auto& [channel, session] = owners[*index]; session)
+            session->release_response();
+        else
+            disconnect(channel);
+        holders[*index].bytes = 0;
+    }
+}
+
+void caller_table::disconnect(const caller_ptr& channel)
+{
+    const auto found = callers_.find(channel);
+    if (found == callers_.end())
+        return;
+    const auto session = found->second->lock();
+    callers_.erase(found);
+    channel->abort();
+    if (session)
+        session->on_caller_disconnected();
+}
+
 std::vector<caller_table::caller_ptr> caller_table::open_callers() const
 {
     std::vector<caller_ptr> result(callers_.size());
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -170,10 +170,7 @@
 {
     if (fd_ < 0 || bytes.empty())
         return;
-    if (queue_.empty())
-        queue_ = std::move(bytes);
-    else
-        queue_ += bytes;
+    queue_.append(std::move(bytes));
     if (connected_)
         write_queued();
 }
@@ -225,7 +222,6 @@
     ::close(fd_);
     fd_ = -1;
     queue_.clear();
-    queue_offset_ = 0;
 }
 
 void tcp_stream::abort()
@@ -249,9 +245,14 @@
     return fd_ >= 0 && recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+std::size_t tcp_stream::queue_capacity() const
+{
+    return queue_.capacity();
+}
+
 std::size_t tcp_stream::unsent_bytes() const
 {
-    return queue_.size() - queue_offset_;
+    return queue_.size();
 }
 
 std::uint64_t tcp_stream::sent_bytes() const
@@ -341,8 +342,8 @@
     bool wrote = false;
     while (fd_ >= 0 && unsent_bytes() > 0)
     {
-        const auto size = ::send(fd_, queue_.data() + queue_offset_,
-                                 unsent_bytes(), MSG_NOSIGNAL);
+        const auto size =
+            ::send(fd_, queue_.data(), unsent_bytes(), MSG_NOSIGNAL);
         if (size < 0)
         {
             if (would_block(errno))
@@ -351,20 +352,18 @@
             // run inside send().
             send_failed_ = true;
             queue_.clear();
-            queue_offset_ = 0;
             update_interest();
             return;
         }
         wrote = true;
         sent_bytes_ += static_cast<std::uint64_t>(size);
-        queue_offset_ += static_cast<std::size_t>(size);
+        queue_.consume(static_cast<std::size_t>(size));
     }
     if (fd_ < 0)
         return;
     if (unsent_bytes() == 0)
     {
         queue_.clear();
-        queue_offset_ = 0;
         if (closing_)
             finish_close();
     }
--- a/lib/http/tls_stream.cpp
+++ b/lib/http/tls_stream.cpp
@@ -160,10 +160,7 @@
 {
     if (!open_ || bytes.empty())
         return;
-    if (queue_.empty())
-        queue_ = std::move(bytes);
-    else
-        queue_ += bytes;
+    queue_.append(std::move(bytes));
     watch_output();
 }
 
@@ -254,7 +251,7 @@
                                 : std::min(unsent_bytes(), write_size);
         GError* raw_error = nullptr;
         const auto size = g_pollable_output_stream_write_nonblocking(
-            output, queue_.data() + queue_offset_, length, nullptr, &raw_error);
+            output, queue_.data(), length, nullptr, &raw_error);
         const net::error_ptr error{raw_error};
         if (size < 0 && would_block(error.get()))
         {
@@ -267,12 +264,11 @@
             return G_SOURCE_REMOVE;
         }
         blocked_write_size_ = 0;
-        queue_offset_ += static_cast<std::size_t>(size);
+        queue_.consume(static_cast<std::size_t>(size));
     }
     if (!open_)
         return G_SOURCE_REMOVE;
     queue_.clear();
-    queue_offset_ = 0;
     destroy_source(output_source_);
     if (closing_)
         close();
@@ -299,7 +295,6 @@
     loop_.cancel_timer(std::exchange(handshake_timer_, 0));
     g_cancellable_cancel(cancellable_.get());
     queue_.clear();
-    queue_offset_ = 0;
 }
 
 void tls_stream::close()
@@ -333,9 +328,14 @@
     return open_;
 }
 
+std::size_t tls_stream::queue_capacity() const
+{
+    return queue_.capacity();
+}
+
 std::size_t tls_stream::unsent_bytes() const
 {
-    return queue_.size() - queue_offset_;
+    return queue_.size();
 }
 
 void tls_stream::close_and_report(stream_end_reason reason)
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -115,6 +115,8 @@
                          {
                              return fleet_members();
                          }},
+          .record_received = [this](std::size_t bytes)
+          { callers_.record_received(bytes); },
           .schedule_crash_check =
               [this](const crash_suspect& suspect, const std::string& upstream)
           { schedule_crash_check(suspect, upstream); },
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -33,9 +33,6 @@
 constexpr std::uint32_t max_events_of_suspect = 1;
 constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
 constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
-/// Limit of all responses that one router buffers, well below the memory of
-/// the smallest hosts.
-constexpr std::size_t max_buffered_bytes = std::size_t{48} * 1024 * 1024;
 /// Longer pauses that an upstream asks for are cut before they are converted.
 constexpr double max_pause_s = 3600;
 /// Retry-After of requests that another router may be able to serve: at least
@@ -124,11 +121,11 @@
     if (!attempt->is_stream)
     {
         attempt->body += bytes;
-        context_.buffered_response_bytes += bytes.size();
-        if (attempt->body.size() > max_response_bytes ||
-            context_.buffered_response_bytes > max_buffered_bytes)
+        if (attempt->body.size() > max_response_bytes)
             end_attempt(attempt, attempt_end::broken,
                         "response body is too large");
+        else
+            context_.record_received(bytes.size());
         return;
     }
     event_splitter_.add(bytes);
@@ -138,6 +135,7 @@
         return;
     }
     deliver_events(attempt);
+    context_.record_received(bytes.size());
 }
 
 void relay_session::deliver_events(const attempt_ptr& attempt)
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -514,7 +514,7 @@
     attempt->over = true;
     attempt_timer_.clear();
     context_.selector.record_ended(attempt->upstream);
-    context_.buffered_response_bytes -= attempt->body.size();
+    event_splitter_ = {};
     if (!attempt->channel)
         return;
     if (attempt->channel->is_reusable())
@@ -586,6 +586,8 @@
          {"runs", std::to_string(history_.runs)},
          {"left_ms", format_ms(deadline_ - now)},
          {"next", std::string{name_in(dispatch::next_step_names, step)}}});
+    if (step != next_step::forward)
+        attempt->body = {};
     switch (step)
     {
     case next_step::try_other:
@@ -659,6 +661,22 @@
         on_timeout(current_attempt_);
 }
 
+http::buffer_holder relay_session::held_response() const
+{
+    if (!current_attempt_ || current_attempt_->over)
+        return {};
+    return {.upstream = current_attempt_->upstream,
+            .bytes =
+                current_attempt_->body.capacity() + event_splitter_.capacity()};
+}
+
+void relay_session::release_response()
+{
+    if (!finished_ && current_attempt_ && !current_attempt_->over)
+        end_attempt(current_attempt_, attempt_end::broken,
+                    "buffers of the router are full");
+}
+
 void relay_session::on_caller_disconnected()
 {
     if (answered_ || finished_)
--- a/lib/router/proxy_session.cpp
+++ b/lib/router/proxy_session.cpp
@@ -340,6 +340,8 @@
     if (buffered_body_.size() > context_.options.max_answer_bytes)
         fail_attempt(attempt, routing::outcome::cancelled,
                      refusal_kind::upstream_failed);
+    else
+        context_.record_received(bytes.size());
 }
 
 void proxy_session::on_complete(const attempt_ptr& attempt)
@@ -399,13 +401,15 @@
         end_stream();
         return;
     }
-    if (caller_->unsent_bytes() <= max_caller_backlog)
-        return;
-    // Stops reading from the upstream, so that memory per stream stays bounded
-    // if the caller reads slowly.
-    is_paused_for_caller_ = true;
-    attempt->channel->set_reading(false);
-    arm_timeout(deadline_ - now(), attempt);
+    if (caller_->unsent_bytes() > max_caller_backlog)
+    {
+        // Stops reading from the upstream, so that memory per stream stays
+        // bounded if the caller reads slowly.
+        is_paused_for_caller_ = true;
+        attempt->channel->set_reading(false);
+        arm_timeout(deadline_ - now(), attempt);
+    }
+    context_.record_received(bytes.size());
 }
 
 bool proxy_session::deliver_event(const sse_event& event, std::string& out)
@@ -464,6 +468,24 @@
     arm_progress_timeout(attempt);
 }
 
+http::buffer_holder proxy_session::held_response() const
+{
+    if (!current_attempt_ || current_attempt_->over)
+        return {};
+    return {.upstream = current_attempt_->upstream_name,
+            .bytes = buffered_body_.capacity() + splitter_.capacity()};
+}
+
+void proxy_session::release_response()
+{
+    if (!current_attempt_ || current_attempt_->over)
+        return;
+    buffered_body_ = {};
+    splitter_ = {};
+    fail_attempt(current_attempt_, routing::outcome::cancelled,
+                 refusal_kind::upstream_failed);
+}
+
 bool proxy_session::is_streaming(const attempt_ptr& attempt) const
 {
     return request_.streamed && attempt->head.result_int() == status_ok;
--- a/lib/router/sse.cpp
+++ b/lib/router/sse.cpp
@@ -81,4 +81,9 @@
     return buffer_.size();
 }
 
+std::size_t sse_splitter::capacity() const
+{
+    return buffer_.capacity();
+}
+
 } // namespace baobabloft::router
--- a/lib/router/worker.cpp
+++ b/lib/router/worker.cpp
@@ -5,6 +5,8 @@
 #include "baobabloft/router/pages.hpp"
 #include "baobabloft/router/proxy_session.hpp"
 
+#include <algorithm>
+
 namespace baobabloft::router
 {
 
@@ -51,8 +53,15 @@
 
 worker::worker(const settings& options, control_task& control,
                metrics& counters)
-    : context_(options, control, counters)
-{
+    : context_(options, control, counters),
+      callers_(
+          std::max(http::caller_table::default_buffer_limit / options.workers,
+                   options.max_answer_bytes))
+{
+    context_.record_received = [this](std::size_t bytes)
+    {
+        callers_.record_received(bytes);
+    };
 }
 
 worker::~worker()
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -459,6 +459,81 @@
         self.assertLess(self.peak_mb(), 120)
 
 
+class EndlessStreamTest(RelayTest):
+    """Streams that go on with one piece until the router closes them, beside
+    sound requests."""
+    upstreams = 4
+    callers = 160
+    seconds = 3.5
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        if not request_id.startswith("endless"):
+            connection.sendall(head(request_id, "Content-Length: 0\r\n"))
+            return
+        connection.sendall(head(request_id) + self.first_piece)
+        while True:
+            connection.sendall(self.piece)
+            time.sleep(0.1)
+
+    def send_endless(self, number):
+        try:
+            self.send("POST", "/stream/1", f"endless{number}").read()
+        except (OSError, http.client.HTTPException):
+            pass  # broken off
+
+    def send_sound_requests(self):
+        """Returns the seconds that each request took, beside the streams."""
+        threads = [threading.Thread(target=self.send_endless, args=(number,))
+                   for number in range(self.callers)]
+        for thread in threads:
+            thread.start()
+        start = time.monotonic()
+        times = []
+        while time.monotonic() < start + self.seconds:
+            began = time.monotonic()
+            self.assertEqual(
+                self.send("POST", "/unsafe/1", f"s{len(times)}").status, 200)
+            times.append(time.monotonic() - began)
+            time.sleep(0.05)
+        for thread in threads:
+            thread.join()
+        return times
+
+
+class EndlessEventTest(EndlessStreamTest):
+    first_piece = b"id: 1\ndata: "
+    piece = b"x" * 65536
+
+    # Guards against a router that runs out of memory: the limit of each event
+    # held, but not one of all.
+    def test_events_without_end_share_bounded_memory(self):
+        self.assertGreater(len(self.send_sound_requests()), 10)
+        # Hosts with the least memory have 160 MB.
+        self.assertLess(self.peak_mb(), 120)
+
+
+class UnreadResponsesTest(RelayTest):
+    callers = 40
+
+    def respond(self, connection, fields, number):
+        body = b"x" * (4 << 20 if fields["X-Request-Id"] != "sound" else 1)
+        connection.sendall(head(fields["X-Request-Id"],
+                                f"Content-Length: {len(body)}\r\n") + body)
+
+    # Guards against a router that keeps the whole response of each caller that
+    # does not read it.
+    def test_responses_that_callers_do_not_read_share_bounded_memory(self):
+        for number in range(self.callers):
+            caller = socket.create_connection(("127.0.0.1", self.listen))
+            self.addCleanup(caller.close)
+            caller.sendall(b"POST /unsafe/1 HTTP/1.1\r\nHost: relay.example\r\n"
+                           b"X-Request-Id: a%d\r\n\r\n" % number)
+        time.sleep(2)
+        self.assertEqual(self.send("POST", "/unsafe/1", "sound").status, 200)
+        self.assertLess(self.peak_mb(), 120)
+
+
 class PlannedStopTest(RelayTest):
     """Requests arrive throughout a planned stop. The end of a request's id is
     the time in ms that its upstream takes."""
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -1,6 +1,7 @@
 // Tests both sides of HTTP/1.1 connections, also against malformed and hostile
 // framing: which bytes are accepted as a request or a response, which are
 // rejected, and whether a request is reported as sent.
+#include "baobabloft/http/buffer_limit.hpp"
 #include "baobabloft/http/caller_table.hpp"
 #include "baobabloft/http/channel_pool.hpp"
 #include "baobabloft/http/tcp_stream.hpp"
@@ -469,6 +470,24 @@
     int peer = -1;
 };
 
+/// Responses that one upstream sends may fill the buffers by many small pieces,
+/// so that the largest piece alone would be another upstream's.
+TEST(buffer_limit, largest_holder_of_the_largest_upstream_is_released)
+{
+    const std::vector<buffer_holder> holders{{"sound", 500},
+                                             {"", 300},
+                                             {"faulty", 200},
+                                             {"faulty", 250},
+                                             {"faulty", 240}};
+    EXPECT_EQ(holder_to_release(holders, 1490), std::nullopt);
+    EXPECT_EQ(holder_to_release(holders, 1489), 3U);
+    EXPECT_EQ(holder_to_release(std::span{holders}.first(3), 999), 0U);
+    // Bytes of different callers have no common source.
+    const std::vector<buffer_holder> callers{
+        {"", 300}, {"", 300}, {"sound", 310}};
+    EXPECT_EQ(holder_to_release(callers, 0), 2U);
+}
+
 TEST_F(last_response_test, is_sent_completely_before_the_connection_closes)
 {
     EXPECT_EQ(callers.size(), 1U);
