http: a response that brings small pieces without end is read at a pace

Cause: sse_splitter::next() moved the rest of its buffer for each event, which is quadratic in the bytes read at once, and nothing bounded the work that one response may cost.

--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobabloft/dispatch/retry_rules.hpp"
+#include "baobabloft/http/read_pace.hpp"
 #include "baobabloft/net/restartable_timer.hpp"
 #include "baobabloft/relay/relay.hpp"
 #include "baobabloft/router/refusal.hpp"
@@ -104,8 +105,13 @@
     void on_failure(const attempt_ptr& attempt, http::exchange_failure reason);
     void on_timeout(const attempt_ptr& attempt);
 
-    /// Forwards the complete events received so far.
-    void deliver_events(const attempt_ptr& attempt);
+    /// Forwards the complete events received so far, and returns their number.
+    std::size_t deliver_events(const attempt_ptr& attempt);
+    /// Stops reading for a while if the response costs too much time.
+    void keep_pace(const attempt_ptr& attempt, std::size_t pieces,
+                   std::size_t bytes);
+    /// Reads from the upstream unless that is paused.
+    void update_reading(const attempt_ptr& attempt);
     /// Appends the event to `out`, unless the caller already has it. Returns
     /// false if its id does not follow that of the last event or is missing.
     bool deliver_event(const attempt_ptr& attempt,
@@ -190,6 +196,11 @@
     /// Reading from the upstream is paused until the caller has read what was
     /// sent to it.
     bool is_paused_for_caller_ = false;
+    /// Reading from the upstream is paused, since the response costs too much
+    /// time.
+    bool is_paused_for_pace_ = false;
+    http::read_pace pace_;
+    net::restartable_timer pace_timer_;
     /// The channel has the whole answer; it may close at once.
     bool answered_ = false;
     bool finished_ = false;
--- a/include/baobabloft/router/proxy_session.hpp
+++ b/include/baobabloft/router/proxy_session.hpp
@@ -2,6 +2,7 @@
 // response. A session keeps itself alive until then.
 #pragma once
 
+#include "baobabloft/http/read_pace.hpp"
 #include "baobabloft/net/restartable_timer.hpp"
 #include "baobabloft/router/request.hpp"
 #include "baobabloft/router/sse.hpp"
@@ -95,6 +96,11 @@
     /// Returns the attempt's connection to the pool if the response is
     /// complete, else closes it.
     void release_channel(const attempt_ptr& attempt, routing::outcome outcome);
+    /// Stops reading for a while if the response costs too much time.
+    void keep_pace(const attempt_ptr& attempt, std::size_t pieces,
+                   std::size_t bytes);
+    /// Reads from the upstream unless that is paused.
+    void update_reading(const attempt_ptr& attempt);
     /// Ends a failed attempt, then retries or refuses the request.
     void fail_attempt(const attempt_ptr& attempt, routing::outcome outcome,
                       refusal_kind kind);
@@ -145,6 +151,11 @@
     time_point last_token_at_;
     net::restartable_timer timer_;
     bool is_paused_for_caller_ = false;
+    /// Reading from the upstream is paused, since the response costs too much
+    /// time.
+    bool is_paused_for_pace_ = false;
+    http::read_pace pace_;
+    net::restartable_timer pace_timer_;
     bool has_responded_ = false;
     bool is_caller_disconnected_ = false;
     bool is_outcome_recorded_ = false;
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -122,10 +122,13 @@
     {
         attempt->body += bytes;
         if (attempt->body.size() > max_response_bytes)
+        {
             end_attempt(attempt, attempt_end::broken,
                         "response body is too large");
-        else
-            context_.record_received(bytes.size());
+            return;
+        }
+        keep_pace(attempt, 1, bytes.size());
+        context_.record_received(bytes.size());
         return;
     }
     event_splitter_.add(bytes);
@@ -134,16 +137,46 @@
         end_attempt(attempt, attempt_end::broken, "event is too large");
         return;
     }
-    deliver_events(attempt);
+    const auto events = deliver_events(attempt);
+    if (attempt->over)
+        return;
+    keep_pace(attempt, 1 + events, bytes.size());
     context_.record_received(bytes.size());
 }
 
-void relay_session::deliver_events(const attempt_ptr& attempt)
+void relay_session::keep_pace(const attempt_ptr& attempt, std::size_t pieces,
+                              std::size_t bytes)
+{
+    const auto pause = pace_.record(net::boot_now(), pieces, bytes);
+    if (pause <= 0ms)
+        return;
+    is_paused_for_pace_ = true;
+    update_reading(attempt);
+    pace_timer_.set(pause,
+                    [weak = weak_from_this(), attempt]
+                    {
+                        const auto self = weak.lock();
+                        if (!self || attempt->over)
+                            return;
+                        self->is_paused_for_pace_ = false;
+                        self->update_reading(attempt);
+                    });
+}
+
+void relay_session::update_reading(const attempt_ptr& attempt)
+{
+    attempt->channel->set_reading(!is_paused_for_caller_ &&
+                                  !is_paused_for_pace_);
+}
+
+std::size_t relay_session::deliver_events(const attempt_ptr& attempt)
 {
     std::string out;
     bool has_progress = false;
+    std::size_t count = 0;
     while (const auto event = event_splitter_.next())
     {
+        ++count;
         has_progress = has_progress || event->has_content;
         attempt->events += event->has_content ? 1 : 0;
         if (!deliver_event(attempt, *event, out))
@@ -152,7 +185,7 @@
                 caller_->send_body_part(out);
             end_attempt(attempt, attempt_end::broken,
                         "event has no id or is out of sequence");
-            return;
+            return count;
         }
     }
     if (attempt->events > max_events_of_suspect)
@@ -161,11 +194,12 @@
         caller_->send_body_part(out);
     if (caller_->unsent_bytes() > max_caller_backlog)
     {
-        attempt->channel->set_reading(false);
         is_paused_for_caller_ = true;
+        update_reading(attempt);
     }
     if (has_progress)
         arm_attempt_timer(attempt);
+    return count;
 }
 
 bool relay_session::deliver_event(const attempt_ptr& attempt,
@@ -422,7 +456,7 @@
         return;
     // The time in which the caller did not read counts for no upstream.
     arm_attempt_timer(current_attempt_);
-    current_attempt_->channel->set_reading(true);
+    update_reading(current_attempt_);
 }
 
 } // namespace baobabloft::relay
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -68,7 +68,8 @@
                              std::shared_ptr<http::caller_channel> caller,
                              http::request&& request)
     : context_(context), caller_(std::move(caller)),
-      request_(std::move(request)), attempt_timer_(context.loop)
+      request_(std::move(request)), attempt_timer_(context.loop),
+      pace_timer_(context.loop)
 {
     context_.counters.add_requests_in_progress(1);
 }
@@ -391,8 +392,10 @@
     attempt->started = now;
     ++history_.attempts;
     current_attempt_ = attempt;
-    event_splitter_ = {};
+    event_splitter_.clear();
     is_paused_for_caller_ = false;
+    is_paused_for_pace_ = false;
+    pace_timer_.clear();
     const bool is_repeatable = route_->is_repeatable();
     attempt->channel = context_.pool.acquire(
         now, upstream.record.id, upstream.record.address,
@@ -514,7 +517,7 @@
     attempt->over = true;
     attempt_timer_.clear();
     context_.selector.record_ended(attempt->upstream);
-    event_splitter_ = {};
+    event_splitter_.clear();
     if (!attempt->channel)
         return;
     if (attempt->channel->is_reusable())
--- a/lib/router/proxy_session.cpp
+++ b/lib/router/proxy_session.cpp
@@ -78,7 +78,7 @@
                              http::request&& message)
     : context_(context), caller_(std::move(caller)),
       message_(std::move(message)), arrived_at_(net::monotonic_now()),
-      timer_(context.loop)
+      timer_(context.loop), pace_timer_(context.loop)
 {
     ++context_.requests_in_progress;
     context_.counters.add_requests_in_progress(1);
@@ -315,8 +315,10 @@
                      refusal_kind::upstream_failed);
         return;
     }
-    splitter_ = {};
+    splitter_.clear();
     buffered_body_.clear();
+    is_paused_for_pace_ = false;
+    pace_timer_.clear();
     arm_progress_timeout(attempt);
 }
 
@@ -341,7 +343,10 @@
         fail_attempt(attempt, routing::outcome::cancelled,
                      refusal_kind::upstream_failed);
     else
+    {
+        keep_pace(attempt, 1, bytes.size());
         context_.record_received(bytes.size());
+    }
 }
 
 void proxy_session::on_complete(const attempt_ptr& attempt)
@@ -382,7 +387,8 @@
     splitter_.add(bytes);
     std::string out;
     bool done = false;
-    while (const auto event = splitter_.next())
+    std::size_t count = 0;
+    for (; const auto event = splitter_.next(); ++count)
         done = deliver_event(*event, out) || done;
     if (splitter_.buffered_bytes() > max_event_bytes)
     {
@@ -406,12 +412,38 @@
         // Stops reading from the upstream, so that memory per stream stays
         // bounded if the caller reads slowly.
         is_paused_for_caller_ = true;
-        attempt->channel->set_reading(false);
+        update_reading(attempt);
         arm_timeout(deadline_ - now(), attempt);
     }
+    keep_pace(attempt, 1 + count, bytes.size());
     context_.record_received(bytes.size());
 }
 
+void proxy_session::keep_pace(const attempt_ptr& attempt, std::size_t pieces,
+                              std::size_t bytes)
+{
+    const auto pause = pace_.record(now(), pieces, bytes);
+    if (pause <= 0ms)
+        return;
+    is_paused_for_pace_ = true;
+    update_reading(attempt);
+    pace_timer_.set(pause,
+                    [weak = weak_from_this(), attempt]
+                    {
+                        const auto self = weak.lock();
+                        if (!self || attempt->over)
+                            return;
+                        self->is_paused_for_pace_ = false;
+                        self->update_reading(attempt);
+                    });
+}
+
+void proxy_session::update_reading(const attempt_ptr& attempt)
+{
+    attempt->channel->set_reading(!is_paused_for_caller_ &&
+                                  !is_paused_for_pace_);
+}
+
 bool proxy_session::deliver_event(const sse_event& event, std::string& out)
 {
     if (event.is_end)
@@ -464,7 +496,7 @@
     const auto attempt = current_attempt_;
     if (!attempt || attempt->over)
         return;
-    attempt->channel->set_reading(true);
+    update_reading(attempt);
     arm_progress_timeout(attempt);
 }
 
@@ -481,7 +513,7 @@
     if (!current_attempt_ || current_attempt_->over)
         return;
     buffered_body_ = {};
-    splitter_ = {};
+    splitter_.clear();
     fail_attempt(current_attempt_, routing::outcome::cancelled,
                  refusal_kind::upstream_failed);
 }
--- a/lib/router/sse.cpp
+++ b/lib/router/sse.cpp
@@ -46,39 +46,53 @@
 
 bool has_data(std::string_view event)
 {
-    constexpr std::string_view field = "data";
-    return event.starts_with(field) ||
-           event.find(std::string{"\n"}.append(field)) !=
-               std::string_view::npos;
+    return event.starts_with("data") ||
+           event.find("\ndata") != std::string_view::npos;
 }
 
 } // namespace
 
 void sse_splitter::add(std::string_view bytes)
 {
+    buffer_.erase(0, start_);
+    searched_ -= start_;
+    start_ = 0;
     buffer_ += bytes;
 }
 
 std::optional<sse_event> sse_splitter::next()
 {
     constexpr std::string_view separator = "\n\n";
-    const auto end = buffer_.find(separator);
-    if (end == std::string::npos)
+    const std::string_view buffer{buffer_};
+    const auto end = buffer.find(separator, searched_);
+    if (end == std::string_view::npos)
+    {
+        // The last byte may be the first one of a separator.
+        searched_ = std::max(start_, buffer.size() - (buffer.empty() ? 0 : 1));
         return std::nullopt;
+    }
     sse_event event;
-    event.bytes = buffer_.substr(0, end + separator.size());
-    buffer_.erase(0, event.bytes.size());
+    event.bytes = buffer.substr(start_, end + separator.size() - start_);
+    start_ = end + separator.size();
+    searched_ = start_;
+    event.is_comment = is_comment(event.bytes);
+    if (event.is_comment)
+        return event;
     event.id = find_id(event.bytes);
     event.has_content = event.id || has_data(event.bytes);
-    event.is_comment = is_comment(event.bytes);
-    event.is_end = event.bytes.find("data: [DONE]") != std::string::npos &&
-                   event.bytes.find('{') == std::string::npos;
+    event.is_end = event.bytes.find("data: [DONE]") != std::string_view::npos &&
+                   event.bytes.find('{') == std::string_view::npos;
     return event;
 }
 
+void sse_splitter::clear()
+{
+    *this = {};
+}
+
 std::size_t sse_splitter::buffered_bytes() const
 {
-    return buffer_.size();
+    return buffer_.size() - start_;
 }
 
 std::size_t sse_splitter::capacity() const
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -513,6 +513,18 @@
         self.assertLess(self.peak_mb(), 120)
 
 
+class EndlessCommentsTest(EndlessStreamTest):
+    first_piece = b""
+    piece = b": x\n\n" * 8000
+
+    # Guards against a router that spends its time on the smallest pieces of
+    # streams without end, so that other requests wait.
+    def test_comments_without_end_do_not_delay_other_requests(self):
+        times = self.send_sound_requests()
+        self.assertGreater(len(times), 30)
+        self.assertLess(max(times), 0.4)
+
+
 class UnreadResponsesTest(RelayTest):
     callers = 40
 
