--- a/lib/routing/crash_judge.cpp
+++ b/lib/routing/crash_judge.cpp
@@ -61,8 +61,7 @@
         suspicions_.erase(feature);
 }
 
-std::vector<crash_event>
-crash_judge::crashes_of(request_feature feature) const
+std::vector<crash_event> crash_judge::crashes_of(request_feature feature) const
 {
     std::vector<crash_event> result;
     if (const auto found = suspicions_.find(feature);
--- a/unittests/routing/crash_protection_test.cpp
+++ b/unittests/routing/crash_protection_test.cpp
@@ -98,11 +98,10 @@
 
 TEST(crash_protection, a_quarantine_is_announced_three_times)
 {
-    const std::vector<fleet_member> members{{router_id{1}, 1},
-                                            {router_id{2}, 2}};
-    crash_protection judge{router_id{1}, [&]
+    crash_protection judge{router_id{1}, []
                            {
-                               return members;
+                               return std::vector<fleet_member>{
+                                   {router_id{1}, 1}, {router_id{2}, 2}};
                            }};
     const auto notices = [&](duration at)
     {
@@ -399,14 +398,14 @@
         }
         ++crashes_;
         away_until_[upstream] = now_ + away_time;
-        for (auto& item : std::exchange(running, {}))
-            events_.emplace(now_ + crash_notice_delay,
-                            [this, upstream, item = std::move(item),
-                             start_count = restarts_[item.router]]
-                            {
-                                if (restarts_[item.router] == start_count)
-                                    report(item, upstream);
-                            });
+        for (const auto& item : std::exchange(running, {}))
+            events_.emplace(
+                now_ + crash_notice_delay,
+                [this, upstream, item, start_count = restarts_[item.router]]
+                {
+                    if (restarts_[item.router] == start_count)
+                        report(item, upstream);
+                });
     }
 
     void finish(std::size_t upstream, std::uint64_t run)
