relay: only the first link asks for the quarantine; buffers are added up cheaply

A change of the fleet's secret asked again what is in quarantine, and held requests for it; only a router that starts needs that. In the own interface a retry waits with the others instead of being refused. caller_table builds the list of holders only when the limit is exceeded.

--- a/include/baobabloft/routing/crash_protection.hpp
+++ b/include/baobabloft/routing/crash_protection.hpp
@@ -99,6 +99,9 @@
     /// Asks a few routers for the features in quarantine, after a start.
     void query_quarantine(time_point now);
 
+    /// Returns true until it is known what is in quarantine, after a start.
+    [[nodiscard]] bool is_starting() const;
+
     void handle(time_point now, router_id from,
                 const feature_crash_report& message);
     void handle(time_point now, router_id from, const success_query& message);
@@ -174,8 +177,6 @@
     /// Asks the next judge, or decides if this router is the next one. Returns
     /// the decision, if there is one.
     std::optional<bool> ask_next_judge(time_point now, pending_trial& trial);
-    /// Returns true until it is known what is in quarantine, after a start.
-    [[nodiscard]] bool is_starting() const;
     /// Decides on the requests that were received meanwhile.
     void finish_start(time_point now);
     /// Returns nothing if a trial of the features may begin, or the time until
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -378,7 +378,8 @@
 {
     const auto feature = routing::feature_of(request);
     const auto verdict = protection_.check(now, {&feature, 1});
-    if (verdict == routing::admission::trial_due && !is_retry)
+    const bool may_wait = !is_retry || protection_.is_starting();
+    if (verdict == routing::admission::trial_due && may_wait)
         protection_.request_trial(now, {&feature, 1}, std::move(callback));
     else
         callback(verdict == routing::admission::admitted);
--- a/lib/http/caller_table.cpp
+++ b/lib/http/caller_table.cpp
@@ -93,6 +93,15 @@
 void caller_table::limit_buffers()
 {
     unchecked_bytes_ = 0;
+    std::size_t total = 0;
+    for (const auto& [channel, current] : callers_)
+    {
+        total += channel->buffered_bytes();
+        if (const auto session = current->lock())
+            total += session->held_response().bytes;
+    }
+    if (total <= buffer_limit_)
+        return;
     std::vector<buffer_holder> holders;
     std::vector<std::pair<caller_ptr, std::shared_ptr<caller_session>>> owners;
     holders.reserve(2 * callers_.size());
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -77,13 +77,14 @@
     socket_secret_ = state.secret();
     datagram_keys_.emplace(accepted);
     failure reason;
-    if (!router_socket_)
+    const bool is_first_link = !router_socket_;
+    if (is_first_link)
         router_socket_ = net::datagram_socket::open(
             loop_, self_id(),
             [this](router_id from, std::string_view bytes)
             { receive(from, bytes); },
             reason);
-    if (router_socket_)
+    if (router_socket_ && is_first_link)
     {
         context_.protection.query_quarantine(net::boot_now());
         send_protection_messages();
