routing: repeated requests do not explain crashes of a part

Cause: callers repeat such requests, and several of them were running at the same crashes. Each repeated request, in quarantine itself, was at two or more of the part's crashes and so counted as an explanation of them: the part was tried at once, and again after 1, 2 and 4 s.

The test fails without the rule.

Why this works: a repeated request may contain the part, so it is no other cause. It still explains crashes of other repeated requests.

--- a/include/baobabloft/routing/crash_judge.hpp
+++ b/include/baobabloft/routing/crash_judge.hpp
@@ -65,8 +65,7 @@
 {
 public:
     /// Returns true if all of the crashes have another cause that is known.
-    using explanation = std::function<bool(request_feature feature,
-                                           std::span<const crash_event>)>;
+    using explanation = std::function<bool(const crash_verdict& suspect)>;
 
     explicit crash_judge(const crash_judge_options& options = {});
 
--- a/include/baobabloft/routing/quarantine.hpp
+++ b/include/baobabloft/routing/quarantine.hpp
@@ -65,9 +65,10 @@
 
     /// Returns true if at each of the crashes a request with a feature in
     /// quarantine was running, other than the features of `request`. A feature
-    /// of one of the crashes alone is no explanation.
+    /// of one of the crashes alone is no explanation, and neither is a repeated
+    /// request if the crashes are those of a part, which it may contain.
     [[nodiscard]] bool
-    is_explained(std::span<const crash_event> crashes,
+    is_explained(std::span<const crash_event> crashes, bool is_whole_request,
                  std::span<const request_feature> request) const;
 
     [[nodiscard]] admission
--- a/lib/routing/crash_judge.cpp
+++ b/lib/routing/crash_judge.cpp
@@ -98,8 +98,10 @@
             ++item;
             continue;
         }
-        auto crashes = crashes_of(feature);
-        if (is_explained(feature, crashes))
+        crash_verdict verdict{.feature = feature,
+                              .is_whole_request = suspect.is_whole_request,
+                              .crashes = crashes_of(feature)};
+        if (is_explained(verdict))
         {
             suspect.queried_at.reset();
             ++item;
@@ -119,7 +121,7 @@
         if (is_first_query || is_repetition)
         {
             suspect.query_repeated = is_repetition;
-            const auto age = now - crashes.front().at;
+            const auto age = now - verdict.crashes.front().at;
             result.queries.push_back(
                 {.feature = feature,
                  .within_ms = static_cast<std::uint32_t>(age / 1ms)});
@@ -130,8 +132,7 @@
             ++item;
             continue;
         }
-        result.verdicts.push_back(
-            {feature, suspect.is_whole_request, std::move(crashes)});
+        result.verdicts.push_back(std::move(verdict));
         item = suspicions_.erase(item);
     }
     return result;
--- a/lib/routing/crash_protection.cpp
+++ b/lib/routing/crash_protection.cpp
@@ -48,11 +48,14 @@
 
 void crash_protection::tick(time_point now)
 {
-    const auto decisions = judge_.take_decisions(
-        now,
-        [this](request_feature feature, std::span<const crash_event> crashes) {
-            return quarantine_.is_explained(crashes, {&feature, 1});
-        });
+    const auto decisions =
+        judge_.take_decisions(now,
+                              [this](const crash_verdict& suspect)
+                              {
+                                  return quarantine_.is_explained(
+                                      suspect.crashes, suspect.is_whole_request,
+                                      {&suspect.feature, 1});
+                              });
     for (const auto& query : decisions.queries)
     {
         send_to_all(query);
--- a/lib/routing/quarantine.cpp
+++ b/lib/routing/quarantine.cpp
@@ -156,12 +156,14 @@
 }
 
 bool quarantine::is_explained(std::span<const crash_event> crashes,
+                              bool is_whole_request,
                               std::span<const request_feature> request) const
 {
     std::vector<bool> explained(crashes.size());
     for (const auto& [feature, item] : entries_)
     {
-        if (std::ranges::find(request, feature) != request.end())
+        if (std::ranges::find(request, feature) != request.end() ||
+            (item.is_whole_request && !is_whole_request))
             continue;
         std::vector<std::size_t> shared;
         for (std::size_t index = 0; index < crashes.size(); ++index)
@@ -196,9 +198,11 @@
         if (const auto found = entries_.find(feature); found != entries_.end())
         {
             const auto& item = found->second;
-            result = std::max(result, is_explained(item.crashes, features)
-                                          ? item.next_explained_trial_at
-                                          : item.next_trial_at);
+            result =
+                std::max(result, is_explained(item.crashes,
+                                              item.is_whole_request, features)
+                                     ? item.next_explained_trial_at
+                                     : item.next_trial_at);
         }
     return result;
 }
@@ -212,7 +216,7 @@
         if (found == entries_.end())
             continue;
         auto& item = found->second;
-        if (!is_explained(item.crashes, features))
+        if (!is_explained(item.crashes, item.is_whole_request, features))
         {
             lengthen_pause(now, item);
             continue;
@@ -232,7 +236,7 @@
         if (found == entries_.end())
             continue;
         auto& item = found->second;
-        auto& next = is_explained(item.crashes, features)
+        auto& next = is_explained(item.crashes, item.is_whole_request, features)
                          ? item.next_explained_trial_at
                          : item.next_trial_at;
         next = std::max(next, earliest);
--- a/unittests/routing/crash_protection_test.cpp
+++ b/unittests/routing/crash_protection_test.cpp
@@ -27,7 +27,7 @@
     return {fingerprint{request}, upstream_id{upstream}, std::move(features)};
 }
 
-bool nothing_explained(request_feature, std::span<const crash_event>)
+bool nothing_explained(const crash_verdict&)
 {
     return false;
 }
@@ -81,7 +81,7 @@
     judge.record_older_successes({&common, 1});
     EXPECT_TRUE(judge.take_decisions(start + 300ms, nothing_explained)
                     .verdicts.empty());
-    const auto all_explained = [](request_feature, std::span<const crash_event>)
+    const auto all_explained = [](const crash_verdict&)
     {
         return true;
     };
@@ -256,7 +256,27 @@
                      record_of(request_feature{100 + number}, {{upstream, 0}}));
         crashes.push_back({upstream, start});
     }
-    EXPECT_FALSE(features.is_explained(crashes, {}));
+    EXPECT_FALSE(features.is_explained(crashes, true, {}));
+}
+
+// Guards against a part that is tried at once, again and again, since several
+// repeated requests that have it were running at the same crashes.
+TEST(quarantine, repeated_requests_do_not_explain_crashes_of_a_part)
+{
+    quarantine features;
+    const std::vector<crash_sighting> crashes{
+        {upstream_id{1}, 20}, {upstream_id{2}, 10}, {upstream_id{3}, 0}};
+    features.add(start, record_of(bad, crashes));
+    for (std::uint64_t number = 0; number < 2; ++number)
+    {
+        auto repeated = record_of(request_feature{100 + number}, crashes);
+        repeated.is_whole_request = true;
+        features.add(start, repeated);
+    }
+    EXPECT_EQ(features.check(start + 9s, std::vector{bad}), admission::refused);
+    // A repeated request may be explained by another one, or by a part.
+    EXPECT_EQ(features.check(start + 9s, std::vector{request_feature{100}}),
+              admission::trial_due);
 }
 
 /// A fleet whose routers exchange datagrams with delay and loss. Requests with
