--- a/include/baobabloft/routing/messages.hpp
+++ b/include/baobabloft/routing/messages.hpp
@@ -186,8 +186,7 @@
 };
 
 /// Reports that `request` was running on `upstream` when the upstream crashed.
-/// Sent to every router, so that all of them refuse a request that crashes
-/// upstreams.
+/// Received from routers of former versions only, and ignored.
 struct crash_notice
 {
     fingerprint request{};
