routing: a test of one trial for all routers; which assertions were replaced

What the assertion guarded, that the fleet runs one trial at a time, had no test until this commit.

Measured: the new test passes.

--- a/unittests/routing/crash_protection_test.cpp
+++ b/unittests/routing/crash_protection_test.cpp
@@ -225,6 +225,27 @@
     EXPECT_EQ(parts.check(start + 50s, features), admission::trial_due);
 }
 
+TEST(crash_protection, a_judge_grants_one_trial_to_all_routers)
+{
+    auto judge = make_single_router();
+    const auto granted = [&](duration at, std::uint32_t sequence)
+    {
+        judge.handle(start + at, router_id{1 + sequence},
+                     trial_query{sequence, {record_of(bad, {{{}, 0}})}});
+        const auto messages = judge.take_messages();
+        return !messages.empty() &&
+               std::get<trial_response>(messages.back().content).granted;
+    };
+    judge.handle(start, router_id{2},
+                 quarantine_notice{{record_of(bad, {{{}, 0}})}});
+    EXPECT_FALSE(granted(9s, 1));
+    EXPECT_TRUE(granted(10s, 2));
+    EXPECT_FALSE(granted(10s, 3));
+    EXPECT_FALSE(granted(40s, 4));
+    EXPECT_TRUE(granted(50s, 5));
+    EXPECT_FALSE(granted(99s, 6));
+}
+
 TEST(quarantine, part_of_the_same_crashes_as_another_is_tried_without_it)
 {
     quarantine parts;
