routing: clearer comments on whole requests and parts

Comments only: two read as if a check took place where an id is made, or a fact recorded. No behaviour changes and nothing was measured; format check passed.

--- a/include/baobabloft/routing/crash_judge.hpp
+++ b/include/baobabloft/routing/crash_judge.hpp
@@ -69,8 +69,8 @@
 
     explicit crash_judge(const crash_judge_options& options = {});
 
-    /// Charges `feature` with a crash. `is_whole_request` tells that the
-    /// feature stands for all repetitions of the request.
+    /// Records a crash against `feature`. `is_whole_request` is true if the
+    /// feature identifies a repeated request rather than a part of prompts.
     void record_crash(time_point now, request_feature feature,
                       const feature_crash_report& report,
                       bool is_whole_request);
--- a/lib/routing/crash_protection.cpp
+++ b/lib/routing/crash_protection.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-/// Tells features of whole requests from parts of prompts.
+/// Keeps the ids of whole requests distinct from those of prompt parts.
 constexpr std::uint64_t whole_request_salt = 0x7265'7175'6573'7400;
 /// A crash is noticed later than a success of the next attempt, so a success
 /// shortly before a report may have followed the crash.
