platform: a load header with four figures counts

Callers saw: on deployments whose servers add a fourth figure to their load header, requests piled up on a few upstreams, as no reported load was used. Cause: parse_load() took exactly three figures. Change: three or four figures are valid; the fourth, how long work takes, is returned and not used yet.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -98,11 +98,15 @@
     double mean_load = 0;
 };
 
-/// Load that an upstream reported with a response, in requests.
+/// Load that an upstream reported with a response.
 struct reported_load
 {
+    /// In requests.
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    /// How long work takes at this moment, in percent of the usual time; empty
+    /// if the upstream does not report it.
+    std::optional<std::uint32_t> work_percent;
 };
 
 /// The selector of one router.
