dispatch: roll-outs move to a good version and back from a bad one

Operators saw: an order for another version had no effect. Cause: rollout_control was a stub. Change: three judges for each order, chosen by rendezvous hashing, gather the routers' reports, decide on the stage, and write the status by compare-and-swap; routers follow the responses and, above them, the directory's final phase.

--- a/include/baobabloft/dispatch/rollout_control.hpp
+++ b/include/baobabloft/dispatch/rollout_control.hpp
@@ -4,57 +4,19 @@
 // to write. Does no I/O: messages and writes are returned.
 #pragma once
 
-#include "baobabloft/directory/rollout.hpp"
-#include "baobabloft/dispatch/rollout_messages.hpp"
+#include "baobabloft/dispatch/rollout_gate.hpp"
+#include "baobabloft/dispatch/rollout_judge.hpp"
 #include "baobabloft/routing/crash_protection.hpp"
 
 #include <functional>
 #include <map>
-#include <span>
+#include <optional>
 #include <string>
 #include <variant>
 
 namespace baobabloft::dispatch
 {
 
-/// Limits of a roll-out, from the deployment's settings.
-struct rollout_options
-{
-    /// Share of a service's requests, between the order and its time limit,
-    /// that a bad version may get.
-    double exposure = 0.1;
-    /// Requests beyond that share.
-    double exposure_slack = 50;
-    /// Time from the fiftieth bad response of a version to its last request.
-    duration revert_bound = 5s;
-};
-
-/// The upstreams of a service that may get requests, by version.
-struct rollout_upstreams
-{
-    std::size_t of_target = 0;
-    std::size_t of_others = 0;
-};
-
-/// The versions of a service that may get a request.
-enum class version_rule : std::uint8_t
-{
-    any,
-    target_only,
-    others_only
-};
-
-/// Where a request of a service may go.
-struct version_choice
-{
-    version_rule rule = version_rule::any;
-    /// The target named by the rule; empty for any.
-    std::string target;
-    /// Number of the target's upstreams among which the requests are divided,
-    /// so that each has the load of a usual one; 0 for all.
-    std::size_t target_width = 0;
-};
-
 /// How a request ended at its upstream, as far as it tells about the version.
 struct rollout_outcome
 {
@@ -178,6 +140,111 @@
                           rollout_write_end end);
 
     [[nodiscard]] std::vector<rollout_summary> summaries(time_point now) const;
+
+private:
+    struct cell
+    {
+        rollout_cell counts;
+        std::uint64_t changed = 0;
+    };
+
+    /// A status that this router is to write.
+    struct wanted_write
+    {
+        directory::rollout_phase phase{};
+        time_point since;
+    };
+
+    /// Ages of an order at which its judges act.
+    struct schedule
+    {
+        /// The target gets all requests from here on if the evidence is good,
+        duration advance_from{0};
+        /// or here if there is too little of it.
+        duration advance_by{0};
+        /// or here if the evidence is neither good nor bad.
+        duration advance_last{0};
+        /// Requests at other versions are no longer waited for.
+        duration complete_by{0};
+    };
+
+    struct service
+    {
+        explicit service(time_point first_seen) : gate(first_seen) {}
+
+        directory::known_rollout known;
+        rollout_id id{};
+        rollout_gate gate;
+        rollout_judge judge;
+        /// Position among the judges; empty if this router is none.
+        std::optional<std::size_t> judge_rank;
+        std::vector<router_id> judges;
+        std::map<std::pair<std::uint32_t, upstream_id>, cell> cells;
+        std::uint64_t changes = 0;
+        time_point next_report;
+        bool has_reported = false;
+        time_point next_evaluation;
+        /// Responses that are still to be sent to all routers, and when.
+        std::size_t announcements = 0;
+        time_point next_announcement;
+        /// Since when the target may get all requests.
+        std::optional<time_point> all_since;
+        std::optional<wanted_write> wanted;
+        bool is_writing = false;
+        /// Phase of the last write.
+        directory::rollout_phase written{};
+        /// Phase in the store, as far as the directory knows.
+        std::optional<directory::rollout_phase> stored_phase;
+        /// No write before, unless the directory shows a change.
+        time_point next_write;
+    };
+
+    void begin(time_point now, const directory::known_rollout& rollout);
+    void apply_options(service& item);
+    void choose_judges(service& item,
+                       std::vector<routing::fleet_member> members);
+    /// Takes the judge's decisions on the stage.
+    void judge(time_point now, service& item);
+    /// Returns true if a final phase is in force and in the store.
+    [[nodiscard]] static bool is_settled(const service& item);
+    /// Returns the phase that this router has cause to write.
+    [[nodiscard]] std::optional<directory::rollout_phase>
+    wanted_phase(time_point now, const service& item) const;
+    void write(time_point now, service& item);
+    void report(time_point now, service& item);
+    void announce(time_point now, service& item);
+    void set_stage(time_point now, service& item, rollout_stage stage,
+                   std::string_view cause);
+    [[nodiscard]] rollout_response response_of(time_point now,
+                                               const service& item) const;
+    [[nodiscard]] double judge_share(time_point now, const service& item) const;
+    /// Returns the time in which a judge can take a report of each router.
+    [[nodiscard]] duration all_reports_time() const;
+    [[nodiscard]] duration report_period() const;
+    [[nodiscard]] schedule schedule_of(const service& item) const;
+    /// Returns true if all requests have moved to the target and ended at the
+    /// other versions.
+    [[nodiscard]] bool has_moved(time_point now, const service& item) const;
+    /// Returns true if most routers reported a short time ago.
+    [[nodiscard]] bool has_majority(time_point now, const service& item) const;
+    service* find(rollout_id id);
+    void log(const service& item, std::string_view change, std::string detail);
+    [[nodiscard]] std::string evidence_text(time_point now,
+                                            const service& item) const;
+
+    router_id self_;
+    std::uint32_t lifetime_;
+    member_source members_;
+    rollout_options options_;
+    std::size_t routers_ = 1;
+    time_point next_refresh_;
+    std::map<std::string, service, std::less<>> services_;
+    /// Requests in progress at upstreams of other versions than the target, by
+    /// service, with or without an order.
+    std::map<std::string, std::uint32_t, std::less<>> others_in_progress_;
+    std::vector<addressed_rollout_message> messages_;
+    std::vector<rollout_write> writes_;
+    std::vector<rollout_event> events_;
 };
 
 } // namespace baobabloft::dispatch
