directory: orders and statuses of roll-outs

Operators order a roll-out in the store, and routers ignored the entry. Change: orders, statuses and the versions of upstreams are records of the directory. A final phase outlives a restored store that lacks it; an order that an operator writes again after a restore is the same one, later a repeated one; a withdrawn one counts as reverted until its upstreams have left.

--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -55,6 +55,11 @@
         transfer_restarted,
         data_centre_out_of_service,
         data_centre_back_in_service,
+        /// An operator ordered a roll-out, or the order was replaced.
+        rollout_ordered,
+        rollout_withdrawn,
+        /// A phase of a roll-out came into force.
+        rollout_phase_changed,
         router_added,
         router_removed,
         /// The store was restored from an older copy.
@@ -95,6 +100,12 @@
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::data_centre_back_in_service,
         "data_centre_in"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::rollout_ordered, "rollout_ordered"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::rollout_withdrawn, "rollout_withdrawn"},
+    enum_name<directory_event::event_kind>{
+        directory_event::event_kind::rollout_phase_changed, "rollout_phase"},
     enum_name<directory_event::event_kind>{
         directory_event::event_kind::router_added, "router_added"},
     enum_name<directory_event::event_kind>{
@@ -121,16 +132,16 @@
                std::optional<time_point> grace_until);
 
     /// Applies an entry of a full read. If the first full read of an era lists
-    /// an upstream that is known to have left or to leave, the entry is of the
-    /// copy: it is deferred until the time of begin_era(), or dropped if it is
-    /// written again before.
+    /// an upstream that is known to have left or to leave, or an order of a
+    /// roll-out that was replaced, the entry is of the copy: it is deferred
+    /// until the time of begin_era(), or dropped if it is written again before.
     void apply_listed(time_point now, const entry& item,
                       std::optional<time_point> grace_until);
 
     /// Removes the entries that a full read did not list, unless they changed
     /// after `as_of_revision`. `grace_until` applies as in apply(). In the
-    /// first full read of an era, the removal of data centres out of service
-    /// and of routers is deferred as in apply_listed().
+    /// first full read of an era, the removal of data centres out of service,
+    /// of orders of roll-outs and of routers is deferred as in apply_listed().
     void remove_unlisted(time_point now, const std::set<std::string>& listed,
                          revision as_of_revision,
                          std::optional<time_point> grace_until);
@@ -174,6 +185,9 @@
     [[nodiscard]] const std::map<std::string, known_upstream>&
     upstreams() const;
     [[nodiscard]] bool is_out_of_service(const std::string& data_centre) const;
+    /// Returns the roll-outs by service: of each service the order in force, or
+    /// the last one until no upstream of its target is left.
+    [[nodiscard]] const std::map<std::string, known_rollout>& rollouts() const;
     /// Returns the routers by name.
     [[nodiscard]] const std::map<std::string, router_record>& routers() const;
     /// Returns the fleet's secret, which is empty before it is known.
@@ -205,6 +219,18 @@
                         const entry& item);
     bool apply_record(time_point now, const parsed_key& key,
                       const record& content, const entry& item);
+    void apply_rollout_order(time_point now, const rollout_order& order,
+                             const entry& item);
+    void apply_rollout_status(const std::string& service,
+                              const rollout_status& status, const entry& item);
+    /// Withdraws the order of a service: its target gets no further requests
+    /// unless the roll-out is complete.
+    void withdraw_rollout(const std::string& service);
+    /// Updates the phase in force of a service's roll-out after a change of its
+    /// order or status.
+    void update_rollout_phase(const std::string& service);
+    [[nodiscard]] bool has_upstream_of(const std::string& service,
+                                       const std::string& version) const;
     void remove(time_point now, const parsed_key& key, revision mod_revision,
                 std::optional<time_point> grace_until);
     void erase_upstream(time_point now, const std::string& id);
@@ -212,6 +238,10 @@
     /// or to leave although `item` does not say so.
     [[nodiscard]] bool contradicts_departure(const parsed_key& key,
                                              const entry& item) const;
+    /// Returns true if `item` is an order of a roll-out that differs from the
+    /// one known for its service.
+    [[nodiscard]] bool contradicts_order(const parsed_key& key,
+                                         const entry& item) const;
     void defer(const entry& item);
     void record_seen(const parsed_key& key, const entry& item);
     void apply_deferred(time_point now);
@@ -237,6 +267,19 @@
     time_point rewritten_by_;
     /// Data centres out of service, and the revisions of their entries.
     std::map<std::string, revision> out_of_service_;
+    std::map<std::string, known_rollout> rollouts_;
+    /// Eras in which the orders in `rollouts_` were last seen, as values of
+    /// `era_count_`; an order that was withdrawn has none.
+    std::map<std::string, std::uint64_t> order_eras_;
+    /// Status entries of the store, by service.
+    struct listed_status
+    {
+        rollout_status status;
+        revision mod_revision = 0;
+    };
+    std::map<std::string, listed_status> rollout_statuses_;
+    /// Number of calls of begin_era().
+    std::uint64_t era_count_ = 0;
     std::map<std::string, router_record> routers_;
     std::string secret_;
     bool is_secret_listed_ = false;
--- a/include/baobabloft/directory/records.hpp
+++ b/include/baobabloft/directory/records.hpp
@@ -1,7 +1,9 @@
 // Typed records of the entries in the platform's store: the configuration,
-// upstreams, data centres out of service and the fleet's own routers.
+// upstreams, data centres out of service, roll-outs and the fleet's own
+// routers.
 #pragma once
 
+#include "baobabloft/directory/rollout.hpp"
 #include "baobabloft/directory/route_config.hpp"
 #include "baobabloft/support/endpoint.hpp"
 
@@ -18,6 +20,8 @@
     std::string service;
     endpoint address;
     std::string data_centre;
+    /// Version of its software; empty if it reports none.
+    std::string version;
     /// Requests that it can run concurrently.
     std::uint32_t slots = 1;
     /// Takes no new requests.
@@ -68,9 +72,10 @@
 {
 };
 
-using record = std::variant<config_snapshot, upstream_record,
-                            data_centre_out_of_service, router_record,
-                            fleet_secret, unreadable_record, unrelated_record>;
+using record =
+    std::variant<config_snapshot, upstream_record, data_centre_out_of_service,
+                 rollout_order, rollout_status, router_record, fleet_secret,
+                 unreadable_record, unrelated_record>;
 
 /// The kind of record under a key.
 enum class key_kind : std::uint8_t
@@ -78,6 +83,8 @@
     config,
     upstream,
     data_centre_out_of_service,
+    rollout_order,
+    rollout_status,
     router,
     fleet_secret,
     other
@@ -87,7 +94,8 @@
 struct parsed_key
 {
     key_kind kind = key_kind::other;
-    /// Id of the upstream, or name of the data centre or the router.
+    /// Id of the upstream, or name of the data centre, the service of a
+    /// roll-out or the router.
     std::string name;
 };
 
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -35,6 +35,7 @@
 void directory_state::begin_era(store_era era, time_point rewritten_by)
 {
     rewritten_by_ = rewritten_by;
+    ++era_count_;
     is_secret_listed_ = false;
     // Removals that are not due yet are decided again by the next full read.
     for (const auto& [key, item] : std::exchange(deferred_, {}))
@@ -84,7 +85,7 @@
     const bool is_known_of_this_era =
         seen != seen_entries_.end() && !seen->second.is_of_earlier_era;
     if (is_known_of_this_era || now >= rewritten_by_ ||
-        key.kind != key_kind::upstream || !contradicts_departure(key, item))
+        (!contradicts_departure(key, item) && !contradicts_order(key, item)))
     {
         apply(now, item, grace_until);
         return;
@@ -93,9 +94,22 @@
     defer(item);
 }
 
+bool directory_state::contradicts_order(const parsed_key& key,
+                                        const entry& item) const
+{
+    const auto known = rollouts_.find(key.name);
+    if (key.kind != key_kind::rollout_order || known == rollouts_.end())
+        return false;
+    const auto content = codec_.read(key, item.value);
+    const auto* listed = std::get_if<rollout_order>(&content);
+    return listed != nullptr && *listed != known->second.order;
+}
+
 bool directory_state::contradicts_departure(const parsed_key& key,
                                             const entry& item) const
 {
+    if (key.kind != key_kind::upstream)
+        return false;
     const auto content = codec_.read(key, item.value);
     const auto* listed = std::get_if<upstream_record>(&content);
     if (listed == nullptr)
@@ -188,6 +202,16 @@
                      key.name, {}, item.mod_revision);
         return true;
     }
+    if (const auto* order = std::get_if<rollout_order>(&content))
+    {
+        apply_rollout_order(now, *order, item);
+        return true;
+    }
+    if (const auto* status = std::get_if<rollout_status>(&content))
+    {
+        apply_rollout_status(key.name, *status, item);
+        return true;
+    }
     if (const auto* router = std::get_if<router_record>(&content))
     {
         if (routers_.insert_or_assign(key.name, *router).second)
@@ -245,6 +269,7 @@
                             known.record.draining != record.draining ||
                             known.record.address != record.address ||
                             known.record.service != record.service ||
+                            known.record.version != record.version ||
                             known.record.data_centre != record.data_centre;
     const auto cold_until = now + record.cold_remaining;
     if (added || is_new_lifetime || record.cold_remaining > duration{0})
@@ -305,6 +330,13 @@
                 key.name, {}, mod_revision);
         }
         return;
+    case key_kind::rollout_order:
+        withdraw_rollout(key.name);
+        return;
+    case key_kind::rollout_status:
+        rollout_statuses_.erase(key.name);
+        update_rollout_phase(key.name);
+        return;
     case key_kind::router:
         if (routers_.erase(key.name) != 0)
             record_event(directory_event::event_kind::router_removed, key.name,
@@ -324,8 +356,13 @@
                   { return now - removed.second.removed_at > removal_memory; });
     removed_upstreams_[id] = {.started_ms = found->second.record.started_ms,
                               .removed_at = now};
+    const auto service = found->second.record.service;
     upstreams_.erase(found);
     ++change_count_;
+    const auto rollout = rollouts_.find(service);
+    if (rollout != rollouts_.end() && !order_eras_.contains(service) &&
+        !has_upstream_of(service, rollout->second.order.target))
+        rollouts_.erase(rollout);
 }
 
 void directory_state::remove_unlisted(time_point now,
@@ -348,6 +385,7 @@
         const bool may_be_written_again =
             seen_entries_[key].is_of_earlier_era && now < rewritten_by_ &&
             (parsed.kind == key_kind::data_centre_out_of_service ||
+             parsed.kind == key_kind::rollout_order ||
              parsed.kind == key_kind::router);
         if (may_be_written_again)
             defer(removal);
@@ -451,6 +489,11 @@
     return out_of_service_.contains(data_centre);
 }
 
+const std::map<std::string, known_rollout>& directory_state::rollouts() const
+{
+    return rollouts_;
+}
+
 const std::map<std::string, router_record>& directory_state::routers() const
 {
     return routers_;
