dispatch: requests go to the versions that a roll-out allows

The choice of an upstream did not know versions. A query now names the versions that may get the request, and among how many upstreams of the target its requests are divided. Other versions count in the mean load of the service, to which the load bound refers. Without a roll-out nothing changes.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "baobabloft/directory/directory_state.hpp"
+#include "baobabloft/dispatch/rollout_control.hpp"
 #include "baobabloft/dispatch/sliding_count.hpp"
 #include "baobabloft/dispatch/traffic_monitor.hpp"
 #include "baobabloft/routing/recent_chats.hpp"
@@ -52,6 +53,8 @@
     /// The request may run again elsewhere, so it may be sent to an upstream
     /// that failed recently.
     bool is_repeatable = false;
+    /// Versions of the service that may get the request.
+    version_choice versions;
 };
 
 /// Why an upstream was chosen, or why none was.
@@ -235,7 +238,8 @@
     {
         double of_usable = 0;
         /// Also counts draining upstreams and those in data centres out of
-        /// service, as idle. The bound that users rely on refers to this mean.
+        /// service, as idle, and those of versions that may not get the
+        /// request. The bound that users rely on refers to this mean.
         double of_listed = 0;
         /// Counts only upstreams that have reported a load. Until all have, the
         /// other means are too low, since they count the others as idle.
@@ -246,6 +250,10 @@
     std::vector<candidate> usable_candidates(time_point now,
                                              const upstream_query& query,
                                              load_means& means);
+    /// Returns the ids' hashes of the upstreams among which requests of the
+    /// target version are divided, in ascending order; empty for all.
+    [[nodiscard]] std::vector<std::uint64_t>
+    target_share(const upstream_query& query) const;
     /// Returns the load above which requests go to other upstreams.
     static double load_limit(const upstream_query& query,
                              const load_means& means);
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -151,11 +151,50 @@
     return query.service->cold_requests_per_second > 0 && item.cold_until > now;
 }
 
+std::vector<std::uint64_t>
+upstream_selector::target_share(const upstream_query& query) const
+{
+    const auto& versions = query.versions;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> ranked;
+    if (versions.rule != version_rule::target_only ||
+        versions.target_width == 0)
+        return {};
+    const auto key = hash_bytes(versions.target);
+    for (const auto& [id, item] : directory_.upstreams())
+        if (item.record.service == query.service->name &&
+            item.record.version == versions.target && !item.record.draining &&
+            !directory_.is_out_of_service(item.record.data_centre))
+            ranked.emplace_back(rendezvous_score(key, item.id_hash),
+                                item.id_hash);
+    const auto width = std::min(versions.target_width, ranked.size());
+    std::ranges::partial_sort(
+        ranked, ranked.begin() + static_cast<std::ptrdiff_t>(width),
+        std::ranges::greater{});
+    std::vector<std::uint64_t> result;
+    for (std::size_t index = 0; index < width; ++index)
+        result.push_back(ranked[index].second);
+    std::ranges::sort(result);
+    return result;
+}
+
 std::vector<upstream_selector::candidate> upstream_selector::usable_candidates(
     time_point now, const upstream_query& query, load_means& means)
 {
     std::vector<candidate> result;
+    const auto divided_among = target_share(query);
+    const auto may_get = [&](const directory::known_upstream& item)
+    {
+        if (query.versions.rule == version_rule::any)
+            return true;
+        const bool is_target = item.record.version == query.versions.target;
+        if (query.versions.rule == version_rule::others_only)
+            return !is_target;
+        return is_target &&
+               (divided_among.empty() ||
+                std::ranges::binary_search(divided_among, item.id_hash));
+    };
     double sum = 0;
+    double other_versions_sum = 0;
     double reported_sum = 0;
     std::size_t listed = 0;
     std::size_t reported = 0;
@@ -170,6 +209,11 @@
         auto& state = states_[id];
         if (is_leaving(item, state))
             continue;
+        if (!may_get(item))
+        {
+            other_versions_sum += estimated_load(now, state);
+            continue;
+        }
         result.push_back({&item, &state, estimated_load(now, state)});
         const double load = result.back().load;
         sum += load;
@@ -181,7 +225,8 @@
     }
     if (!result.empty())
         means = {.of_usable = sum / static_cast<double>(result.size()),
-                 .of_listed = sum / static_cast<double>(listed),
+                 .of_listed =
+                     (sum + other_versions_sum) / static_cast<double>(listed),
                  .of_reported =
                      reported_sum /
                      static_cast<double>(std::max<std::size_t>(reported, 1))};
