relay: roll-outs are judged, written and shown

Operators saw: the new version got its share by chance and stayed in use although it was bad, and no status was written. Change: a router passes the order, what its requests met and the messages of other routers to dispatch::rollout_control, sends each request to a version that may get it, and writes the status if neither order nor status changed.

--- a/include/baobabloft/relay/platform_interface.hpp
+++ b/include/baobabloft/relay/platform_interface.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "baobabloft/directory/directory_follower.hpp"
+#include "baobabloft/dispatch/rollout_control.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
 #include "baobabloft/support/failure.hpp"
 
@@ -85,6 +86,12 @@
                               lease_id lease, duration timeout,
                               callback<bool> done) = 0;
 
+    /// Writes the status of a roll-out if the revisions of its order and status
+    /// are still those of `write`.
+    virtual void
+    write_rollout_status(const dispatch::rollout_write& write, duration timeout,
+                         callback<dispatch::rollout_write_end> done) = 0;
+
     /// Writes the fleet's secret unless one exists, without waiting for the
     /// response: the directory shows which secret was stored.
     virtual void create_secret(const std::string& text, duration timeout) = 0;
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -6,6 +6,7 @@
 #include "baobabloft/directory/directory_follower.hpp"
 #include "baobabloft/dispatch/arrival_budget.hpp"
 #include "baobabloft/dispatch/freshness.hpp"
+#include "baobabloft/dispatch/rollout_control.hpp"
 #include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
 #include "baobabloft/http/caller_table.hpp"
@@ -45,6 +46,7 @@
     dispatch::arrival_budget retry_budget;
     dispatch::freshness_bounds freshness;
     routing::crash_protection protection;
+    dispatch::rollout_control rollouts;
     /// See http::caller_table::record_received().
     std::function<void(std::size_t bytes)> record_received;
     /// Schedules a check of whether `upstream` crashed while it ran the
@@ -158,6 +160,8 @@
         context_.protection.handle(net::boot_now(), from, message);
         send_protection_messages();
     }
+    void handle(router_id from, const dispatch::rollout_report& message);
+    void handle(router_id from, const dispatch::rollout_response& message);
     void handle(router_id from, const dispatch::traffic_report& message);
     void handle(router_id from, const dispatch::traffic_summary& message);
     /// Reports what this router saw of the traffic to the router that watches
@@ -174,6 +178,16 @@
     void record_crash(const crash_suspect& suspect,
                       const std::string& upstream);
     void send_protection_messages();
+    /// Takes the decisions on roll-outs that are due, and acts on them.
+    void run_rollouts();
+    /// Sends the messages of the roll-outs, starts the writes of their statuses
+    /// and logs their changes.
+    void perform_rollout_actions();
+    /// Returns the roll-outs as a JSON list.
+    [[nodiscard]] std::string rollouts_page() const;
+    /// Returns the upstreams of the roll-out's service that are in service.
+    [[nodiscard]] dispatch::rollout_upstreams
+    count_upstreams(const directory::known_rollout& rollout) const;
     /// Returns the routers of the fleet that can be reached.
     [[nodiscard]] std::vector<routing::fleet_member> fleet_members() const;
     /// Returns the id under which this router sends datagrams.
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -44,7 +44,11 @@
         std::string prefix_source;
         std::shared_ptr<http::upstream_channel> channel;
         dispatch::selection chosen;
+        /// The upstream is of the target version of a roll-out.
+        bool is_target_version = false;
         time_point started;
+        /// Time from the start to the first content of the response.
+        std::optional<duration> first_content_after;
         http::response_head head;
         std::string body;
         /// Events received with content.
@@ -91,8 +95,12 @@
     /// Takes a repeat from the retry budget if the next attempt needs one.
     /// Returns false if the budget is used up.
     bool take_repeat(time_point now);
+    /// Chooses an upstream of a version that may get the request.
+    [[nodiscard]] dispatch::selection choose_upstream(time_point now);
     [[nodiscard]] dispatch::upstream_query
     make_query(std::span<const std::string> excluded_ids) const;
+    /// Records what the end of an attempt tells about its upstream's version.
+    void record_version_outcome(const attempt_ptr& attempt, bool failed);
     void start_attempt(const directory::known_upstream& upstream,
                        const dispatch::selection& chosen);
     http::request_head upstream_head(const directory::upstream_record& target,
@@ -187,6 +195,10 @@
     bool has_unused_repeat_ = false;
     /// Ids of the upstreams at which an attempt failed.
     std::vector<std::string> tried_upstreams_;
+    /// Versions that the last attempt could go to, and the hash that decides
+    /// about them.
+    dispatch::version_choice versions_;
+    std::optional<std::uint64_t> version_key_;
     attempt_ptr current_attempt_;
     net::restartable_timer attempt_timer_;
     router::sse_splitter event_splitter_;
--- a/include/baobabloft/router/settings.hpp
+++ b/include/baobabloft/router/settings.hpp
@@ -64,6 +64,14 @@
     double cold_overrun = 1.5;
     /// Requests per second beyond that rate.
     double cold_slack = 5;
+    /// Share of a service's requests that a new version may get in a roll-out
+    /// before it has proved to be good.
+    double rollout_exposure = 0.1;
+    /// Requests beyond that share.
+    double rollout_slack = 50;
+    /// Time from the fiftieth bad response of a new version to its last
+    /// request.
+    duration rollout_revert_bound = 5s;
 };
 
 /// Description of one setting.
--- a/lib/operators/request_timeline.cpp
+++ b/lib/operators/request_timeline.cpp
@@ -12,12 +12,13 @@
 {
 
 /// Events that may explain a router's decisions but name no request.
-constexpr std::array<std::string_view, 15> background_events{
+constexpr std::array<std::string_view, 17> background_events{
     "store_lost",        "store_regained",   "store_history_lost",
     "router_silent",     "config_adopted",   "config_rejected",
     "upstream_removed",  "upstream_changed", "upstream_crashed",
     "readiness_changed", "data_centre_out",  "data_centre_in",
-    "leaving",           "started",          "settings_applied"};
+    "leaving",           "started",          "settings_applied",
+    "rollout",           "rollout_phase"};
 
 /// Maximum number of background events shown before a line of the request.
 constexpr std::size_t max_background_lines = 8;
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -50,6 +50,13 @@
             .window = options.retry_window};
 }
 
+dispatch::rollout_options rollout_options_of(const router::settings& options)
+{
+    return {.exposure = options.rollout_exposure,
+            .exposure_slack = options.rollout_slack,
+            .revert_bound = options.rollout_revert_bound};
+}
+
 } // namespace
 
 dispatch::permitted_use
@@ -115,6 +122,10 @@
                          {
                              return fleet_members();
                          }},
+          .rollouts = {self_id(),
+                       static_cast<std::uint32_t>(net::random_seed()),
+                       [this] { return fleet_members(); },
+                       rollout_options_of(options)},
           .record_received = [this](std::size_t bytes)
           { callers_.record_received(bytes); },
           .schedule_crash_check =
@@ -233,6 +244,12 @@
         update_gauges();
         out.body() = context_.counters.text();
     }
+    else if (path == "/rollouts")
+    {
+        out.result(status_ok);
+        out.set(bhttp::field::content_type, "application/json");
+        out.body() = rollouts_page();
+    }
     else
         out.result(status_not_found);
     channel->respond(net::boot_now(), std::move(out), true);
@@ -276,6 +293,7 @@
     record_readiness();
     context_.protection.tick(now);
     send_protection_messages();
+    run_rollouts();
     maintain_registration();
     update_router_socket();
     check_shutdown();
@@ -303,6 +321,15 @@
     counters.set("baobab_quarantined_requests", static_cast<double>(requests));
     counters.set("baobab_quarantined_parts",
                  static_cast<double>(std::ssize(quarantined) - requests));
+    counters.set("baobab_rollouts_in_progress",
+                 static_cast<double>(std::ranges::count_if(
+                     state.rollouts(),
+                     [](const auto& item)
+                     {
+                         const auto phase = item.second.phase;
+                         return !phase ||
+                                *phase == directory::rollout_phase::active;
+                     })));
     counters.set("baobab_watches_store",
                  context_.follower.is_watching_store(now) ? 1 : 0);
     counters.set("baobab_log_lines_lost",
@@ -319,6 +346,7 @@
     if (!context_.is_shutting_down())
         context_.shutdown.limit = options.shutdown_timeout;
     context_.retry_budget.set_bound(arrival_bound_of(options));
+    context_.rollouts.set_options(rollout_options_of(options));
     context_.selector.set_cold_start_limit(
         {.overrun = options.cold_overrun, .slack = options.cold_slack});
     const bool listeners_changed =
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -179,6 +179,8 @@
         ++count;
         has_progress = has_progress || event->has_content;
         attempt->events += event->has_content ? 1 : 0;
+        if (event->has_content && !attempt->first_content_after)
+            attempt->first_content_after = net::boot_now() - attempt->started;
         if (!deliver_event(attempt, *event, out))
         {
             if (!out.empty())
@@ -259,6 +261,7 @@
 {
     const auto now = net::boot_now();
     context_.selector.record_success(now, attempt->upstream);
+    record_version_outcome(attempt, false);
     record_sound_features(attempt);
 }
 
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -275,8 +275,7 @@
             refuse(refusal_kind::quarantined, quarantine_reason);
         return;
     }
-    const auto chosen =
-        context_.selector.choose(now, make_query(tried_upstreams_));
+    const auto chosen = choose_upstream(now);
     if (chosen.upstream == nullptr)
     {
         if (stream_started_)
@@ -310,6 +309,38 @@
     start_attempt(*chosen.upstream, chosen);
 }
 
+dispatch::selection relay_session::choose_upstream(time_point now)
+{
+    if (!version_key_)
+        version_key_ = affinity_ ? *affinity_ : context_.random();
+    versions_ = context_.rollouts.choose(now, service_->name, *version_key_,
+                                         history_.attempts > 0);
+    auto chosen = context_.selector.choose(now, make_query(tried_upstreams_));
+    const auto& rollouts = context_.follower.state().rollouts();
+    const auto rollout = rollouts.find(service_->name);
+    const bool may_use_others =
+        versions_.rule == dispatch::version_rule::target_only &&
+        rollout != rollouts.end() &&
+        rollout->second.phase != directory::rollout_phase::complete;
+    if (chosen.upstream != nullptr || !may_use_others)
+        return chosen;
+    versions_.rule = dispatch::version_rule::others_only;
+    return context_.selector.choose(now, make_query(tried_upstreams_));
+}
+
+void relay_session::record_version_outcome(const attempt_ptr& attempt,
+                                           bool failed)
+{
+    context_.rollouts.record_outcome(
+        net::boot_now(), {.service = service_->name,
+                          .route = route_->name,
+                          .upstream = make_upstream_id(attempt->upstream),
+                          .is_target = attempt->is_target_version,
+                          .failed = failed,
+                          .latency = attempt->first_content_after.value_or(
+                              net::boot_now() - attempt->started)});
+}
+
 void relay_session::try_later(std::string_view reason)
 {
     log_event(log_level::info, "stream_waits",
@@ -343,7 +374,8 @@
             .affinity = affinity_,
             .prefix_tokens = shared_prefix_tokens_,
             .excluded_ids = excluded_ids,
-            .is_repeatable = route_->is_repeatable()};
+            .is_repeatable = route_->is_repeatable(),
+            .versions = versions_};
 }
 
 http::request_head
@@ -401,6 +433,10 @@
         now, upstream.record.id, upstream.record.address,
         is_repeatable ? max_repeatable_idle : max_unrepeatable_idle);
     context_.selector.record_sent(now, attempt->upstream);
+    attempt->is_target_version = !versions_.target.empty() &&
+                                 upstream.record.version == versions_.target;
+    context_.rollouts.record_sent(now, service_->name,
+                                  attempt->is_target_version);
     if (!attempt->channel)
     {
         end_attempt(attempt, attempt_end::not_sent, "cannot create a socket");
@@ -517,6 +553,7 @@
     attempt->over = true;
     attempt_timer_.clear();
     context_.selector.record_ended(attempt->upstream);
+    context_.rollouts.record_ended(service_->name, attempt->is_target_version);
     event_splitter_.clear();
     if (!attempt->channel)
         return;
@@ -551,6 +588,7 @@
         // than with the upstream.
         if (!reused)
             selector.record_failure(now, attempt->upstream);
+        record_version_outcome(attempt, true);
         if (end == attempt_end::broken)
         {
             context_.schedule_crash_check(
@@ -564,6 +602,7 @@
         break;
     case attempt_end::failed:
         selector.record_failure(now, attempt->upstream);
+        record_version_outcome(attempt, true);
         ++upstream_arrivals_;
         ++history_.runs;
         break;
@@ -685,8 +724,16 @@
     if (answered_ || finished_)
         return;
     const auto self = shared_from_this();
-    if (current_attempt_)
+    if (current_attempt_ && !current_attempt_->over)
+    {
+        // A caller that leaves before it could expect a response tells nothing
+        // about the upstream.
+        if (current_attempt_->first_content_after ||
+            net::boot_now() - current_attempt_->started >
+                route_->response_objective)
+            record_version_outcome(current_attempt_, false);
         close_attempt(current_attempt_);
+    }
     finish("caller_gone");
 }
 
--- a/lib/router/settings.cpp
+++ b/lib/router/settings.cpp
@@ -316,6 +316,28 @@
                     return apply_number<double>(result.cold_slack, text, 0,
                                                 10000);
                 }},
+    setting_row{"rollout-exposure", "SHARE", "0.1", false,
+                "share of a service's requests that a bad version may get in a "
+                "roll-out",
+                [](settings& result, const std::string& text)
+                {
+                    return apply_number<double>(result.rollout_exposure, text,
+                                                0, 1);
+                }},
+    setting_row{"rollout-slack", "COUNT", "50", false,
+                "requests beyond that share, over the whole fleet",
+                [](settings& result, const std::string& text)
+                {
+                    return apply_number<double>(result.rollout_slack, text, 0,
+                                                1'000'000);
+                }},
+    setting_row{"rollout-revert-bound", "SECONDS", "5", false,
+                "time from the fiftieth bad response of a version to its last "
+                "request",
+                [](settings& result, const std::string& text)
+                {
+                    return apply_seconds(result.rollout_revert_bound, text);
+                }},
     setting_row{"log-level", "LEVEL", "info", false,
                 "debug, info, warning or error", apply_log_level},
 };
--- a/tools/baobabctl/commands.cpp
+++ b/tools/baobabctl/commands.cpp
@@ -5,10 +5,12 @@
 #include "baobabloft/operators/fleet_client.hpp"
 #include "baobabloft/operators/preset_store.hpp"
 #include "baobabloft/operators/request_timeline.hpp"
+#include "baobabloft/operators/rollout_report.hpp"
 
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -432,6 +434,38 @@
     return exit_unavailable;
 }
 
+/// Prints the roll-outs that the routers report; with --wait, until all are
+/// complete or reverted.
+int rollouts(const command_context& context)
+{
+    constexpr duration poll_period = 500ms;
+    service_clients clients{context};
+    const auto deadline =
+        net::monotonic_now() + std::chrono::seconds{context.wait_s};
+    for (;;)
+    {
+        const auto pages =
+            clients.fleet().fetch_pages(context.routers, "/rollouts");
+        if (std::ranges::all_of(pages, [](const auto& page)
+                                { return page.body.empty(); }))
+            return report_failure({failure_kind::kv_unavailable,
+                                   "no router responded",
+                                   "pass the routers' metrics addresses with "
+                                   "--router"});
+        const auto progress = operators::parse_rollouts(pages);
+        std::cout << (context.json ? operators::rollouts_json(progress) + "\n"
+                                   : operators::rollouts_text(progress))
+                  << std::flush;
+        if (progress.empty() && !context.json)
+            std::cout << "no roll-out\n";
+        if (!context.wait || operators::are_rollouts_final(progress))
+            return exit_ok;
+        if (net::monotonic_now() >= deadline)
+            return exit_negative;
+        g_usleep(static_cast<gulong>(duration{poll_period}.count()));
+    }
+}
+
 /// Maximum number of log files of one `explain` command. Operators pass only
 /// the logs of the routers that handled the request.
 constexpr std::size_t max_logs = 1000;
@@ -512,6 +546,9 @@
          }},
         {"report burn", "", "report the error-budget burn of every service", 0,
          0, report_burn},
+        {"rollouts", "",
+         "show the progress of roll-outs; --router takes metrics addresses", 0,
+         0, rollouts},
         {"explain", "REQUEST-ID LOG...",
          "merge the log lines of several routers about one request", 2,
          max_logs + 1, explain},
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -2,6 +2,7 @@
 and upstreams whose bytes each test scripts.
 
 usage: relay_test.py [TESTCLASS[.test]]; BAOBAB_BUILD names the build folder."""
+import base64
 import http.client
 import json
 import os
@@ -96,9 +97,9 @@
             time.sleep(0.05)
         self.fail("the router did not become ready")
 
-    def add_upstream(self, index, port, zone):
+    def add_upstream(self, index, port, zone, version="v1"):
         self.store.write(f"servers/i-{index}", json.dumps({
-            "service": "app", "zone": zone, "version": "v1", "slots": 8,
+            "service": "app", "zone": zone, "version": version, "slots": 8,
             "address": f"127.0.0.1:{port}", "phase": "ready", "coldLeftMs": 0,
             "seq": 1, "born": 1}))
 
@@ -141,6 +142,71 @@
         return int(line.split()[1]) / 1024
 
 
+class RolloutTest(RelayTest):
+    """Upstreams 0 to 3 are of version v1, 4 to 7 of v2."""
+    upstreams = 4
+    is_bad = False
+    finish_by_s = 7
+
+    def respond(self, connection, fields, number):
+        is_target = int(fields["X-Expect-Instance"][2:]) >= 4
+        self.versions.append("v2" if is_target else "v1")
+        failed = is_target and self.is_bad
+        connection.sendall(
+            head(fields["X-Request-Id"], "Content-Length: 2\r\n",
+                 "500 Error" if failed else "200 OK") + b"ok")
+
+    def test_a_good_version_is_complete_and_a_bad_one_reverted(self):
+        for self.is_bad in (True, False):
+            self.versions = []
+            self.start_rollout()
+            phase = self.run_until_final()
+            self.assertEqual(phase, "reverted" if self.is_bad else "complete")
+            counts = [self.versions.count(name) for name in ("v1", "v2")]
+            if self.is_bad:
+                self.assertLess(counts[1], 0.1 * sum(counts) + 50)
+            time.sleep(1.5)
+            self.versions.clear()
+            for number in range(30):
+                self.send("GET", "/safe/1", f"after{number}").read()
+            self.assertEqual(set(self.versions),
+                             {"v1"} if self.is_bad else {"v2"})
+            self.store.remove("op/rollout/app")
+            for index in range(4, 8):
+                self.store.remove(f"servers/i-{index}")
+
+    def start_rollout(self):
+        self.store.write("op/rollout/app", json.dumps({
+            "service": "app", "target": "v2",
+            "finishByS": self.finish_by_s}))
+        for index in range(4, 8):
+            listener = socket.create_server(("127.0.0.1", 0))
+            self.addCleanup(listener.close)
+            self.add_upstream(index, listener.getsockname()[1], "a", "v2")
+            threading.Thread(target=self.accept, args=(listener,),
+                             daemon=True).start()
+
+    def run_until_final(self):
+        deadline = time.monotonic() + self.finish_by_s
+        number = 0
+        while time.monotonic() < deadline:
+            number += 1
+            self.send("GET", f"/safe/{number}", f"r{number}").read()
+            time.sleep(0.005)
+            status, item = self.store.get("/api/kv-key",
+                                          {"key": "status/rollout/app"})
+            if status != 200:
+                continue
+            phase = json.loads(base64.b64decode(item["value"]))["phase"]
+            if phase != "active" and item["rev"] > self.order_revision():
+                return phase
+        return None
+
+    def order_revision(self):
+        return self.store.get("/api/kv-key",
+                              {"key": "op/rollout/app"})[1]["rev"]
+
+
 class CommentsTest(RelayTest):
     upstreams = 2
 
--- a/unittests/operators/operators_test.cpp
+++ b/unittests/operators/operators_test.cpp
@@ -3,6 +3,7 @@
 #include "baobabloft/operators/burn_report.hpp"
 #include "baobabloft/operators/preset_store.hpp"
 #include "baobabloft/operators/request_timeline.hpp"
+#include "baobabloft/operators/rollout_report.hpp"
 #include "baobabloft/router/control_task.hpp"
 
 #include <gtest/gtest.h>
@@ -275,6 +276,29 @@
     EXPECT_TRUE(build_timeline("r7", {{"one", &log}}).empty());
 }
 
+TEST(rollout_report, shows_what_a_judge_sees_and_who_agrees)
+{
+    const auto page = [](const char* stage, bool is_judge, int requests)
+    {
+        return std::string{R"([{"service":"chat","target":"v2",)"} +
+               R"("phase":"active","share":0.08,"is_judge":)" +
+               (is_judge ? "true" : "false") + R"(,"requests":)" +
+               std::to_string(requests) + R"(,"stage":")" + stage + "\"}]";
+    };
+    const auto rollouts = parse_rollouts({{"a", page("canary", false, 9000)},
+                                          {"b", page("advance", true, 500)},
+                                          {"c", page("advance", false, 10)},
+                                          {"d", ""},
+                                          {"e", R"([{"share":"x"}, 3])"}});
+    ASSERT_EQ(rollouts.size(), 3U);
+    const auto text = rollouts_text(rollouts);
+    EXPECT_NE(text.find("chat to v2"), std::string::npos) << text;
+    EXPECT_NE(text.find("of 500 requests"), std::string::npos) << text;
+    EXPECT_NE(text.find("2 of 3 routers"), std::string::npos) << text;
+    EXPECT_FALSE(are_rollouts_final(rollouts));
+    EXPECT_TRUE(are_rollouts_final({}));
+}
+
 } // namespace
 
 } // namespace baobabloft::operators
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -79,6 +79,11 @@
               dir::key_kind::data_centre_out_of_service);
     EXPECT_EQ(codec.read_key("baobabloft/routers/r").kind,
               dir::key_kind::router);
+    EXPECT_EQ(codec.read_key("op/rollout/app").kind,
+              dir::key_kind::rollout_order);
+    EXPECT_EQ(codec.read_key("status/rollout/app").kind,
+              dir::key_kind::rollout_status);
+    EXPECT_EQ(codec.read_key("status/rollout/app").name, "app");
     EXPECT_EQ(codec.read_key("op/configuration").kind, dir::key_kind::other);
     EXPECT_EQ(codec.read_key("").kind, dir::key_kind::other);
 }
@@ -333,6 +338,35 @@
         codec.read({dir::key_kind::router, "r"}, R"({"control":"x"})")));
 }
 
+TEST(rollouts, are_read_from_orders_and_statuses)
+{
+    const auto read_order = [](const std::string& value)
+    {
+        return codec.read({dir::key_kind::rollout_order, "app"}, value);
+    };
+    const auto read_status = [](const std::string& value)
+    {
+        return codec.read({dir::key_kind::rollout_status, "app"}, value);
+    };
+    const auto order =
+        read_order(R"({"service":"app","target":"v2","finishByS":12.5})");
+    EXPECT_EQ(std::get<dir::rollout_order>(order),
+              (dir::rollout_order{"app", "v2", 12500ms}));
+    for (const auto* value :
+         {R"({"service":"other","target":"v2","finishByS":12})",
+          R"({"service":"app","target":"","finishByS":12})",
+          R"({"service":"app","target":2,"finishByS":12})",
+          R"({"service":"app","target":"v2","finishByS":-1})",
+          R"({"service":"app","target":"v2"})", "[]", ""})
+        EXPECT_TRUE(is_unreadable(read_order(value))) << value;
+
+    const dir::rollout_status status{"v2", dir::rollout_phase::reverted};
+    EXPECT_EQ(std::get<dir::rollout_status>(
+                  read_status(encode_rollout_status(status))),
+              status);
+    EXPECT_TRUE(is_unreadable(read_status(R"({"phase":"x","target":"v2"})")));
+}
+
 TEST(headers, load_is_running_waiting_and_slots)
 {
     const auto dialect = make_header_dialect();
@@ -399,11 +433,17 @@
         {"bounds.retrySlack", "58"},
         {"bounds.budgetWindowS", "10"},
         {"bounds.coldOverrun", "1.5"},
-        {"bounds.coldSlack", "5"}};
+        {"bounds.coldSlack", "5"},
+        {"bounds.exposure", ""},
+        {"bounds.exposureSlack", "50"}};
     std::ifstream file{BAOBAB_SOURCE_DIR "/deploy/settings.template"};
     std::ostringstream text;
     text << file.rdbuf();
     auto rendered = text.str();
+    // Sections without a value, as of platforms without roll-outs.
+    rendered = std::regex_replace(
+        rendered,
+        std::regex{R"(\{\{#[^}]*\}\}[^{]*\{\{\.\}\}[^{]*\{\{/[^}]*\}\})"}, "");
     for (const auto& [name, value] : sample)
     {
         auto placeholder = std::string{"\\{\\{"};
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -372,6 +372,34 @@
     }
 }
 
+TEST_F(store_test, a_rollout_status_is_written_if_nothing_changed)
+{
+    const auto write = [this](unsigned response_status)
+    {
+        status = response_status;
+        response_body = "{}";
+        std::optional<dispatch::rollout_write_end> result;
+        client->write_rollout_status(
+            {.service = "app",
+             .status = {"v2", directory::rollout_phase::complete},
+             .order_revision = 7,
+             .status_revision = 9},
+            500ms, capture(result));
+        wait_for_callback();
+        return result;
+    };
+    using end = dispatch::rollout_write_end;
+    EXPECT_EQ(write(200), end::written);
+    const auto body = json::parse(request_body);
+    EXPECT_EQ(body["expectRev"],
+              json::parse(R"([{"key":"op/rollout/app","rev":7},
+                              {"key":"status/rollout/app","rev":9}])"));
+    EXPECT_EQ(body["writes"][0]["key"], "status/rollout/app");
+    EXPECT_EQ(write(412), end::conflict);
+    for (const unsigned other : {429U, 503U, 500U, 404U})
+        EXPECT_EQ(write(other), end::unknown) << other;
+}
+
 TEST_F(store_test, a_call_without_a_response_times_out)
 {
     unresponsive = true;
