ledger: refuse keys whose claims may be missing in a restored log

Callers saw a booking that was answered with 200 run a second time when they repeated it, after the KV service had returned from a copy some seconds old while routers restarted.

Cause: an appender took a key for unused if it is not in the log, however recently it had begun to read this log. A router that starts has neither the claim nor a revision to compare with; one that last read the shard before the copy was made finds its last entry in place.

A view of a log now begins with a read and ends with a gap in the contact. Keys from before it that are not in the log wait until a router that has followed the KV service since vouches for the time, or all routers have responded, none has restarted and the log holds the last entries that they know.

The fake appender of the tests answers the new action. The simulated preset lists a call that may not be repeated, so that its watchers follow the service.

--- a/benchmarks/driver/world.cpp
+++ b/benchmarks/driver/world.cpp
@@ -396,6 +396,8 @@
                        {"cold_start",
                         {{"bearable", options_.cold_start_limit},
                          {"ramp_s", to_seconds(options_.ramp_duration)}}},
+                       {"non_repeatable",
+                        json::array({{{"method", "POST"}, {"path", "/book"}}})},
                        {"upstreams", upstreams}};
     preset_text_ = json{{"format", 1},
                         {"name", "driver"},
@@ -644,6 +646,15 @@
     routers_[index].node->on_host_list_read(hosts, {});
 }
 
+void world::apply(std::size_t index, const fleet::check_store& effect)
+{
+    call_kv(
+        index, [this] { ++kv_.reads; },
+        [this, index, sent_at = effect.sent_at]
+        { routers_[index].node->on_store_checked(now(), sent_at); },
+        [] {});
+}
+
 void world::apply(std::size_t index, const ledger::read_entries& effect)
 {
     const auto result = std::make_shared<std::vector<ledger::log_entry>>();
--- a/benchmarks/driver/world.hpp
+++ b/benchmarks/driver/world.hpp
@@ -330,6 +330,7 @@
     void apply(std::size_t index, const fleet::pull_preset& effect);
     void apply(std::size_t index, const fleet::read_load& effect);
     void apply(std::size_t index, const fleet::read_host_list& effect);
+    void apply(std::size_t index, const fleet::check_store& effect);
     void apply(std::size_t index, const ledger::read_entries& effect);
     void apply(std::size_t index, const ledger::create_entry& effect);
     void apply(std::size_t index, const ledger::delete_entries& effect);
--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -33,7 +33,7 @@
     routing::quarantine_query, directory::config_query, directory::config_part,
     directory::listing_query, directory::listing_response,
     routing::older_successes, routing::quarantine_notice, routing::trial_query,
-    routing::trial_response>;
+    routing::trial_response, ledger::history_query, ledger::history_response>;
 
 /// Names of the message kinds for metrics, in the order of the variant.
 inline constexpr std::array message_names{"ping",
@@ -72,7 +72,9 @@
                                           "older_successes",
                                           "quarantine_notice",
                                           "trial_query",
-                                          "trial_response"};
+                                          "trial_response",
+                                          "history_query",
+                                          "history_response"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "message_names must have one name per message kind");
--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -73,6 +73,12 @@
 {
 };
 
+/// Effect: make a small read in the KV service, then call on_store_checked().
+struct check_store
+{
+    time_point sent_at;
+};
+
 /// Effect: report the end of a search for an upstream that begin_route()
 /// started.
 struct route_decided
@@ -98,8 +104,8 @@
 using effect =
     std::variant<send_message, read_preset, watch_preset, replace_preset,
                  pull_preset, read_load, read_host_list, ledger::read_entries,
-                 ledger::create_entry, ledger::delete_entries, route_decided,
-                 claim_decided, preset_adopted>;
+                 ledger::create_entry, ledger::delete_entries, check_store,
+                 route_decided, claim_decided, preset_adopted>;
 
 /// Requirements of a request for its route to an upstream.
 struct route_requirements
@@ -226,6 +232,10 @@
     /// Handles the confirmed deletion of the entries before `end`.
     void on_entries_deleted(std::uint32_t shard, ledger::entry_number end);
 
+    /// Handles the KV service's response to the check_store that was sent at
+    /// `sent_at`.
+    void on_store_checked(time_point now, time_point sent_at);
+
     /// Records that the KV service was restored from an older copy after
     /// `known_at`, the time of its last response before: it may have lost
     /// entries of any shard.
@@ -329,6 +339,9 @@
     {
         ledger::appender appender;
         time_point last_used_at;
+        ledger::history_check history;
+        /// The check in progress.
+        ledger::check_history checked{};
     };
 
     template <typename Alternative>
@@ -348,6 +361,11 @@
     /// report, or no peer responds.
     void compare_first_preset(time_point now);
     void start_host_list_read(time_point now);
+    /// Follows the KV service on behalf of its data centre, so that this router
+    /// can tell others since when it was not restored.
+    void start_store_check(time_point now);
+    [[nodiscard]] ledger::history_response
+    respond(time_point now, const ledger::history_query& query) const;
     void start_load_reads(time_point now);
     void record_gossiped_crashes(time_point now);
     /// Returns the routers that may judge request bodies.
@@ -355,6 +373,11 @@
     /// Returns true if this router watches the KV service and the host list
     /// on behalf of its data centre.
     [[nodiscard]] bool is_data_centre_watcher();
+    /// Returns the routers of all data centres for which
+    /// is_data_centre_watcher() is true.
+    [[nodiscard]] std::vector<router_id> data_centre_watchers() const;
+    [[nodiscard]] ledger::history_check::options
+    history_check_options(std::uint32_t shard) const;
     /// Returns the routers that append to `shard`, preferred first.
     [[nodiscard]] std::vector<router_id>
     appender_routers(std::uint32_t shard) const;
@@ -362,7 +385,7 @@
     hosted_appender& appender_for(time_point now, std::uint32_t shard);
     /// Moves the outputs of all components into effects_.
     void collect_effects(time_point now);
-    void collect_ledger_effects();
+    void collect_ledger_effects(time_point now);
     void send(router_id to, message content);
 
     node_options options_;
@@ -391,6 +414,10 @@
     bool can_open_preset_watch_ = false;
     time_point next_preset_watch_;
     time_point next_host_list_read_;
+    ledger::store_view store_view_;
+    time_point next_store_check_;
+    /// True if the preset lists calls that may not be repeated.
+    bool uses_ledger_ = false;
     std::optional<time_point> started_at_;
     bool has_compared_preset_ = false;
     bool leaving_ = false;
--- a/include/baobabloft/ledger/appender.hpp
+++ b/include/baobabloft/ledger/appender.hpp
@@ -5,6 +5,7 @@
 // nor on leases, nor on routers agreeing which of them appends.
 #pragma once
 
+#include "baobabloft/ledger/history_check.hpp"
 #include "baobabloft/ledger/messages.hpp"
 #include "baobabloft/ledger/shard_state.hpp"
 #include "baobabloft/support/time.hpp"
@@ -50,7 +51,19 @@
     entry_number end = 0;
 };
 
-using log_action = std::variant<read_entries, create_entry, delete_entries>;
+/// Action: determine with a history_check whether claims made since `since_ms`
+/// (milliseconds since the epoch) may be missing in the log that was read, then
+/// call on_history_checked().
+struct check_history
+{
+    std::uint32_t shard = 0;
+    std::uint64_t since_ms = 0;
+    /// Identifies the read of the log.
+    std::uint64_t view = 0;
+};
+
+using log_action =
+    std::variant<read_entries, create_entry, delete_entries, check_history>;
 
 /// An entry as read from the KV service.
 struct log_entry
@@ -129,6 +142,11 @@
     /// Handles a create_entry action without a response; the entry may exist.
     void on_create_unconfirmed(time_point now);
 
+    /// Handles the end of a check_history action: claims made up to
+    /// `result.covered` before `now` are in the log.
+    void on_history_checked(time_point now, const check_history& action,
+                            const history_result& result);
+
     /// Handles the confirmed deletion of the entries before `end`.
     void on_entries_deleted(entry_number end);
 
@@ -151,6 +169,8 @@
     std::vector<append_outcome> take_outcomes();
 
     [[nodiscard]] const shard_state& state() const;
+    /// Returns true if a loss of entries is not yet recorded in the log.
+    [[nodiscard]] bool has_unrecorded_loss() const;
     [[nodiscard]] std::size_t waiting_records() const;
     [[nodiscard]] const appender_counts& counts() const;
 
@@ -189,6 +209,14 @@
     void start_write(time_point now);
     /// Responds to waiting claims whose result follows from the log.
     void respond_to_settled();
+    /// Refuses waiting claims of keys that may have been claimed in entries
+    /// that the KV service has lost, or starts a check whether it has.
+    void settle_uncovered();
+    /// Records a response of the KV service at `now`.
+    void record_contact(time_point now);
+    /// Returns true if `content` claims a key that is free in the log, and may
+    /// have been claimed in an entry that the KV service has lost.
+    [[nodiscard]] bool is_uncovered(const record& content) const;
     /// Responds to waiting releases and results that the last write stored.
     void respond_to_written();
     void respond(const append_ticket& ticket, const record& content,
@@ -231,6 +259,20 @@
     time_point retry_at_;
     /// Time of the last successful read or write.
     time_point last_contact_at_;
+    /// True if the KV service has not responded since the last contact, or may
+    /// have lost entries.
+    bool view_broken_ = true;
+    /// Number of the current view of the log, which begins with a read and ends
+    /// with the first gap between contacts.
+    std::uint64_t view_ = 0;
+    /// The claims of keys created later are in the log; milliseconds since the
+    /// epoch.
+    std::uint64_t covered_since_ms_ = 0;
+    /// Creation time of the oldest key that a finished check of this view was
+    /// made for.
+    std::optional<std::uint64_t> checked_since_ms_;
+    bool check_in_progress_ = false;
+    unsigned outdated_checks_ = 0;
     unsigned consecutive_failures_ = 0;
     time_point next_compaction_;
     bool first_compaction_planned_ = false;
--- a/include/baobabloft/ledger/messages.hpp
+++ b/include/baobabloft/ledger/messages.hpp
@@ -61,4 +61,30 @@
     stored_response upstream_response{};
 };
 
+/// Asks what the receiver knows of the log of `shard` and of the KV service;
+/// see history_check.
+struct history_query
+{
+    std::uint32_t sequence = 0;
+    std::uint32_t shard = 0;
+};
+
+/// Responds to a history_query.
+struct history_response
+{
+    std::uint32_t sequence = 0;
+    std::uint32_t shard = 0;
+    /// Time since the start of the sender.
+    std::uint32_t uptime_ms = 0;
+    /// Time for which the sender has followed the KV service without a gap; 0
+    /// if it does not follow it.
+    std::uint32_t view_age_ms = 0;
+    /// Number and hash of the last entry that the sender knows of the shard;
+    /// 0 if it knows none.
+    std::uint64_t last_entry = 0;
+    std::uint64_t entry_hash = 0;
+    /// True if the sender has yet to record a loss of entries.
+    bool lost_entries = false;
+};
+
 } // namespace baobabloft::ledger
--- a/include/baobabloft/ledger/shard_state.hpp
+++ b/include/baobabloft/ledger/shard_state.hpp
@@ -40,14 +40,26 @@
 /// Number of an entry in a shard's log.
 using entry_number = std::uint64_t;
 
+/// Whether a log holds an entry that another reader knows.
+enum class entry_presence
+{
+    /// The entry is in the log, or was deleted because its keys have expired.
+    present,
+    /// The log ends before the entry.
+    not_read,
+    /// The log has another entry with the same number.
+    replaced
+};
+
 /// Applies the entries of a shard's log in order.
 class shard_state
 {
 public:
     /// Applies entry `number`, which must follow the last one applied. The
     /// first entry may have any number, since older entries may have been
-    /// deleted.
-    void apply(entry_number number, const batch& content);
+    /// deleted. `hash` is the hash of the entry's stored form.
+    void apply(entry_number number, const batch& content,
+               std::uint64_t hash = 0);
 
     /// Returns the state of `key`.
     [[nodiscard]] key_state find(const idempotency_key& key) const;
@@ -55,6 +67,13 @@
     /// Returns the number of the last entry applied.
     [[nodiscard]] std::optional<entry_number> last_entry() const;
 
+    /// Returns the hash of the last entry applied, 0 if there is none.
+    [[nodiscard]] std::uint64_t last_entry_hash() const;
+
+    /// Returns whether the log holds entry `number` with the hash `hash`.
+    [[nodiscard]] entry_presence find_entry(entry_number number,
+                                            std::uint64_t hash) const;
+
     /// Returns the low-water mark, in milliseconds since the epoch. Claims of
     /// keys created before it are refused, and the state of such keys is
     /// dropped.
@@ -95,6 +114,7 @@
         entry_number number = 0;
         /// Creation time of the newest key in the entry.
         std::uint64_t newest_key_ms = 0;
+        std::uint64_t hash = 0;
     };
 
     void apply(const record& item);
--- a/include/baobabloft/membership/swim.hpp
+++ b/include/baobabloft/membership/swim.hpp
@@ -98,6 +98,9 @@
     /// on the other side of a network partition.
     [[nodiscard]] double live_share() const;
 
+    /// Returns when a member died or left that is still known, or nothing.
+    [[nodiscard]] std::optional<time_point> last_departure() const;
+
     /// Returns a number that grows whenever the set of live members or of
     /// leaving upstreams changes.
     [[nodiscard]] std::uint64_t view_version() const;
--- a/include/baobabloft/router/control_task.hpp
+++ b/include/baobabloft/router/control_task.hpp
@@ -222,6 +222,7 @@
     void apply(const fleet::pull_preset& effect);
     void apply(const fleet::read_load& effect);
     void apply(const fleet::read_host_list& effect);
+    void apply(const fleet::check_store& effect);
     void apply(const ledger::read_entries& effect);
     void apply(const ledger::create_entry& effect);
     void apply(const ledger::delete_entries& effect);
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -32,8 +32,12 @@
 /// If neither a peer nor the KV service has sent anything for this long, the
 /// preset may be outdated.
 constexpr duration isolation_timeout = 5s;
-/// An appender that has been unused for this long is destroyed.
-constexpr duration appender_idle_lifetime = 300s;
+/// An appender that has been unused for this long after the retention of its
+/// keys is destroyed. Until then it knows the entries that it has appended.
+constexpr duration appender_idle_lifetime = 60s;
+/// Period in which a watcher reads from the KV service while the ledger is
+/// used.
+constexpr duration store_check_period = 200ms;
 /// Fraction of the ledger's write budget that is used for entries. The rest is
 /// left for compaction and for routers that append to the same shard
 /// concurrently.
@@ -83,6 +87,7 @@
     compare_first_preset(now);
     start_preset_reads(now);
     start_host_list_read(now);
+    start_store_check(now);
     start_load_reads(now);
     permit_owner_.tick(now);
     permit_client_.tick(now);
@@ -94,13 +99,18 @@
     }
     claim_client_.tick(now);
     for (auto& [shard, hosted] : hosted_appenders_)
+    {
         hosted.appender.tick(now, wall_ms);
+        hosted.history.tick(now);
+    }
     std::erase_if(hosted_appenders_,
-                  [now](const auto& entry)
+                  [this, now](const auto& entry)
                   {
                       const auto& hosted = entry.second;
                       return hosted.appender.waiting_records() == 0 &&
-                             now - hosted.last_used_at > appender_idle_lifetime;
+                             now - hosted.last_used_at >
+                                 options_.ledger_retention +
+                                     appender_idle_lifetime;
                   });
     collect_effects(now);
 }
@@ -133,6 +143,14 @@
     }
     else if constexpr (is_one_of<Alternative, ledger::append_response>)
         claim_client_.handle(now, alternative);
+    else if constexpr (is_one_of<Alternative, ledger::history_query>)
+        send(from, respond(now, alternative));
+    else if constexpr (is_one_of<Alternative, ledger::history_response>)
+    {
+        for (auto& [shard, hosted] : hosted_appenders_)
+            if (shard == alternative.shard)
+                hosted.history.handle(now, from, alternative);
+    }
     else if constexpr (is_one_of<Alternative, preset_notice>)
     {
         preset_follower_.record_peer_generation(from, alternative.generation);
@@ -265,8 +283,14 @@
         found->second.appender.on_entries_deleted(end);
 }
 
+void node::on_store_checked(time_point now, time_point sent_at)
+{
+    store_view_.record_response(now, sent_at);
+}
+
 void node::on_kv_restored(time_point now, time_point known_at)
 {
+    store_view_.reset();
     const auto since_ms =
         wall_ms_ - static_cast<std::uint64_t>((now - known_at) / 1ms);
     for (std::uint32_t shard = 0; shard < options_.ledger_shards; ++shard)
@@ -493,6 +517,10 @@
     const auto& snapshot = preset();
     swim_.set_generation(snapshot->generation_number);
     retry_budget_.set_share(snapshot->value.retries.budget_share);
+    const auto& services = snapshot->value.services;
+    uses_ledger_ = std::any_of(services.begin(), services.end(),
+                               [](const config::service& item)
+                               { return !item.non_repeatable.empty(); });
     for (const auto peer : swim_.random_members(preset_notice_fanout))
         send(peer, preset_notice{snapshot->generation_number});
     effects_.emplace_back(preset_adopted{snapshot});
@@ -651,6 +679,38 @@
     effects_.emplace_back(read_host_list{});
 }
 
+void node::start_store_check(time_point now)
+{
+    const bool due = now >= next_store_check_;
+    if (leaving_ || !uses_ledger_ || !due || !is_data_centre_watcher())
+        return;
+    next_store_check_ = now + store_check_period;
+    effects_.emplace_back(check_store{now});
+}
+
+ledger::history_response node::respond(time_point now,
+                                       const ledger::history_query& query) const
+{
+    const auto to_ms = [](duration value)
+    {
+        return saturating_cast<std::uint32_t>(to_seconds(value) * 1000);
+    };
+    ledger::history_response response{
+        .sequence = query.sequence,
+        .shard = query.shard,
+        .uptime_ms = to_ms(now - started_at_.value_or(now)),
+        .view_age_ms = to_ms(store_view_.age(now).value_or(duration{}))};
+    if (const auto found = hosted_appenders_.find(query.shard);
+        found != hosted_appenders_.end())
+    {
+        const auto& appender = found->second.appender;
+        response.last_entry = appender.state().last_entry().value_or(0);
+        response.entry_hash = appender.state().last_entry_hash();
+        response.lost_entries = appender.has_unrecorded_loss();
+    }
+    return response;
+}
+
 void node::start_load_reads(time_point now)
 {
     std::unordered_map<upstream_id, bool> is_steady;
@@ -707,6 +767,53 @@
     return is_watcher_;
 }
 
+std::vector<router_id> node::data_centre_watchers() const
+{
+    std::map<std::uint32_t, std::vector<router_id>> by_data_centre;
+    for (const auto& member : swim_.live_members())
+        by_data_centre[member.data_centre].push_back(member.id);
+    std::vector<router_id> result;
+    for (auto& [data_centre, routers] : by_data_centre)
+    {
+        const auto count = std::min(watchers_per_data_centre, routers.size());
+        const auto end = routers.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(routers.begin(), end, routers.end(),
+                          [key = data_centre](router_id left, router_id right)
+                          {
+                              return rendezvous_score(key, raw(left)) >
+                                     rendezvous_score(key, raw(right));
+                          });
+        result.insert(result.end(), routers.begin(), end);
+    }
+    return result;
+}
+
+ledger::history_check::options
+node::history_check_options(std::uint32_t shard) const
+{
+    return {.watchers = [this] { return data_centre_watchers(); },
+            .routers =
+                [this]
+            {
+                std::vector<router_id> routers;
+                for (const auto& member : swim_.live_members())
+                    routers.push_back(member.id);
+                return routers;
+            },
+            .since_departure =
+                [this](time_point now)
+            {
+                const auto last = swim_.last_departure();
+                return last ? now - *last : max_duration;
+            },
+            .find_entry =
+                [this, shard](ledger::entry_number number, std::uint64_t hash)
+            {
+                return hosted_appenders_.at(shard).appender.state().find_entry(
+                    number, hash);
+            }};
+}
+
 std::vector<router_id> node::appender_routers(std::uint32_t shard) const
 {
     std::vector<router_id> routers;
@@ -746,7 +853,9 @@
         .retention = options_.ledger_retention,
         .seed = hash_combine(options_.seed, 1000 + shard)};
     return hosted_appenders_
-        .emplace(shard, hosted_appender{ledger::appender{options}, now})
+        .emplace(shard, hosted_appender{ledger::appender{options}, now,
+                                        ledger::history_check{
+                                            history_check_options(shard)}})
         .first->second;
 }
 
@@ -774,7 +883,7 @@
             send(item.to, std::move(item.digest));
         for (auto& item : claim_client_.take_requests())
             send(item.to, std::move(item.request));
-        collect_ledger_effects();
+        collect_ledger_effects(now);
         if (messages_to_self_.empty())
             break;
         for (const auto& content : std::exchange(messages_to_self_, {}))
@@ -797,14 +906,31 @@
         effects_.emplace_back(claim_decided{std::move(decision)});
 }
 
-void node::collect_ledger_effects()
+void node::collect_ledger_effects(time_point now)
 {
     for (auto& [shard, hosted] : hosted_appenders_)
     {
+        if (const auto result = hosted.history.take_result())
+            hosted.appender.on_history_checked(now, hosted.checked, *result);
         for (auto& action : hosted.appender.take_actions())
-            std::visit([this](auto& alternative)
-                       { effects_.emplace_back(std::move(alternative)); },
-                       action);
+            std::visit(
+                [&](auto& alternative)
+                {
+                    if constexpr (is_one_of<std::decay_t<decltype(alternative)>,
+                                            ledger::check_history>)
+                    {
+                        hosted.checked = alternative;
+                        const auto age_ms =
+                            wall_ms_ - std::min(wall_ms_, alternative.since_ms);
+                        hosted.history.start(now, shard,
+                                             std::chrono::milliseconds{age_ms});
+                    }
+                    else
+                        effects_.emplace_back(std::move(alternative));
+                },
+                action);
+        for (auto& item : hosted.history.take_queries())
+            send(item.to, item.query);
         for (auto& outcome : hosted.appender.take_outcomes())
             send(router_id{outcome.ticket.requester},
                  std::move(outcome.response));
--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -1,5 +1,7 @@
 #include "baobabloft/ledger/appender.hpp"
 
+#include "baobabloft/support/hash.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -18,6 +20,13 @@
 /// If the log was last read or written longer ago, it is read again before a
 /// claim is refused because another attempt holds the key.
 constexpr duration state_stale_after = 500ms;
+/// Longest time between contacts with the KV service within one view of the
+/// log. The service is unavailable for longer when it is restored from a copy.
+constexpr duration max_contact_gap = 900ms;
+/// Keys created up to this long after the start of a view are checked like
+/// older ones, since the clocks of those who make keys differ.
+constexpr std::uint64_t max_clock_difference_ms = 500;
+constexpr unsigned max_outdated_checks = 3;
 /// Keys created further in the future than this are refused, since they would
 /// be kept beyond the retention period.
 constexpr std::uint64_t max_future_ms = 60'000;
@@ -65,10 +74,13 @@
     if (phase_ != phase::ready)
         return;
     const auto known = state_.find(content.key);
-    if (known.status == key_status::claimed && is_state_stale(now))
+    const bool may_have_changed =
+        known.status == key_status::claimed ||
+        (is_claim && known.status == key_status::free);
+    if (may_have_changed && is_state_stale(now))
     {
-        // Another appender may have recorded the end of this claim since the
-        // last contact, so read the log before responding.
+        // Another appender may have recorded a claim or its end since the last
+        // contact, so read the log before responding.
         read_log(now);
         return;
     }
@@ -86,7 +98,7 @@
         recover_lost_entries(now);
         return;
     }
-    last_contact_at_ = now;
+    record_contact(now);
     for (const auto& entry : entries)
     {
         const auto last = state_.last_entry();
@@ -108,7 +120,7 @@
             back_off(now);
             return;
         }
-        state_.apply(entry.number, *content);
+        state_.apply(entry.number, *content, hash_bytes(entry.bytes));
         last_entry_bytes_ = entry.bytes;
     }
     if (entries.size() >= entries_per_read)
@@ -126,6 +138,7 @@
 void appender::on_read_failed(time_point now)
 {
     assert(phase_ == phase::loading && "no read is in progress");
+    view_broken_ = true;
     back_off(now);
 }
 
@@ -144,9 +157,10 @@
     if (lost_during_write)
         refuse_claims_in_flight();
     consecutive_failures_ = 0;
-    last_contact_at_ = now;
+    record_contact(now);
     counts_.records += batch_in_flight_.records.size();
-    state_.apply(state_.last_entry().value_or(0) + 1, batch_in_flight_);
+    state_.apply(state_.last_entry().value_or(0) + 1, batch_in_flight_,
+                 hash_bytes(bytes_in_flight_));
     lost_records_.erase(lost_records_.begin(),
                         lost_records_.begin() +
                             static_cast<std::ptrdiff_t>(lost_records_written));
@@ -163,12 +177,36 @@
     // Reading the log shows whether the entry exists. The waiting records are
     // settled by what is read, regardless of which appender wrote it.
     ++counts_.unknown_writes;
+    view_broken_ = true;
     if (std::exchange(lost_during_write_, false))
         refuse_claims_in_flight();
     lost_records_in_flight_ = 0;
     back_off(now);
 }
 
+void appender::on_history_checked(time_point now, const check_history& action,
+                                  const history_result& result)
+{
+    if (action.view != view_)
+        return;
+    check_in_progress_ = false;
+    if (result.is_outdated && ++outdated_checks_ < max_outdated_checks)
+    {
+        if (phase_ == phase::ready)
+            read_log(now);
+        return;
+    }
+    const auto covered_ms = static_cast<std::uint64_t>(result.covered / 1ms);
+    covered_since_ms_ = std::min(
+        covered_since_ms_, wall_ms_ > covered_ms ? wall_ms_ - covered_ms : 0);
+    checked_since_ms_ =
+        std::min(checked_since_ms_.value_or(action.since_ms), action.since_ms);
+    if (phase_ != phase::ready)
+        return;
+    respond_to_settled();
+    write_if_allowed(now);
+}
+
 void appender::on_entries_deleted(entry_number end)
 {
     state_.record_deleted_before(end);
@@ -179,6 +217,7 @@
 {
     wall_ms_ = std::max(wall_ms_, wall_ms);
     plan_loss_record();
+    view_broken_ = true;
     loss_since_ms_ = since_ms;
     if (phase_ == phase::writing)
         lost_during_write_ = true;
@@ -215,6 +254,11 @@
     return state_;
 }
 
+bool appender::has_unrecorded_loss() const
+{
+    return !lost_records_.empty();
+}
+
 std::size_t appender::waiting_records() const
 {
     return waiting_.size();
@@ -248,6 +292,7 @@
 void appender::recover_lost_entries(time_point now)
 {
     ++counts_.losses;
+    view_broken_ = true;
     std::erase_if(lost_records_, [](const record& item)
                   { return item.kind == record_kind::entries_lost; });
     for (auto& item : state_.records())
@@ -311,8 +356,18 @@
 
 void appender::write_if_allowed(time_point now)
 {
-    const bool has_records = !waiting_.empty() || !lost_records_.empty();
-    if (has_records && take_write_token(now))
+    const auto may_write = [this](const waiting_record& item)
+    {
+        return !is_uncovered(item.content);
+    };
+    const bool has_records =
+        !lost_records_.empty() ||
+        std::any_of(waiting_.begin(), waiting_.end(), may_write);
+    if (!has_records)
+        return;
+    if (now - last_contact_at_ > max_contact_gap)
+        read_log(now);
+    else if (take_write_token(now))
         start_write(now);
 }
 
@@ -329,8 +384,60 @@
                      last ? last_entry_bytes_ : std::string{}});
 }
 
+void appender::record_contact(time_point now)
+{
+    if (std::exchange(view_broken_, false) ||
+        now - last_contact_at_ > max_contact_gap)
+    {
+        ++view_;
+        covered_since_ms_ = wall_ms_;
+        checked_since_ms_.reset();
+        check_in_progress_ = false;
+        outdated_checks_ = 0;
+    }
+    last_contact_at_ = now;
+}
+
+bool appender::is_uncovered(const record& content) const
+{
+    return content.kind == record_kind::claimed &&
+           created_at_ms(content.key) <=
+               covered_since_ms_ + max_clock_difference_ms &&
+           state_.find(content.key).status == key_status::free;
+}
+
+void appender::settle_uncovered()
+{
+    std::optional<std::uint64_t> oldest_ms;
+    std::erase_if(
+        waiting_,
+        [&](const waiting_record& item)
+        {
+            if (!is_uncovered(item.content))
+                return false;
+            const auto created_ms = created_at_ms(item.content.key);
+            if (checked_since_ms_ &&
+                created_ms >= *checked_since_ms_ + max_clock_difference_ms)
+            {
+                respond(item.ticket, item.content,
+                        {.result = append_result::below_low_water_mark});
+                return true;
+            }
+            oldest_ms = std::min(oldest_ms.value_or(created_ms), created_ms);
+            return false;
+        });
+    if (!oldest_ms || check_in_progress_)
+        return;
+    check_in_progress_ = true;
+    const auto since_ms = *oldest_ms > max_clock_difference_ms
+                              ? *oldest_ms - max_clock_difference_ms
+                              : 0;
+    actions_.emplace_back(check_history{options_.shard, since_ms, view_});
+}
+
 void appender::respond_to_settled()
 {
+    settle_uncovered();
     std::erase_if(waiting_,
                   [this](const waiting_record& item)
                   {
@@ -437,7 +544,7 @@
     lost_records_in_flight_ = result.records.size();
     if (all_lost_added)
         for (const auto& item : waiting_)
-            if (!add(item.content))
+            if (!is_uncovered(item.content) && !add(item.content))
                 break;
     return result;
 }
--- a/lib/ledger/shard_state.cpp
+++ b/lib/ledger/shard_state.cpp
@@ -14,7 +14,8 @@
                      attempt) != released_attempts.end();
 }
 
-void shard_state::apply(entry_number number, const batch& content)
+void shard_state::apply(entry_number number, const batch& content,
+                        std::uint64_t hash)
 {
     assert((!last_entry_ || number == *last_entry_ + 1) &&
            "entries must be applied in order");
@@ -25,7 +26,7 @@
         newest_key_ms = std::max(newest_key_ms, created_at_ms(item.key));
         apply(item);
     }
-    entries_.push_back({number, newest_key_ms});
+    entries_.push_back({number, newest_key_ms, hash});
     newest_key_ms_ = std::max(newest_key_ms_, newest_key_ms);
     last_entry_ = number;
 }
@@ -45,6 +46,24 @@
     return last_entry_;
 }
 
+std::uint64_t shard_state::last_entry_hash() const
+{
+    return entries_.empty() ? 0 : entries_.back().hash;
+}
+
+entry_presence shard_state::find_entry(entry_number number,
+                                       std::uint64_t hash) const
+{
+    if (!last_entry_ || number > *last_entry_)
+        return entry_presence::not_read;
+    const auto found = std::find_if(entries_.begin(), entries_.end(),
+                                    [number](const entry_summary& entry)
+                                    { return entry.number == number; });
+    return found == entries_.end() || found->hash == hash
+               ? entry_presence::present
+               : entry_presence::replaced;
+}
+
 std::uint64_t shard_state::low_water_mark_ms() const
 {
     return low_water_mark_ms_;
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -131,6 +131,15 @@
     return result;
 }
 
+std::optional<time_point> swim::last_departure() const
+{
+    std::optional<time_point> last;
+    for (const auto& [id, item] : members_)
+        if (!is_live(item.record.state))
+            last = std::max(last.value_or(item.changed_at), item.changed_at);
+    return last;
+}
+
 std::vector<member_record> swim::all_members() const
 {
     std::vector<member_record> result{options_.self};
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -427,6 +427,19 @@
         archive(object.upstream_response);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, history_query& object)
+{
+    archive(object.sequence, object.shard);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, history_response& object)
+{
+    archive(object.sequence, object.shard, object.uptime_ms, object.view_age_ms,
+            object.last_entry, object.entry_hash, object.lost_entries);
+}
+
 } // namespace ledger
 
 namespace fleet
--- a/lib/router/control_task.cpp
+++ b/lib/router/control_task.cpp
@@ -637,6 +637,22 @@
         });
 }
 
+void control_task::apply(const fleet::check_store& effect)
+{
+    kv_client_->read(
+        {shard_marker_key(0), {}},
+        [this, sent = kv_revisions_.current(), sent_at = effect.sent_at](
+            const std::optional<net::kv_range_result>& result, const failure&)
+        {
+            metrics_->record_platform_call("store_check", result.has_value());
+            if (!result)
+                return;
+            record_kv_revision(sent, result->revision);
+            node_.on_store_checked(net::monotonic_now(), sent_at);
+            apply_effects();
+        });
+}
+
 void control_task::apply(const ledger::read_entries& effect)
 {
     const auto prefix = entry_key_prefix(effect.shard);
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -502,6 +502,105 @@
         RC_ASSERT(runs == 1);
 }
 
+/// Restores the KV service twice from copies without the later claims, the
+/// second time while all routers but one restart, and sends all calls again.
+void run_calls_around_two_restores(keyed_load& load)
+{
+    auto& target = load.target;
+    target.start();
+    load.claim_new_keys(20);
+    for (const bool restarts_nearly_all : {false, true})
+    {
+        const auto copy = target.kv();
+        load.claim_new_keys(40);
+        target.kv().outage = true;
+        target.run_for(duration{1'000'000 + target.random()() % 2'000'000});
+        const auto routers = target.options().routers;
+        const auto restarts = restarts_nearly_all ? routers - 1 : routers / 2;
+        for (std::size_t index = 0; index < restarts; ++index)
+            target.restart_router(index);
+        target.restore_kv(copy);
+        target.kv().outage = false;
+        for (int repetition = 0; repetition < 2; ++repetition)
+        {
+            for (const auto& key : load.keys)
+                load.attempt(key, target.random()() % routers);
+            target.run_for(1s);
+        }
+    }
+}
+
+// Guards against a call that runs twice because only routers that have just
+// started, or that never read the lost entry, accept its key after a restore.
+RC_GTEST_PROP(fleet, no_call_runs_twice_after_two_restores_and_many_restarts,
+              (std::uint16_t seed))
+{
+    world target{{.seed = seed}};
+    keyed_load load{target};
+    run_calls_around_two_restores(load);
+    for (const auto& [key, runs] : load.runs_by_key)
+        RC_ASSERT(runs == 1);
+    // A router that did not restart finds the restore at its next call, and
+    // refuses the keys that exist then.
+    load.claim_new_keys(200);
+    target.run_for(5s);
+    load.decisions.clear();
+    load.claim_new_keys(20);
+    target.run_for(5s);
+    RC_ASSERT(load.decisions[ledger::claim_result::accepted] == 20);
+}
+
+// The same in a fleet in which few routers take part in a shard.
+TEST(fleet, no_call_runs_twice_after_two_restores_of_a_fleet_of_91)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    {
+        world target{{.seed = seed, .routers = 91}};
+        keyed_load load{target};
+        run_calls_around_two_restores(load);
+        for (const auto& [key, runs] : load.runs_by_key)
+            EXPECT_EQ(runs, 1) << "seed " << seed;
+    }
+}
+
+// Guards against calls that are refused for good although nothing was lost:
+// their keys were made before an appender restarted, or during an outage of the
+// KV service in which no router restarted.
+TEST(fleet, keys_made_before_a_restart_or_in_an_outage_are_accepted)
+{
+    world target{{.seed = 5}};
+    keyed_load load{target};
+    target.start();
+    load.claim_new_keys(20);
+    const auto make_keys = [&]
+    {
+        std::vector<ledger::idempotency_key> keys;
+        for (std::uint64_t number = 0; number < 40; ++number)
+            keys.push_back(ledger::make_idempotency_key(
+                target.wall_clock_ms(), target.random()(), number));
+        return keys;
+    };
+    const auto attempt_all = [&](const auto& keys)
+    {
+        load.decisions.clear();
+        for (const auto& key : keys)
+            load.attempt(key, target.random()() % 9);
+        target.run_for(5s);
+        EXPECT_EQ(load.decisions[ledger::claim_result::accepted], 40);
+    };
+    const auto before_restart = make_keys();
+    target.run_for(1s);
+    target.restart_router(3);
+    target.run_for(2s);
+    attempt_all(before_restart);
+    target.kv().outage = true;
+    const auto in_outage = make_keys();
+    target.run_for(5s);
+    target.kv().outage = false;
+    target.run_for(500ms);
+    attempt_all(in_outage);
+}
+
 /// Sends several attempts with the same idempotency key through different
 /// routers during message loss, router pauses and restarts, and KV outages.
 RC_GTEST_PROP(fleet, no_idempotency_key_runs_twice, (std::uint16_t seed))
--- a/unittests/ledger/ledger_test.cpp
+++ b/unittests/ledger/ledger_test.cpp
@@ -172,6 +172,8 @@
             if (injected == fault::none)
                 log.on_entries_deleted(erase->end);
         }
+        else if (const auto* check = std::get_if<check_history>(&action))
+            log.on_history_checked(now, *check, {.covered = covered});
     }
 
     void run_all(fake_log& store, time_point now)
@@ -190,6 +192,8 @@
 
     appender log;
     std::vector<log_action> pending_actions;
+    /// Result of all history checks.
+    duration covered = max_duration;
 };
 
 constexpr time_point start{100s};
@@ -333,6 +337,41 @@
               std::vector{accepted});
 }
 
+// Guards against an appender that reads the log of a restored KV service for
+// the first time and accepts a key whose claim was lost.
+TEST(appender, refuses_keys_older_than_the_covered_history)
+{
+    fake_log store;
+    test_appender one{1};
+    one.covered = 2s;
+    one.log.submit(start, wall_ms, {1, 1},
+                   claim_of(make_key(1, wall_ms - 3000), 100));
+    one.log.submit(start, wall_ms, {1, 2},
+                   claim_of(make_key(2, wall_ms - 1000), 101));
+    one.run_all(store, start);
+    EXPECT_EQ(one.results(), (std::vector{append_result::below_low_water_mark,
+                                          append_result::accepted}));
+    // After a gap in the contact with the service, the history is checked
+    // again.
+    one.covered = 0s;
+    one.log.submit(start + 5s, wall_ms + 5000, {1, 3},
+                   claim_of(make_key(3, wall_ms + 4000), 102));
+    one.run_all(store, start + 5s);
+    EXPECT_EQ(one.results(), std::vector{append_result::below_low_water_mark});
+}
+
+TEST(store_view, ends_with_a_gap_between_responses)
+{
+    store_view view;
+    EXPECT_FALSE(view.age(start));
+    for (int count = 0; count <= 10; ++count)
+        view.record_response(start + count * 200ms, start + count * 200ms);
+    EXPECT_EQ(view.age(start + 2s), 2s);
+    EXPECT_FALSE(view.age(start + 3s));
+    view.record_response(start + 3s, start + 3s);
+    EXPECT_EQ(view.age(start + 3s), 0s);
+}
+
 TEST(appender, refuses_old_keys_and_keys_from_the_future)
 {
     fake_log store;
--- a/unittests/net/codec_test.cpp
+++ b/unittests/net/codec_test.cpp
@@ -178,6 +178,21 @@
     EXPECT_TRUE(response.granted);
     EXPECT_EQ(response.retry_ms, 30U);
     round_trip(routing::quarantine_query{});
+    const auto history =
+        round_trip(ledger::history_response{.sequence = 1,
+                                            .shard = 2,
+                                            .uptime_ms = 3,
+                                            .view_age_ms = 4,
+                                            .last_entry = 5,
+                                            .entry_hash = 6,
+                                            .lost_entries = true});
+    EXPECT_EQ(history.shard, 2U);
+    EXPECT_EQ(history.uptime_ms, 3U);
+    EXPECT_EQ(history.view_age_ms, 4U);
+    EXPECT_EQ(history.last_entry, 5U);
+    EXPECT_EQ(history.entry_hash, 6U);
+    EXPECT_TRUE(history.lost_entries);
+    EXPECT_EQ(round_trip(ledger::history_query{7, 8}).shard, 8U);
 }
 
 TEST(codec, size_of_an_empty_change_response_is_bounded)
