router: say "not run" only of calls that cannot have run

Callers that repeated a booking at a router that had just started got 503 not_ready with "executed": "no", although the booking had run.

Cause: the refusal was decided before the key was read, and a request without a key counts as repeatable. By reading, three more paths said "no" wrongly: a request that cannot be classified, X-Attempt: 1 after the request was sent or when the ledger knows another attempt, and malformed requests, whose key is not known.

Whether the call may have run is now computed in one place from four facts, and "no" needs a reason. router.execution.no_refusal_denies_a_call_that_may_have_run goes through all kinds of refusal, decisions of the ledger and stages. review/2 showed 10 to 22 such answers in each run before; its first run on this code passed, and the landing note has the others.

--- a/include/baobabloft/router/proxy_session.hpp
+++ b/include/baobabloft/router/proxy_session.hpp
@@ -4,6 +4,7 @@
 
 #include "baobabloft/http/read_pace.hpp"
 #include "baobabloft/net/restartable_timer.hpp"
+#include "baobabloft/router/execution.hpp"
 #include "baobabloft/router/request.hpp"
 #include "baobabloft/router/sse.hpp"
 #include "baobabloft/router/worker.hpp"
@@ -108,7 +109,7 @@
     [[nodiscard]] bool has_time_for_retry() const;
 
     void refuse(refusal_kind kind);
-    [[nodiscard]] executed execution_status() const;
+    [[nodiscard]] executed execution() const;
     void send_response(unsigned status, std::string_view type,
                        std::string body);
     void start_stream(const attempt_ptr& attempt);
@@ -140,9 +141,8 @@
     unsigned attempt_count_ = 0;
     operation_id claim_id_ = 0;
     std::uint64_t fencing_number_ = 0;
-    /// True if it is certain that no attempt with this idempotency key was
-    /// executed.
-    bool is_confirmed_unexecuted_ = false;
+    /// What is known about the execution of the call; `sent` is unused.
+    execution_knowledge execution_;
     sse_splitter splitter_;
     std::string buffered_body_;
     std::uint64_t last_event_id_ = 0;
--- a/include/baobabloft/router/request.hpp
+++ b/include/baobabloft/router/request.hpp
@@ -54,6 +54,15 @@
     std::uint32_t max_attempts = 1;
 };
 
+/// Returns the idempotency key of `request`, or nothing if it has none or a
+/// malformed one.
+std::optional<ledger::idempotency_key>
+find_idempotency_key(const raw_request& request);
+
+/// Returns true if the caller states that it has not sent the request's
+/// idempotency key before.
+bool is_first_attempt(const raw_request& request);
+
 /// Classifies `request` according to `preset`. Returns nothing and sets
 /// `reason` if the request is invalid. `unique_id` replaces the chat's identity
 /// for requests without a chat.
--- a/lib/router/proxy_answer.cpp
+++ b/lib/router/proxy_answer.cpp
@@ -21,7 +21,7 @@
 {
     const auto self = shared_from_this();
     context_.counters.record_refusal(kind);
-    if (claim_id_ != 0 && is_confirmed_unexecuted_)
+    if (claim_id_ != 0 && execution_.evidence == key_evidence::claimed)
         context_.control.release_claim(claim_id_);
     claim_id_ = 0;
     const auto& row = refusal_row_of(kind);
@@ -30,7 +30,7 @@
     if (counts_as_missed && !request_.service.empty())
         record_response(false);
     is_outcome_recorded_ = true;
-    auto body = problem_json(kind, execution_status(), request_id_);
+    auto body = problem_json(kind, execution(), request_id_);
     if (has_stream_started_)
     {
         // The status line was sent before, so the failure is reported by an
@@ -45,14 +45,13 @@
     send_response(row.status, "application/problem+json", std::move(body));
 }
 
-executed proxy_session::execution_status() const
+executed proxy_session::execution() const
 {
-    if (request_.idempotency_key)
-        return is_confirmed_unexecuted_ || request_.first_attempt
-                   ? executed::no
-                   : executed::unknown;
-    const bool sent = current_attempt_ && was_sent(current_attempt_);
-    return sent || attempt_count_ > 1 ? executed::unknown : executed::no;
+    auto known = execution_;
+    // Only a repeatable request is sent again after a byte of it was sent.
+    known.sent = (current_attempt_ && was_sent(current_attempt_)) ||
+                 (request_.repeatable && attempt_count_ > 1);
+    return execution_status(known);
 }
 
 void proxy_session::send_response(unsigned status, std::string_view type,
@@ -115,7 +114,6 @@
          .content_type = std::string{type.substr(0, max_stored_content_type)},
          .body = fits ? buffered_body_ : std::string{}});
     claim_id_ = 0;
-    is_confirmed_unexecuted_ = !was_sent(attempt);
 }
 
 void proxy_session::record_response(bool in_time)
--- a/lib/router/proxy_session.cpp
+++ b/lib/router/proxy_session.cpp
@@ -103,6 +103,8 @@
         {
             return std::string{http::field_value(message_, name)};
         }};
+    execution_.has_key = find_idempotency_key(raw).has_value();
+    execution_.first_attempt = is_first_attempt(raw);
     const auto& state = context_.state;
     if (!state.preset)
     {
@@ -115,7 +117,6 @@
                  context_.random(), reason);
     if (!routed)
     {
-        is_confirmed_unexecuted_ = true;
         refuse(reason);
         return;
     }
@@ -143,10 +144,10 @@
 {
     if (has_responded_)
         return;
+    execution_.evidence = evidence_of(decision.result);
     switch (decision.result)
     {
     case ledger::claim_result::accepted:
-        is_confirmed_unexecuted_ = true;
         fencing_number_ = decision.fencing_number;
         if (is_caller_disconnected_)
         {
@@ -585,10 +586,7 @@
     if (request_.idempotency_key && claim_id_ != 0)
     {
         if (attempt->request_sent)
-        {
-            is_confirmed_unexecuted_ = false;
             context_.control.abandon_claim(claim_id_);
-        }
         else
             context_.control.release_claim(claim_id_);
         claim_id_ = 0;
--- a/lib/router/request.cpp
+++ b/lib/router/request.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::string_view chat_path = "/v1/chat/completions";
 constexpr std::string_view service_prefix = "/services/";
+constexpr const char* key_header = "Idempotency-Key";
 constexpr std::string_view unnamed_customer = "unnamed";
 /// RFC 9218 urgencies from this value on are deferrable.
 constexpr int first_deferrable_urgency = 6;
@@ -150,27 +151,38 @@
                                    normalize_path(result.path)))
         return result;
     result.repeatable = false;
-    const auto key = request.header("Idempotency-Key");
-    if (key.empty())
+    if (request.header(key_header).empty())
     {
         reason = refusal_kind::key_required;
         return std::nullopt;
     }
-    // The header may be written as a quoted string.
-    const bool quoted = key.size() > 2 && key.front() == '"';
-    result.idempotency_key = ledger::parse_idempotency_key(
-        quoted ? std::string_view{key}.substr(1, key.size() - 2) : key);
+    result.idempotency_key = find_idempotency_key(request);
     if (!result.idempotency_key)
     {
         reason = refusal_kind::key_invalid;
         return std::nullopt;
     }
-    result.first_attempt = request.header("X-Attempt") == "1";
+    result.first_attempt = is_first_attempt(request);
     return result;
 }
 
 } // namespace
 
+std::optional<ledger::idempotency_key>
+find_idempotency_key(const raw_request& request)
+{
+    const auto key = request.header(key_header);
+    // The header may be written as a quoted string.
+    const bool quoted = key.size() > 2 && key.front() == '"';
+    return ledger::parse_idempotency_key(
+        quoted ? std::string_view{key}.substr(1, key.size() - 2) : key);
+}
+
+bool is_first_attempt(const raw_request& request)
+{
+    return request.header("X-Attempt") == "1";
+}
+
 std::optional<routed_request>
 classify(const raw_request& request, const config::preset& preset,
          duration max_timeout, std::uint64_t unique_id, refusal_kind& reason)
--- a/lib/router/worker.cpp
+++ b/lib/router/worker.cpp
@@ -178,7 +178,8 @@
     if (status != status_content_too_large && status != status_bad_request)
         return response;
     response.set("Content-Type", "application/problem+json");
-    response.body() = problem_json(kind, executed::no, "");
+    // The request is not parsed, so that its key is not known.
+    response.body() = problem_json(kind, executed::unknown, "");
     return response;
 }
 
--- a/unittests/router/router_test.cpp
+++ b/unittests/router/router_test.cpp
@@ -3,6 +3,7 @@
 // refusal.
 #include "baobabloft/config/preset_parser.hpp"
 #include "baobabloft/router/burn.hpp"
+#include "baobabloft/router/execution.hpp"
 #include "baobabloft/router/metrics.hpp"
 #include "baobabloft/router/request.hpp"
 #include "baobabloft/router/settings.hpp"
@@ -185,6 +186,58 @@
     EXPECT_FALSE(post->repeatable);
 }
 
+// Guards against a refusal of any kind, from before the key is classified to
+// after the call was sent, that says "not run" of a key that may have run.
+TEST(execution, no_refusal_denies_a_call_that_may_have_run)
+{
+    for (std::size_t number = 0; number < refusal_kind_count; ++number)
+        for (const auto& [result, name] : ledger::claim_result_names)
+            for (const unsigned flags : {0U, 1U, 2U, 3U, 4U, 5U, 6U, 7U})
+            {
+                const bool is_asked = (flags & 1U) != 0;
+                const execution_knowledge known{
+                    .has_key = true,
+                    .first_attempt = (flags & 2U) != 0,
+                    .evidence =
+                        is_asked ? evidence_of(result) : key_evidence::none,
+                    .sent = (flags & 4U) != 0};
+                const bool is_used =
+                    is_asked && (result == ledger::claim_result::answered ||
+                                 result == ledger::claim_result::in_progress);
+                const bool is_unused =
+                    known.first_attempt ||
+                    (is_asked && result == ledger::claim_result::accepted);
+                const bool may_have_run = known.sent || is_used || !is_unused;
+                const auto body =
+                    problem_json(static_cast<refusal_kind>(number),
+                                 execution_status(known), "");
+                EXPECT_EQ(body.find(R"("executed":"unknown")") !=
+                              std::string::npos,
+                          may_have_run)
+                    << body << name << flags;
+            }
+}
+
+TEST(classify, finds_a_key_without_a_preset)
+{
+    const std::string key = "\"0190163d-8694-739b-aea5-966c26f8ad91\"";
+    const auto request_with = [](const std::string& value)
+    {
+        return raw_request{.method = "POST",
+                           .path = "/unknown",
+                           .body = {},
+                           .header = [value](const char* name)
+                           {
+                               return name == std::string{"Idempotency-Key"}
+                                          ? value
+                                          : std::string{};
+                           }};
+    };
+    EXPECT_TRUE(find_idempotency_key(request_with(key)));
+    EXPECT_FALSE(find_idempotency_key(request_with("")));
+    EXPECT_FALSE(find_idempotency_key(request_with("x")));
+}
+
 TEST(sse, splits_events_independently_of_chunk_boundaries)
 {
     const std::string stream =
