directory: ignore late writes of an upstream's lifetime

Cause: the store's revision was taken for the order of an upstream's writes, and "seq" was read and dropped.

Within one lifetime a write with a lower number than one that was applied now changes nothing, also after the entry was removed. Entries of a restored copy precede what was applied before and are handled as such, by the era. directory_state.a_late_write_of_a_lifetime_changes_nothing failed before. Not played with processes.

--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -212,6 +212,10 @@
     /// or to leave although `item` does not say so.
     [[nodiscard]] bool contradicts_departure(const parsed_key& key,
                                              const entry& item) const;
+    /// Returns true if `item` is an upstream's write that precedes one of the
+    /// same lifetime that was already applied.
+    [[nodiscard]] bool is_late_write(const parsed_key& key,
+                                     const entry& item) const;
     void defer(const entry& item);
     void record_seen(const parsed_key& key, const entry& item);
     void apply_deferred(time_point now);
@@ -229,6 +233,7 @@
     struct removed_upstream
     {
         std::uint64_t started_ms = 0;
+        std::uint64_t write_number = 0;
         time_point removed_at;
     };
     std::map<std::string, removed_upstream> removed_upstreams_;
--- a/include/baobabloft/directory/records.hpp
+++ b/include/baobabloft/directory/records.hpp
@@ -27,6 +27,9 @@
     /// Start of this lifetime, ms since the epoch. Distinguishes lifetimes with
     /// the same id.
     std::uint64_t started_ms = 0;
+    /// Number of this write in the lifetime. The store may execute a write
+    /// late.
+    std::uint64_t write_number = 0;
 
     friend bool operator==(const upstream_record&,
                            const upstream_record&) = default;
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -63,6 +63,18 @@
                          item.mod_revision);
         return;
     }
+    // The entries of a restored copy precede what was applied before.
+    if (!seen.is_of_earlier_era && is_late_write(key, item))
+    {
+        record_event(directory_event::event_kind::entry_outdated, item.key,
+                     "a later write of this lifetime was applied",
+                     item.mod_revision);
+        if (seen.value.empty())
+            seen_entries_.erase(item.key);
+        else
+            seen.mod_revision = item.mod_revision;
+        return;
+    }
     record_seen(key, item);
     deferred_.erase(item.key);
     if (item.removed)
@@ -112,6 +124,26 @@
            listed->started_ms <= removed->second.started_ms;
 }
 
+bool directory_state::is_late_write(const parsed_key& key,
+                                    const entry& item) const
+{
+    if (key.kind != key_kind::upstream || item.removed)
+        return false;
+    const auto content = codec_.read(key, item.value);
+    const auto* written = std::get_if<upstream_record>(&content);
+    if (written == nullptr)
+        return false;
+    const auto precedes = [written](const auto& applied)
+    {
+        return written->started_ms == applied.started_ms &&
+               written->write_number < applied.write_number;
+    };
+    if (const auto known = upstreams_.find(key.name); known != upstreams_.end())
+        return precedes(known->second.record);
+    const auto removed = removed_upstreams_.find(key.name);
+    return removed != removed_upstreams_.end() && precedes(removed->second);
+}
+
 void directory_state::record_seen(const parsed_key& key, const entry& item)
 {
     auto& seen = seen_entries_[item.key];
@@ -322,7 +354,9 @@
     const auto found = upstreams_.find(id);
     std::erase_if(removed_upstreams_, [now](const auto& removed)
                   { return now - removed.second.removed_at > removal_memory; });
-    removed_upstreams_[id] = {.started_ms = found->second.record.started_ms,
+    const auto& record = found->second.record;
+    removed_upstreams_[id] = {.started_ms = record.started_ms,
+                              .write_number = record.write_number,
                               .removed_at = now};
     upstreams_.erase(found);
     ++change_count_;
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -24,8 +24,8 @@
 }
 
 /// The value is the version for the configuration, and "ready", "draining",
-/// "cold" or "restarted" (a new lifetime) for upstreams. The value "garbage"
-/// cannot be parsed.
+/// "cold" or "restarted" (a new lifetime) for upstreams, which may be followed
+/// by "#" and the number of the write. The value "garbage" cannot be parsed.
 class text_codec final : public record_codec
 {
 public:
@@ -65,10 +65,12 @@
         upstream_record upstream;
         upstream.id = key.name;
         upstream.service = "chat";
-        upstream.draining = value == "draining";
+        upstream.draining = value.starts_with("draining");
+        if (const auto number = value.find('#'); number != std::string::npos)
+            upstream.write_number = std::stoull(value.substr(number + 1));
         if (value == "cold")
             upstream.cold_remaining = 3s;
-        upstream.started_ms = value == "restarted" ? 2 : 1;
+        upstream.started_ms = value.starts_with("restarted") ? 2 : 1;
         return upstream;
     }
 };
@@ -236,6 +238,28 @@
     EXPECT_TRUE(state.upstreams().contains("b"));
 }
 
+// Guards against a leaving upstream that gets requests again, since the store
+// executed an earlier heartbeat late.
+TEST(directory_state, a_late_write_of_a_lifetime_changes_nothing)
+{
+    directory_state state{codec};
+    state.begin_change_log(0);
+    state.apply(start, {"up/a", "ready #1", 1, false}, {});
+    state.apply(start, {"up/a", "draining #3", 2, false}, {});
+    state.apply(start, {"up/a", "ready #2", 3, false}, {});
+    EXPECT_TRUE(state.upstreams().at("a").record.draining);
+    state.apply(start, {"up/a", "", 4, true}, {});
+    state.apply(start, {"up/a", "ready #2", 5, false}, {});
+    EXPECT_FALSE(state.upstreams().contains("a"));
+    state.apply(start, {"up/a", "restarted #1", 6, false}, {});
+    EXPECT_FALSE(state.upstreams().at("a").record.draining);
+    // The writes in a restored copy are older; the upstream writes again.
+    state.begin_era(1, start);
+    state.apply(start, {"up/a", "restarted #0", 2, false}, {});
+    state.apply(start, {"up/a", "draining #2", 3, false}, {});
+    EXPECT_TRUE(state.upstreams().at("a").record.draining);
+}
+
 TEST(directory_state, a_new_lifetime_under_the_same_id_resets_the_cold_start)
 {
     directory_state state{codec};
