directory: count routers through the outage in which their leases expired

Cause: the removal of a router's entry took effect at once, though in an outage no router can renew its lease. Routers now count for a grace after the outage, as upstreams do, and 3 s longer, since they renew less often.

directory_follower.routers_count_until_they_can_have_registered_again (9, 91 and 295 routers) failed before, with no router left. Not played with processes.

--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -243,6 +243,9 @@
     /// Data centres out of service, and the revisions of their entries.
     std::map<std::string, revision> out_of_service_;
     std::map<std::string, router_record> routers_;
+    /// Routers whose leases may have expired in an outage of the store, and
+    /// until when they count as members.
+    std::map<std::string, time_point> expired_routers_;
     std::string secret_;
     bool is_secret_listed_ = false;
     change_log log_;
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -20,6 +20,9 @@
 /// Time for which removed upstreams are remembered. Longer than a restored copy
 /// of the store is old.
 constexpr duration removal_memory = 60s;
+/// Routers whose leases expired in an outage of the store count as members for
+/// this long after the grace of upstreams, since they renew less often.
+constexpr duration router_grace = 3s;
 
 } // namespace
 
@@ -222,6 +225,7 @@
     }
     if (const auto* router = std::get_if<router_record>(&content))
     {
+        expired_routers_.erase(key.name);
         if (routers_.insert_or_assign(key.name, *router).second)
             record_event(directory_event::event_kind::router_added, key.name,
                          {}, item.mod_revision);
@@ -338,6 +342,13 @@
         }
         return;
     case key_kind::router:
+        if (grace_until && *grace_until > now && routers_.contains(key.name))
+        {
+            const auto until = *grace_until + router_grace;
+            expired_routers_[key.name] = until;
+            next_grace_end_ = std::min(next_grace_end_, until);
+            return;
+        }
         if (routers_.erase(key.name) != 0)
             record_event(directory_event::event_kind::router_removed, key.name,
                          {}, mod_revision);
@@ -416,6 +427,20 @@
         return;
     next_grace_end_ = time_point::max();
     apply_deferred(now);
+    std::erase_if(expired_routers_,
+                  [&](const auto& expired)
+                  {
+                      if (expired.second > now)
+                      {
+                          next_grace_end_ =
+                              std::min(next_grace_end_, expired.second);
+                          return false;
+                      }
+                      routers_.erase(expired.first);
+                      record_event(directory_event::event_kind::router_removed,
+                                   expired.first, "lapsed");
+                      return true;
+                  });
     for (auto item = upstreams_.begin(); item != upstreams_.end();)
     {
         const auto& until = item->second.grace_until;
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -466,6 +466,39 @@
     EXPECT_EQ(follower.state().config()->version, 2U);
 }
 
+// Guards against routers that each count themselves alone after an outage of
+// the store in which their leases expired, and give a cold upstream the share
+// of the whole fleet.
+TEST(directory_follower, routers_count_until_they_can_have_registered_again)
+{
+    for (const std::size_t routers : {9, 91, 295})
+    {
+        SCOPED_TRACE(routers);
+        fake_store store;
+        for (std::size_t index = 0; index < routers; ++index)
+            store.write("router/r" + std::to_string(index), "dc");
+        directory_follower follower{codec, {.router = "r0"}};
+        auto now = start;
+        for (; now < start + 2s; now += 50ms)
+            run_call(follower, store, now);
+        for (const auto outage_end = now + 26s; now < outage_end; now += 50ms)
+            if (follower.next_call(now))
+                follower.handle_call_failure(now);
+        for (std::size_t index = 0; index < routers; ++index)
+            store.remove("router/r" + std::to_string(index));
+        const auto returned_at = now;
+        for (; now < returned_at + 2s; now += 50ms)
+        {
+            run_call(follower, store, now);
+            EXPECT_EQ(follower.state().routers().size(), routers);
+        }
+        store.write("router/r1", "dc");
+        for (; now < returned_at + 7s; now += 50ms)
+            run_call(follower, store, now);
+        EXPECT_EQ(follower.state().routers().size(), 1U);
+    }
+}
+
 TEST(directory_follower, a_failed_call_confirms_nothing)
 {
     fake_store store;
