fleet: an appender that does not know the time refuses no key

Cause: a node knows the wall clock from its ticks. Between its start and the first one the time was 0, so that every key came from the future, and after a suspension it was the time of the last tick. It now ignores requests to append until the first tick, after which the sender repeats them, and adds the time since the last tick.

--- a/include/baobabloft/fleet/node.hpp
+++ b/include/baobabloft/fleet/node.hpp
@@ -348,6 +348,9 @@
     void handle_message(time_point now, router_id from,
                         const Alternative& alternative);
 
+    /// Returns the wall-clock time at `now`, however long ago the last tick()
+    /// was. Must not be called before the first one.
+    [[nodiscard]] std::uint64_t wall_ms_at(time_point now) const;
     void apply_adopted_preset(time_point now);
     /// Recomputes which upstreams this router owns, if the membership view or
     /// the preset has changed.
@@ -406,7 +409,9 @@
     /// Version of the membership view that the owners were computed from; 0
     /// forces the next update.
     std::uint64_t applied_view_ = 0;
+    /// Wall-clock time at the last tick(), in milliseconds since the epoch.
     std::uint64_t wall_ms_ = 0;
+    std::optional<time_point> ticked_at_;
     bool preset_watch_open_ = false;
     /// True if the KV service has responded to a read since the last watch. A
     /// service restored from an older copy has lower revisions, so a watch that
--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -3,6 +3,7 @@
 #include "baobabloft/support/hash.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <type_traits>
 #include <utility>
 
@@ -81,6 +82,7 @@
 void node::tick(time_point now, std::uint64_t wall_ms)
 {
     wall_ms_ = wall_ms;
+    ticked_at_ = now;
     swim_.tick(now);
     record_gossiped_crashes(now);
     update_owned_upstreams(now);
@@ -135,10 +137,15 @@
         permit_client_.handle(now, from, alternative);
     else if constexpr (is_one_of<Alternative, ledger::append_request>)
     {
+        // Without the time, every key would be from the future. The sender
+        // sends its request again.
+        if (!ticked_at_)
+            return;
         auto& hosted =
             appender_for(now, ledger::shard_of(alternative.content.key,
                                                options_.ledger_shards));
-        hosted.appender.submit(now, wall_ms_, {raw(from), alternative.sequence},
+        hosted.appender.submit(now, wall_ms_at(now),
+                               {raw(from), alternative.sequence},
                                alternative.content);
     }
     else if constexpr (is_one_of<Alternative, ledger::append_response>)
@@ -512,6 +519,12 @@
     return found->second;
 }
 
+std::uint64_t node::wall_ms_at(time_point now) const
+{
+    assert(ticked_at_ && "the time is not known before the first tick");
+    return wall_ms_ + static_cast<std::uint64_t>((now - *ticked_at_) / 1ms);
+}
+
 void node::apply_adopted_preset(time_point now)
 {
     const auto& snapshot = preset();
--- a/unittests/fleet/fleet_test.cpp
+++ b/unittests/fleet/fleet_test.cpp
@@ -502,6 +502,36 @@
         RC_ASSERT(runs == 1);
 }
 
+// Guards against an appender that has just started, or was suspended, and
+// refuses a key of the past as one from the future.
+TEST(fleet, appender_without_the_time_refuses_no_key_as_from_the_future)
+{
+    constexpr std::uint64_t wall_ms = 1'700'000'000'000;
+    const time_point start{100s};
+    fleet::node node{{.self = {.id = make_router_id(1, 1)}}};
+    const auto claim = [&](time_point now, std::uint64_t created_ms)
+    {
+        const ledger::record content{
+            .key = ledger::make_idempotency_key(created_ms, 1, 2),
+            .attempt = created_ms};
+        node.receive(now, make_router_id(2, 1),
+                     ledger::append_request{1, content});
+        for (const auto& effect : node.take_effects())
+            if (const auto* sent = std::get_if<fleet::send_message>(&effect))
+                if (const auto* response =
+                        std::get_if<ledger::append_response>(&sent->content))
+                    return response->result;
+        return ledger::append_result::accepted;
+    };
+    EXPECT_NE(claim(start, wall_ms), ledger::append_result::key_from_future);
+    node.tick(start, wall_ms);
+    const auto resumed_at = start + 90s;
+    EXPECT_NE(claim(resumed_at, wall_ms + 89'000),
+              ledger::append_result::key_from_future);
+    EXPECT_EQ(claim(resumed_at, wall_ms + 160'000),
+              ledger::append_result::key_from_future);
+}
+
 /// Restores the KV service twice from copies without the later claims, the
 /// second time while all routers but one restart, and sends all calls again.
 void run_calls_around_two_restores(keyed_load& load)
