ledger: accept keys made right after the start of the fleet

OutageTest.test_booking_lost_by_a_restored_store_does_not_run_again failed with 409 key_too_old for a booking that was made within half a second after the fleet was ready: a key had to be younger than the view of the log by this margin, which was to cover clocks that differ. The time for which the KV service is away in a restore covers them already, since a lost claim was made before it.

--- a/lib/ledger/appender.cpp
+++ b/lib/ledger/appender.cpp
@@ -23,9 +23,6 @@
 /// Longest time between contacts with the KV service within one view of the
 /// log. The service is unavailable for longer when it is restored from a copy.
 constexpr duration max_contact_gap = 900ms;
-/// Keys created up to this long after the start of a view are checked like
-/// older ones, since the clocks of those who make keys differ.
-constexpr std::uint64_t max_clock_difference_ms = 500;
 constexpr unsigned max_outdated_checks = 3;
 /// Keys created further in the future than this are refused, since they would
 /// be kept beyond the retention period.
@@ -401,8 +398,7 @@
 bool appender::is_uncovered(const record& content) const
 {
     return content.kind == record_kind::claimed &&
-           created_at_ms(content.key) <=
-               covered_since_ms_ + max_clock_difference_ms &&
+           created_at_ms(content.key) <= covered_since_ms_ &&
            state_.find(content.key).status == key_status::free;
 }
 
@@ -416,8 +412,7 @@
             if (!is_uncovered(item.content))
                 return false;
             const auto created_ms = created_at_ms(item.content.key);
-            if (checked_since_ms_ &&
-                created_ms >= *checked_since_ms_ + max_clock_difference_ms)
+            if (checked_since_ms_ && created_ms >= *checked_since_ms_)
             {
                 respond(item.ticket, item.content,
                         {.result = append_result::below_low_water_mark});
@@ -429,10 +424,7 @@
     if (!oldest_ms || check_in_progress_)
         return;
     check_in_progress_ = true;
-    const auto since_ms = *oldest_ms > max_clock_difference_ms
-                              ? *oldest_ms - max_clock_difference_ms
-                              : 0;
-    actions_.emplace_back(check_history{options_.shard, since_ms, view_});
+    actions_.emplace_back(check_history{options_.shard, *oldest_ms, view_});
 }
 
 void appender::respond_to_settled()
