--- a/include/baobabloft/directory/directory_state.hpp
+++ b/include/baobabloft/directory/directory_state.hpp
@@ -242,6 +242,10 @@
     /// one known for its service.
     [[nodiscard]] bool contradicts_order(const parsed_key& key,
                                          const entry& item) const;
+    /// Returns true if `item` is an upstream's write that precedes one of the
+    /// same lifetime that was already applied.
+    [[nodiscard]] bool is_late_write(const parsed_key& key,
+                                     const entry& item) const;
     void defer(const entry& item);
     void record_seen(const parsed_key& key, const entry& item);
     void apply_deferred(time_point now);
@@ -259,6 +263,7 @@
     struct removed_upstream
     {
         std::uint64_t started_ms = 0;
+        std::uint64_t write_number = 0;
         time_point removed_at;
     };
     std::map<std::string, removed_upstream> removed_upstreams_;
@@ -281,6 +286,9 @@
     /// Number of calls of begin_era().
     std::uint64_t era_count_ = 0;
     std::map<std::string, router_record> routers_;
+    /// Routers whose leases may have expired in an outage of the store, and
+    /// until when they count as members.
+    std::map<std::string, time_point> expired_routers_;
     std::string secret_;
     bool is_secret_listed_ = false;
     change_log log_;
--- a/include/baobabloft/fleet/message.hpp
+++ b/include/baobabloft/fleet/message.hpp
@@ -35,7 +35,8 @@
     directory::listing_query, directory::listing_response,
     routing::older_successes, routing::quarantine_notice, routing::trial_query,
     routing::trial_response, dispatch::rollout_report,
-    dispatch::rollout_response>;
+    dispatch::rollout_response, ledger::history_query,
+    ledger::history_response>;
 
 /// Names of the message kinds for metrics, in the order of the variant.
 inline constexpr std::array message_names{"ping",
@@ -76,7 +77,9 @@
                                           "trial_query",
                                           "trial_response",
                                           "rollout_report",
-                                          "rollout_response"};
+                                          "rollout_response",
+                                          "history_query",
+                                          "history_response"};
 
 static_assert(message_names.size() == std::variant_size_v<message>,
               "message_names must have one name per message kind");
--- a/lib/directory/directory_state.cpp
+++ b/lib/directory/directory_state.cpp
@@ -20,6 +20,9 @@
 /// Time for which removed upstreams are remembered. Longer than a restored copy
 /// of the store is old.
 constexpr duration removal_memory = 60s;
+/// Routers whose leases expired in an outage of the store count as members for
+/// this long after the grace of upstreams, since they renew less often.
+constexpr duration router_grace = 3s;
 
 } // namespace
 
@@ -64,6 +67,18 @@
                          item.mod_revision);
         return;
     }
+    // The entries of a restored copy precede what was applied before.
+    if (!seen.is_of_earlier_era && is_late_write(key, item))
+    {
+        record_event(directory_event::event_kind::entry_outdated, item.key,
+                     "a later write of this lifetime was applied",
+                     item.mod_revision);
+        if (seen.value.empty())
+            seen_entries_.erase(item.key);
+        else
+            seen.mod_revision = item.mod_revision;
+        return;
+    }
     record_seen(key, item);
     deferred_.erase(item.key);
     if (item.removed)
@@ -126,6 +141,26 @@
            listed->started_ms <= removed->second.started_ms;
 }
 
+bool directory_state::is_late_write(const parsed_key& key,
+                                    const entry& item) const
+{
+    if (key.kind != key_kind::upstream || item.removed)
+        return false;
+    const auto content = codec_.read(key, item.value);
+    const auto* written = std::get_if<upstream_record>(&content);
+    if (written == nullptr)
+        return false;
+    const auto precedes = [written](const auto& applied)
+    {
+        return written->started_ms == applied.started_ms &&
+               written->write_number < applied.write_number;
+    };
+    if (const auto known = upstreams_.find(key.name); known != upstreams_.end())
+        return precedes(known->second.record);
+    const auto removed = removed_upstreams_.find(key.name);
+    return removed != removed_upstreams_.end() && precedes(removed->second);
+}
+
 void directory_state::record_seen(const parsed_key& key, const entry& item)
 {
     auto& seen = seen_entries_[item.key];
@@ -214,6 +249,7 @@
     }
     if (const auto* router = std::get_if<router_record>(&content))
     {
+        expired_routers_.erase(key.name);
         if (routers_.insert_or_assign(key.name, *router).second)
             record_event(directory_event::event_kind::router_added, key.name,
                          {}, item.mod_revision);
@@ -338,6 +374,13 @@
         update_rollout_phase(key.name);
         return;
     case key_kind::router:
+        if (grace_until && *grace_until > now && routers_.contains(key.name))
+        {
+            const auto until = *grace_until + router_grace;
+            expired_routers_[key.name] = until;
+            next_grace_end_ = std::min(next_grace_end_, until);
+            return;
+        }
         if (routers_.erase(key.name) != 0)
             record_event(directory_event::event_kind::router_removed, key.name,
                          {}, mod_revision);
@@ -354,7 +397,9 @@
     const auto found = upstreams_.find(id);
     std::erase_if(removed_upstreams_, [now](const auto& removed)
                   { return now - removed.second.removed_at > removal_memory; });
-    removed_upstreams_[id] = {.started_ms = found->second.record.started_ms,
+    const auto& record = found->second.record;
+    removed_upstreams_[id] = {.started_ms = record.started_ms,
+                              .write_number = record.write_number,
                               .removed_at = now};
     const auto service = found->second.record.service;
     upstreams_.erase(found);
@@ -420,6 +465,20 @@
         return;
     next_grace_end_ = time_point::max();
     apply_deferred(now);
+    std::erase_if(expired_routers_,
+                  [&](const auto& expired)
+                  {
+                      if (expired.second > now)
+                      {
+                          next_grace_end_ =
+                              std::min(next_grace_end_, expired.second);
+                          return false;
+                      }
+                      routers_.erase(expired.first);
+                      record_event(directory_event::event_kind::router_removed,
+                                   expired.first, "lapsed");
+                      return true;
+                  });
     for (auto item = upstreams_.begin(); item != upstreams_.end();)
     {
         const auto& until = item->second.grace_until;
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -24,8 +24,8 @@
 }
 
 /// The value is the version for the configuration, and "ready", "draining",
-/// "cold" or "restarted" (a new lifetime) for upstreams. The value "garbage"
-/// cannot be parsed.
+/// "cold" or "restarted" (a new lifetime) for upstreams, which may be followed
+/// by "#" and the number of the write. The value "garbage" cannot be parsed.
 class text_codec final : public record_codec
 {
 public:
@@ -65,10 +65,12 @@
         upstream_record upstream;
         upstream.id = key.name;
         upstream.service = "chat";
-        upstream.draining = value == "draining";
+        upstream.draining = value.starts_with("draining");
+        if (const auto number = value.find('#'); number != std::string::npos)
+            upstream.write_number = std::stoull(value.substr(number + 1));
         if (value == "cold")
             upstream.cold_remaining = 3s;
-        upstream.started_ms = value == "restarted" ? 2 : 1;
+        upstream.started_ms = value.starts_with("restarted") ? 2 : 1;
         return upstream;
     }
 };
@@ -236,6 +238,28 @@
     EXPECT_TRUE(state.upstreams().contains("b"));
 }
 
+// Guards against a leaving upstream that gets requests again, since the store
+// executed an earlier heartbeat late.
+TEST(directory_state, a_late_write_of_a_lifetime_changes_nothing)
+{
+    directory_state state{codec};
+    state.begin_change_log(0);
+    state.apply(start, {"up/a", "ready #1", 1, false}, {});
+    state.apply(start, {"up/a", "draining #3", 2, false}, {});
+    state.apply(start, {"up/a", "ready #2", 3, false}, {});
+    EXPECT_TRUE(state.upstreams().at("a").record.draining);
+    state.apply(start, {"up/a", "", 4, true}, {});
+    state.apply(start, {"up/a", "ready #2", 5, false}, {});
+    EXPECT_FALSE(state.upstreams().contains("a"));
+    state.apply(start, {"up/a", "restarted #1", 6, false}, {});
+    EXPECT_FALSE(state.upstreams().at("a").record.draining);
+    // The writes in a restored copy are older; the upstream writes again.
+    state.begin_era(1, start);
+    state.apply(start, {"up/a", "restarted #0", 2, false}, {});
+    state.apply(start, {"up/a", "draining #2", 3, false}, {});
+    EXPECT_TRUE(state.upstreams().at("a").record.draining);
+}
+
 TEST(directory_state, a_new_lifetime_under_the_same_id_resets_the_cold_start)
 {
     directory_state state{codec};
@@ -442,6 +466,39 @@
     EXPECT_EQ(follower.state().config()->version, 2U);
 }
 
+// Guards against routers that each count themselves alone after an outage of
+// the store in which their leases expired, and give a cold upstream the share
+// of the whole fleet.
+TEST(directory_follower, routers_count_until_they_can_have_registered_again)
+{
+    for (const std::size_t routers : {9, 91, 295})
+    {
+        SCOPED_TRACE(routers);
+        fake_store store;
+        for (std::size_t index = 0; index < routers; ++index)
+            store.write("router/r" + std::to_string(index), "dc");
+        directory_follower follower{codec, {.router = "r0"}};
+        auto now = start;
+        for (; now < start + 2s; now += 50ms)
+            run_call(follower, store, now);
+        for (const auto outage_end = now + 26s; now < outage_end; now += 50ms)
+            if (follower.next_call(now))
+                follower.handle_call_failure(now);
+        for (std::size_t index = 0; index < routers; ++index)
+            store.remove("router/r" + std::to_string(index));
+        const auto returned_at = now;
+        for (; now < returned_at + 2s; now += 50ms)
+        {
+            run_call(follower, store, now);
+            EXPECT_EQ(follower.state().routers().size(), routers);
+        }
+        store.write("router/r1", "dc");
+        for (; now < returned_at + 7s; now += 50ms)
+            run_call(follower, store, now);
+        EXPECT_EQ(follower.state().routers().size(), 1U);
+    }
+}
+
 TEST(directory_follower, a_failed_call_confirms_nothing)
 {
     fake_store store;
@@ -642,6 +699,17 @@
         return max_received;
     }
 
+    /// Cuts a router off from the other routers.
+    void isolate(std::size_t router)
+    {
+        is_isolated_[router] = true;
+    }
+
+    [[nodiscard]] const directory_follower& follower(std::size_t router) const
+    {
+        return *followers_[router];
+    }
+
     void set_store_unavailable(bool unavailable)
     {
         store_unavailable_ = unavailable;
@@ -690,6 +758,14 @@
                 follower.handle_config_version(
                     now, other.notice().config_version, peer.control_address);
         }
+        const auto query = directory_follower::comparison_query();
+        for (const auto& peer : follower.take_comparison_peers(now))
+            if (!is_isolated_[index] &&
+                !is_isolated_[peer.control_address.port])
+                follower.handle_comparison(
+                    now,
+                    followers_[peer.control_address.port]->respond(now, query),
+                    peer.control_address);
     }
 
     void step_router(time_point now, std::size_t index)
@@ -735,12 +811,13 @@
             return;
         }
         const std::size_t queried = query->control_address.port;
+        call.lost = call.lost || is_isolated_[index] || is_isolated_[queried];
         ++queries_received_[queried];
         if (const auto* part_query = std::get_if<entry_query>(&query->message))
             call.part = followers_[queried]->respond(now, *part_query);
         else if (const auto* config =
                      std::get_if<config_query>(&query->message))
-            call.config = followers_[queried]->respond(*config);
+            call.config = followers_[queried]->respond(now, *config);
         else if (const auto* list = std::get_if<listing_query>(&query->message))
             call.listing = followers_[queried]->respond(now, *list);
         else
@@ -807,6 +884,7 @@
     std::optional<std::size_t> disconnected_router_;
     bool lossy_ = true;
     int loss_one_in_ = 10;
+    std::map<std::size_t, bool> is_isolated_;
 };
 
 RC_GTEST_PROP(directory_follower, a_confirmation_covers_every_earlier_write, ())
@@ -1027,6 +1105,59 @@
     RC_ASSERT(fleet.state(disconnected).config()->version == fleet.version());
 }
 
+// Guards against a router that starts around a restore of the store and uses
+// the configuration of the copy, in which withdrawn keys are still valid.
+RC_GTEST_PROP(directory_follower,
+              a_started_router_uses_no_configuration_of_a_restored_copy, ())
+{
+    constexpr std::size_t routers = 5;
+    fleet_model fleet{routers};
+    fleet.set_loss(*rc::gen::arbitrary<bool>(), 10);
+    auto now = fleet.run(start, 3s);
+    fleet.store().copy();
+    fleet.write_config(now);
+    now = fleet.run(now, 8s);
+    const auto started = *rc::gen::inRange<std::size_t>(0, routers);
+    const auto restart_step = *rc::gen::inRange(0, 300);
+    const auto restore_step = *rc::gen::inRange(50, 150);
+    // Writers replace what was lost within the rewrite time.
+    const auto rewrite_step = restore_step + *rc::gen::inRange(10, 350);
+    if (*rc::gen::arbitrary<bool>())
+        fleet.isolate(started);
+    for (int step = 0; step < 700; ++step)
+    {
+        if (step == restart_step)
+            fleet.restart(started);
+        if (step == restore_step)
+            fleet.store().restore();
+        if (step == rewrite_step)
+            fleet.rewrite_config();
+        fleet.step(now += 10ms);
+        const auto& follower = fleet.follower(started);
+        if (follower.confirmed_at() && follower.is_config_compared(now))
+            RC_ASSERT(follower.state().config_version() == fleet.version());
+    }
+}
+
+// Guards against a comparison that delays the start of a router in calm.
+RC_GTEST_PROP(directory_follower, a_router_that_starts_in_calm_is_not_held_up,
+              ())
+{
+    const auto routers = *rc::gen::inRange<std::size_t>(1, 12);
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    auto now = fleet.run(start, *rc::gen::inRange(0, 3) * 1s);
+    const auto started = *rc::gen::inRange<std::size_t>(0, routers);
+    fleet.restart(started);
+    for (int step = 0; step < 100; ++step)
+    {
+        fleet.step(now += 10ms);
+        const auto confirmed_at = fleet.follower(started).confirmed_at();
+        if (confirmed_at && now - *confirmed_at > 100ms)
+            RC_ASSERT(fleet.follower(started).is_config_compared(now));
+    }
+}
+
 // Guards against a long configuration that starts again from its first byte
 // whenever the last failed call to the store is a second ago.
 RC_GTEST_PROP(directory_follower,
