dispatch: one rule divides prefixes at unknown load

Callers saw: requests with a prompt prefix that is or becomes frequent piled up on one upstream before any router could see it, and waited there. Cause: a router chose by affinity alone once it had any report of the preferred upstream, and divided a prefix among three upstreams before that, whatever the size of the service. Requests above the limit all moved to the same upstream. Change: dispatch/affinity_rule decides among how many upstreams the routers divide a prefix, by the largest share that it may have as far as the router knows. It replaces the fixed width for upstreams without a report and the separate computation for frequent prefixes. Three requests within 0.6 s in a group make a prefix frequent, four before.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -265,11 +265,11 @@
                             double reported);
     void apply_samples(time_point now, std::span<const load_sample> samples);
     /// Moves another of the most preferred upstreams to the front of `eligible`
-    /// if the prefix is frequent, or if the first has not reported its load
-    /// yet: the routers divide the requests with such a prefix. Returns true if
-    /// the prefix is frequent.
-    bool spread(time_point now, std::uint64_t affinity, double mean_load,
-                std::span<const candidate*> eligible);
+    /// if the routers divide the prefix among several. `is_moved` is true if
+    /// the load of the preferred one of all candidates is above the limit.
+    /// Returns true if the prefix is frequent.
+    bool divide(time_point now, std::uint64_t affinity, double mean_load,
+                bool is_moved, std::span<const candidate*> eligible);
     /// Orders by preference for the affinity, best first. New upstreams are
     /// preferred for fewer prefixes, unless the mean load requires them at
     /// once.
--- a/lib/dispatch/traffic_monitor.cpp
+++ b/lib/dispatch/traffic_monitor.cpp
@@ -20,7 +20,7 @@
 /// A prefix that becomes frequent suddenly is noticed by its share of the most
 /// recent requests.
 constexpr duration recent_window = 600ms;
-constexpr double min_recent_count = 4;
+constexpr double min_recent_count = 3;
 /// Limit of the counted requests; reached only at thousands a second.
 constexpr std::size_t max_counted_requests = 4096;
 /// Age up to which a load is part of a summary.
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -1,5 +1,6 @@
 #include "baobabloft/dispatch/upstream_selector.hpp"
 
+#include "baobabloft/dispatch/affinity_rule.hpp"
 #include "baobabloft/support/hash.hpp"
 
 #include <algorithm>
@@ -47,15 +48,6 @@
 /// Another upstream that has the prefix cached is chosen if its load is lower
 /// than the preferred one's by at least this.
 constexpr double cached_load_advantage = 1.5;
-/// A frequent prefix is divided among so many upstreams that its load on each
-/// stays within this multiple of the mean plus a slack, in requests. Above the
-/// mean load of other prefixes, this is what load_multiple leaves.
-constexpr double room_multiple = 0.5;
-constexpr double room_slack = 1;
-/// Number of most preferred upstreams among which the routers divide a prefix
-/// while the first has not reported its load: a fleet that starts under load
-/// knows no loads yet.
-constexpr std::size_t unreported_spread_width = 3;
 /// Limits of the record of recently sent prefixes and their upstreams: number
 /// of entries, and time for which an entry is kept.
 constexpr std::size_t max_remembered_prefixes = 2048;
@@ -318,35 +310,33 @@
                : first;
 }
 
-bool upstream_selector::spread(time_point now, std::uint64_t affinity,
-                               double mean_load,
+bool upstream_selector::divide(time_point now, std::uint64_t affinity,
+                               double mean_load, bool is_moved,
                                std::span<const candidate*> eligible)
 {
-    const double prefix_load = traffic_.share_of(now, prefix_id_of(affinity)) *
-                               mean_load * static_cast<double>(eligible.size());
-    const double room = room_multiple * mean_load + room_slack;
-    const bool is_frequent = prefix_load > room;
     const auto& first = *eligible.front();
     // An upstream that was added after this router started is known to have
     // been idle at first.
     const bool is_new = first.upstream->first_seen != time_point{};
-    const bool is_unreported = !first.state->reported_at && !is_new;
-    if (eligible.size() < 2 || (!is_frequent && !is_unreported))
+    const auto division = divide_by_affinity(
+        {.prefix_share = traffic_.share_of(now, prefix_id_of(affinity)),
+         .mean_load = mean_load,
+         .upstreams = eligible.size(),
+         .is_load_known = first.state->reported_at || is_new,
+         .is_moved = is_moved});
+    if (division.width < 2)
         return false;
-    const auto width = std::min(
-        std::max(is_unreported ? unreported_spread_width : 2,
-                 static_cast<std::size_t>(std::ceil(prefix_load / room))),
-        eligible.size());
     const auto key = hash_bytes(options_.router, affinity);
     const auto score = [key](const candidate* item)
     {
         return rendezvous_score(key, item->upstream->id_hash);
     };
-    std::ranges::partial_sort(eligible.first(width), eligible.begin() + 2,
-                              std::ranges::greater{}, score);
-    if (is_frequent && eligible[1]->load < eligible[0]->load)
+    std::ranges::partial_sort(eligible.first(division.width),
+                              eligible.begin() + 2, std::ranges::greater{},
+                              score);
+    if (division.by_load && eligible[1]->load < eligible[0]->load)
         std::swap(eligible[0], eligible[1]);
-    return is_frequent;
+    return division.by_load;
 }
 
 const directory::known_upstream* upstream_selector::find_prefix_source(
@@ -406,9 +396,12 @@
     const candidate* cold = nullptr;
     const candidate* failing = nullptr;
     bool any_not_excluded = false;
+    bool is_moved = false;
     for (const auto& item : candidates)
     {
         const auto status = classify(now, query, item, limit);
+        is_moved = is_moved || (status == eligibility::over_limit &&
+                                &item == &candidates.front());
         any_not_excluded = any_not_excluded || status != eligibility::excluded;
         if (status == eligibility::eligible)
             eligible.push_back(&item);
@@ -439,10 +432,10 @@
         bool is_preferred = eligible.front() == &candidates.front();
         if (query.affinity)
         {
-            const bool is_spread =
-                spread(now, *query.affinity, means.of_reported, eligible);
+            const bool is_divided = divide(
+                now, *query.affinity, means.of_reported, is_moved, eligible);
             is_preferred = eligible.front() == &candidates.front() ||
-                           (is_preferred && is_spread);
+                           (is_preferred && is_divided);
         }
         const auto& best =
             query.affinity
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -717,7 +717,7 @@
 {
     constexpr double bound = 0.03;
     for (std::uint64_t seed = 1; seed <= 6; ++seed)
-        for (const int hot_from_ms : {0, 5000})
+        for (const int hot_from_ms : {0, 5000, 15'000})
             EXPECT_LE(release_model(seed, fleet_of_hundreds(0.2, hot_from_ms))
                           .worst_overload_share(),
                       bound)
