dispatch: choices follow how fast upstreams are now

Callers saw: late responses from upstreams whose machines other work slows, while faster ones were idle. Cause: the figure that such upstreams report with their load was not used. Change: dispatch/upstream_pace turns it into an estimate. One figure changes nothing. Two that agree change choices of the moment, by the share of a difference that usually is left at the figure's age, which each router learns. A difference that has lasted 4 s moves shares of the prefixes. Reports and summaries of loads carry the figure, one byte a load. Upstreams that report none are served as before. Choices of this kind have the reason "faster".

--- a/include/baobabloft/dispatch/messages.hpp
+++ b/include/baobabloft/dispatch/messages.hpp
@@ -19,6 +19,8 @@
 
 /// Unit of load_sample::age_steps.
 inline constexpr duration load_sample_age_step = 20ms;
+/// Unit of load_sample::work_steps, in percent of the usual time.
+inline constexpr std::uint32_t work_percent_step = 10;
 /// Unit of prefix_share::share_steps, as a share of all requests.
 inline constexpr double prefix_share_step = 1.0 / 255;
 
@@ -30,6 +32,9 @@
     std::uint16_t load = 0;
     /// Age in steps of load_sample_age_step, rounded up.
     std::uint8_t age_steps = 0;
+    /// How long work takes there, in steps of work_percent_step; 0 if the
+    /// upstream does not report it.
+    std::uint8_t work_steps = 0;
 };
 
 /// A prefix that many requests share.
--- a/include/baobabloft/dispatch/traffic_monitor.hpp
+++ b/include/baobabloft/dispatch/traffic_monitor.hpp
@@ -19,7 +19,8 @@
     /// Records a request of this router.
     void record_request(time_point now, prefix_id prefix);
     /// Records a load reported to this router.
-    void record_load(time_point now, upstream_id upstream, std::uint32_t load);
+    void record_load(time_point now, upstream_id upstream, std::uint32_t load,
+                     std::optional<std::uint32_t> work_percent = {});
 
     /// Returns what this router saw since the last call.
     [[nodiscard]] traffic_report take_report(time_point now);
@@ -40,6 +41,8 @@
     {
         std::uint32_t load = 0;
         time_point measured_at;
+        /// As load_sample::work_steps.
+        std::uint8_t work_steps = 0;
     };
 
     struct counted_request
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -6,6 +6,7 @@
 #include "baobabloft/directory/directory_state.hpp"
 #include "baobabloft/dispatch/sliding_count.hpp"
 #include "baobabloft/dispatch/traffic_monitor.hpp"
+#include "baobabloft/dispatch/upstream_pace.hpp"
 #include "baobabloft/routing/recent_chats.hpp"
 
 #include <functional>
@@ -61,6 +62,8 @@
     preferred,
     /// A later one in that order.
     other,
+    /// One that is faster at this moment than the one in its place.
+    faster,
     /// A cold one that is below its cold-start limit.
     cold,
     /// The best of those that failed recently or are above the load limit.
@@ -76,6 +79,7 @@
 inline constexpr std::array choice_names{
     enum_name<choice>{choice::preferred, "preferred"},
     enum_name<choice>{choice::other, "other"},
+    enum_name<choice>{choice::faster, "faster"},
     enum_name<choice>{choice::cold, "cold"},
     enum_name<choice>{choice::last_resort, "last_resort"},
     enum_name<choice>{choice::no_upstream, "no_upstream"},
@@ -182,6 +186,8 @@
         double others_load = 0;
         /// When the upstream last reported its load to this router.
         std::optional<time_point> reported_at;
+        /// From the figures that it reported to any router.
+        upstream_pace pace;
         /// Moving average, 0 to 1.
         double failure_rate = 0;
         std::uint32_t consecutive_failures = 0;
@@ -259,6 +265,12 @@
     const candidate* prefer_cached(time_point now, std::uint64_t affinity,
                                    std::span<const candidate* const> eligible,
                                    bool is_preferred);
+    /// Returns the one of `eligible`, which are in the order of preference,
+    /// that is likely to be done sooner than `best` since it is faster at this
+    /// moment; `best` if none is.
+    const candidate& prefer_fast(time_point now, const upstream_query& query,
+                                 std::span<const candidate* const> eligible,
+                                 const candidate& best);
     /// Updates the estimated load of an upstream with one that it reported at
     /// `measured_at`, unless a later one is known.
     static void update_load(upstream_state& state, time_point measured_at,
@@ -276,8 +288,8 @@
     static void rank_by_affinity(time_point now, std::uint64_t affinity,
                                  double mean_load,
                                  std::vector<candidate>& candidates);
-    /// Orders by load and data centre, best first.
-    void rank_by_cost(std::vector<candidate>& candidates);
+    /// Orders by load, pace and data centre, best first.
+    void rank_by_cost(time_point now, std::vector<candidate>& candidates);
     /// Returns the upstream from which `chosen` may copy the prefix, or null.
     [[nodiscard]] const directory::known_upstream*
     find_prefix_source(time_point now, std::uint64_t affinity,
@@ -304,6 +316,7 @@
     selector_options options_;
     capacity_check has_capacity_;
     std::unordered_map<std::string, upstream_state> states_;
+    pace_persistence pace_persistence_;
     /// Prefixes that this router recently sent to each upstream.
     routing::recent_chats cached_prefixes_;
     traffic_monitor traffic_;
--- a/lib/dispatch/traffic_monitor.cpp
+++ b/lib/dispatch/traffic_monitor.cpp
@@ -34,8 +34,17 @@
 constexpr std::size_t max_summary_loads = 32;
 constexpr std::size_t max_summary_prefixes = 32;
 
+std::uint8_t work_steps_of(std::optional<std::uint32_t> work_percent)
+{
+    constexpr std::uint32_t max_steps =
+        std::numeric_limits<std::uint8_t>::max();
+    return work_percent ? static_cast<std::uint8_t>(std::clamp(
+                              *work_percent / work_percent_step, 1U, max_steps))
+                        : std::uint8_t{0};
+}
+
 load_sample sample_of(time_point now, upstream_id upstream, std::uint32_t load,
-                      time_point measured_at)
+                      time_point measured_at, std::uint8_t work_steps)
 {
     constexpr std::int64_t max_steps = std::numeric_limits<std::uint8_t>::max();
     constexpr std::uint32_t max_load =
@@ -44,7 +53,8 @@
     return {.upstream = upstream,
             .load = static_cast<std::uint16_t>(std::min(load, max_load)),
             .age_steps = static_cast<std::uint8_t>(
-                std::clamp<std::int64_t>(steps, 0, max_steps))};
+                std::clamp<std::int64_t>(steps, 0, max_steps)),
+            .work_steps = work_steps};
 }
 
 /// Keeps the `limit` most recent samples.
@@ -68,10 +78,12 @@
 }
 
 void traffic_monitor::record_load(time_point now, upstream_id upstream,
-                                  std::uint32_t load)
+                                  std::uint32_t load,
+                                  std::optional<std::uint32_t> work_percent)
 {
-    loads_[upstream] = {load, now};
-    unreported_loads_[upstream] = {load, now};
+    const known_load known{load, now, work_steps_of(work_percent)};
+    loads_[upstream] = known;
+    unreported_loads_[upstream] = known;
 }
 
 traffic_report traffic_monitor::take_report(time_point now)
@@ -79,8 +91,9 @@
     traffic_report result;
     for (const auto& [upstream, known] : unreported_loads_)
         if (now - known.measured_at <= max_summary_age)
-            result.loads.push_back(
-                sample_of(now, upstream, known.load, known.measured_at));
+            result.loads.push_back(sample_of(now, upstream, known.load,
+                                             known.measured_at,
+                                             known.work_steps));
     keep_most_recent(result.loads, max_report_loads);
     unreported_loads_.clear();
     expire_loads(now);
@@ -95,7 +108,7 @@
         const auto measured_at = now - item.age_steps * load_sample_age_step;
         auto& known = loads_[item.upstream];
         if (measured_at > known.measured_at)
-            known = {item.load, measured_at};
+            known = {item.load, measured_at, item.work_steps};
     }
     for (const auto prefix : report.prefixes)
         count_request(now, prefix);
@@ -107,8 +120,8 @@
     expire_loads(now);
     traffic_summary result;
     for (const auto& [upstream, known] : loads_)
-        result.loads.push_back(
-            sample_of(now, upstream, known.load, known.measured_at));
+        result.loads.push_back(sample_of(now, upstream, known.load,
+                                         known.measured_at, known.work_steps));
     keep_most_recent(result.loads, max_summary_loads);
     const auto recent = recent_shares(now);
     for (const auto& [prefix, count] : request_counts_)
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -48,6 +48,9 @@
 /// Another upstream that has the prefix cached is chosen if its load is lower
 /// than the preferred one's by at least this.
 constexpr double cached_load_advantage = 1.5;
+/// Number of the most preferred upstreams among which a faster one is sought,
+/// so that the requests with a prefix stay with few.
+constexpr std::size_t max_fast_options = 4;
 /// Limits of the record of recently sent prefixes and their upstreams: number
 /// of entries, and time for which an entry is kept.
 constexpr std::size_t max_remembered_prefixes = 2048;
@@ -219,14 +222,16 @@
         const auto& upstream = *item.upstream;
         item.preference =
             weighted_rendezvous_score(affinity, upstream.id_hash,
-                                      takeover_share(now, upstream, mean_load));
+                                      takeover_share(now, upstream, mean_load) /
+                                          item.state->pace.lasting(now));
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const candidate& left, const candidate& right)
               { return left.preference > right.preference; });
 }
 
-void upstream_selector::rank_by_cost(std::vector<candidate>& candidates)
+void upstream_selector::rank_by_cost(time_point now,
+                                     std::vector<candidate>& candidates)
 {
     const bool is_load_known =
         directory_.routers().size() <
@@ -240,7 +245,11 @@
         const auto& upstream = *item.upstream;
         const bool is_local =
             upstream.record.data_centre == options_.data_centre;
-        item.cost = item.load + (is_local ? 0 : remote_cost);
+        // A request takes as long as the work in progress and its own.
+        const double delay =
+            item.state->pace.expected(now, pace_persistence_) - 1;
+        item.cost =
+            item.load + delay * (item.load + 1) + (is_local ? 0 : remote_cost);
         // Divides requests evenly among upstreams of the same cost.
         item.tie_break = rendezvous_score(key, upstream.id_hash);
     }
@@ -310,6 +319,35 @@
                : first;
 }
 
+const upstream_selector::candidate&
+upstream_selector::prefer_fast(time_point now, const upstream_query& query,
+                               std::span<const candidate* const> eligible,
+                               const candidate& best)
+{
+    const auto option = [&](const candidate& item)
+    {
+        // Where requests with the prefix usually go, another router may have
+        // sent it.
+        const bool is_cached =
+            &item == eligible.front() ||
+            cached_prefixes_.contains(
+                now, prefix_key(*query.affinity, *item.upstream));
+        return pace_option{item.state->pace.expected(now, pace_persistence_),
+                           is_cached ? 0 : query.prefix_tokens};
+    };
+    const auto* result = &best;
+    auto fastest = option(best);
+    for (const auto* item :
+         eligible.first(std::min(eligible.size(), max_fast_options)))
+        if (const auto other = option(*item);
+            item->load <= best.load + 1 && is_faster(other, fastest))
+        {
+            result = item;
+            fastest = other;
+        }
+    return *result;
+}
+
 bool upstream_selector::divide(time_point now, std::uint64_t affinity,
                                double mean_load, bool is_moved,
                                std::span<const candidate*> eligible)
@@ -386,7 +424,7 @@
     if (query.affinity)
         rank_by_affinity(now, *query.affinity, means.of_usable, candidates);
     else
-        rank_by_cost(candidates);
+        rank_by_cost(now, candidates);
     const double limit = query.affinity
                              ? load_limit(query, means)
                              : std::numeric_limits<double>::infinity();
@@ -441,6 +479,10 @@
             query.affinity
                 ? *prefer_cached(now, *query.affinity, eligible, is_preferred)
                 : *eligible.front();
+        const auto& fast =
+            query.affinity ? prefer_fast(now, query, eligible, best) : best;
+        if (&fast != &best)
+            return make_selection(fast, choice::faster);
         return make_selection(best, &best == &candidates.front()
                                         ? choice::preferred
                                         : choice::other);
@@ -491,8 +533,12 @@
                                     const reported_load& load)
 {
     const auto reported = load.running + load.waiting;
-    traffic_.record_load(now, make_upstream_id(id), reported);
-    update_load(states_[id], now, reported);
+    traffic_.record_load(now, make_upstream_id(id), reported,
+                         load.work_percent);
+    auto& state = states_[id];
+    update_load(state, now, reported);
+    if (load.work_percent)
+        state.pace.record(now, *load.work_percent / 100.0, pace_persistence_);
 }
 
 void upstream_selector::update_load(upstream_state& state,
@@ -543,10 +589,16 @@
     {
         const auto found = by_upstream.find(
             upstream_id{static_cast<std::uint32_t>(item.id_hash)});
-        if (found != by_upstream.end())
-            update_load(states_[id],
-                        now - found->second->age_steps * load_sample_age_step,
-                        found->second->load);
+        if (found == by_upstream.end())
+            continue;
+        const auto& sample = *found->second;
+        const auto measured_at = now - sample.age_steps * load_sample_age_step;
+        auto& state = states_[id];
+        update_load(state, measured_at, sample.load);
+        if (sample.work_steps > 0)
+            state.pace.record(measured_at,
+                              sample.work_steps * work_percent_step / 100.0,
+                              pace_persistence_);
     }
 }
 
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -135,7 +135,7 @@
 template <typename Archive>
 void serialize(Archive& archive, load_sample& object)
 {
-    archive(object.upstream, object.load, object.age_steps);
+    archive(object.upstream, object.load, object.age_steps, object.work_steps);
 }
 
 template <typename Archive>
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -853,6 +853,40 @@
     EXPECT_EQ(choose(start, 1, true, excluded_ids).upstream, nullptr);
 }
 
+// Load: other work slows the machine of one upstream to a third.
+TEST_F(selector_test, pattern_slow_upstream_loses_short_prefixes_then_its_share)
+{
+    add_engines(3);
+    auto now = start;
+    const auto report = [&](int count, std::uint32_t percent)
+    {
+        for (; count > 0; --count, now += 500ms)
+            for (const auto& [id, item] : state.upstreams())
+                selector.record_load(
+                    now, id, {.work_percent = id == "up/a/0" ? percent : 100});
+    };
+    const auto taken = [&](std::uint64_t first, std::uint32_t prefix_tokens)
+    {
+        int result = 0;
+        for (auto prefix = first; prefix < first + 150; ++prefix)
+            result += selector.choose(now, {.service = &service,
+                                            .affinity = prefix,
+                                            .prefix_tokens = prefix_tokens,
+                                            .excluded_ids = {}})
+                                  .upstream->record.id == "up/a/0"
+                          ? 1
+                          : 0;
+        return result;
+    };
+    report(9, 100);
+    const int usual = taken(0, 8600);
+    report(4, 300);
+    EXPECT_EQ(taken(0, 8600), usual);
+    EXPECT_EQ(taken(1000, 100), 0);
+    report(6, 300);
+    EXPECT_LT(taken(2000, 8600), usual * 2 / 3);
+}
+
 TEST_F(selector_test, requests_without_affinity_prefer_the_local_data_centre)
 {
     add_engines(3);
--- a/unittests/net/codec_test.cpp
+++ b/unittests/net/codec_test.cpp
@@ -52,7 +52,7 @@
     constexpr time_point now{1000s};
     for (std::uint32_t index = 0; index < 2000; ++index)
     {
-        monitor.record_load(now, upstream_id{index}, index % 100);
+        monitor.record_load(now, upstream_id{index}, index % 100, 250);
         monitor.record_request(now, dispatch::prefix_id{index % 40});
     }
     const auto report = monitor.take_report(now);
@@ -66,6 +66,7 @@
     EXPECT_EQ(decoded.loads.front().upstream, summary.loads.front().upstream);
     EXPECT_EQ(decoded.loads.front().load, summary.loads.front().load);
     EXPECT_EQ(decoded.loads.front().age_steps, summary.loads.front().age_steps);
+    EXPECT_EQ(decoded.loads.front().work_steps, 25);
     EXPECT_EQ(decoded.hot_prefixes.front().prefix,
               summary.hot_prefixes.front().prefix);
     EXPECT_EQ(decoded.hot_prefixes.front().share_steps,
