directory: few calls to a store that responds to no router

Cause: a response of another router that is too old sends the router to the store at once, and marks the routers that watch the store as stale, so that every router takes itself for a watching one.

Change: store_pace decides when a router may call a store that neither responds to it nor, as far as is known, to any other router for 2.2 s: routers that watch the store every 0.4 s, the others every 4 s on average, at least 10 a second together. The others query their watching router every 0.4 s, and are notified by it once the store responds again. Leases are renewed within a second after an outage instead of during it. A router that has read nothing yet calls once a second at most. What a response confirms and how old a confirmation may be is unchanged.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "baobabloft/directory/directory_state.hpp"
+#include "baobabloft/directory/store_pace.hpp"
 
 #include <variant>
 
@@ -83,6 +84,12 @@
     /// the longest.
     duration retry_pause = 50ms;
     duration max_retry_pause = 400ms;
+    /// The longest such pause before the first full read, in which a router can
+    /// serve nothing.
+    duration max_first_read_pause = 1s;
+    /// Time from a response that was too old to the next query while the store
+    /// is unavailable.
+    duration unavailable_query_pause = 400ms;
     /// A longer value is read from the store rather than from another router,
     /// which would have to send it to many routers at once.
     std::size_t max_value_bytes_from_router = std::size_t{24} * 1024;
@@ -196,6 +203,10 @@
     /// lack what was confirmed before.
     [[nodiscard]] bool awaits_rewrites(time_point now) const;
 
+    /// Returns true if the store responds neither to this router nor, as far
+    /// as is known, to any other one.
+    [[nodiscard]] bool is_store_unavailable(time_point now) const;
+
     /// Returns true after a full read, until the store loses the history.
     [[nodiscard]] bool has_complete_state() const;
 
@@ -235,6 +246,9 @@
     /// reported to other routers.
     [[nodiscard]] std::uint32_t reported_age_ms(time_point now) const;
     [[nodiscard]] bool store_failed_recently(time_point now) const;
+    /// Returns false while the store is unavailable and this router's next call
+    /// to it is not due.
+    [[nodiscard]] bool may_call_store(time_point now) const;
     /// Returns false while the pending long entry should rather be read from
     /// other routers, since the store does not respond to this one.
     [[nodiscard]] bool may_read_value_from_store(time_point now) const;
@@ -245,6 +259,8 @@
     void finish_long_entry(time_point now, const std::optional<entry>& item);
     [[nodiscard]] bool is_unresponsive(time_point now,
                                        const std::string& router) const;
+    [[nodiscard]] bool is_stale(time_point now,
+                                const std::string& router) const;
     /// Returns a responsive router of any data centre, or null.
     [[nodiscard]] const router_record*
     any_responsive_router(time_point now) const;
@@ -289,9 +305,12 @@
     std::string queried_router_;
     /// Queries in a row without a response.
     std::uint32_t unanswered_queries_ = 0;
-    /// Routers not to be queried, and until when.
+    /// Routers not to be queried, and until when: those that did not respond,
+    /// and those whose response was too old.
     std::map<std::string, time_point> unresponsive_until_;
+    std::map<std::string, time_point> stale_until_;
     std::optional<time_point> store_failed_at_;
+    store_pace store_pace_;
     /// The next call goes to the store rather than to a router.
     bool use_store_next_ = false;
     /// A long entry to read before the next query, the parts of its value
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -201,6 +201,9 @@
     void check_shutdown();
     /// Logs a change of readiness and updates its gauge.
     void record_readiness();
+    /// Logs whether the store has become unavailable to all routers, or is so
+    /// no longer.
+    void record_store_availability(time_point now);
     void update_gauges();
     [[nodiscard]] bool is_ready(time_point now) const;
     [[nodiscard]] http::caller_limits caller_limits() const;
@@ -228,6 +231,7 @@
     /// Result of the last call to the store.
     bool store_reachable_ = false;
     bool was_ready_ = false;
+    bool store_was_unavailable_ = false;
     /// Change count of the directory state when the selector last dropped
     /// upstreams that are no longer listed.
     std::uint64_t pruned_change_count_ = 0;
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -31,7 +31,9 @@
 
 directory_follower::directory_follower(const record_codec& codec,
                                        const follower_options& options)
-    : options_(options), state_(codec)
+    : options_(options), state_(codec),
+      store_pace_({.unavailable_after = options.store_unavailable_after},
+                  hash_bytes(options.router))
 {
 }
 
@@ -81,8 +83,15 @@
     use_store_next_ = false;
     // While the store does not respond to this router, it may respond to
     // others.
-    if (router == nullptr && store_failed_recently(now))
+    if (router == nullptr &&
+        (store_failed_recently(now) || !may_call_store(now)))
         router = any_responsive_router(now);
+    if (router == nullptr && !may_call_store(now))
+    {
+        call_in_progress_ = false;
+        next_call_due_ = now + options_.retry_pause;
+        return std::nullopt;
+    }
     if (router == nullptr)
         return watch_changes{known_revision_, options_.watch_wait};
     queried_router_ = router->name;
@@ -282,11 +291,15 @@
         const router_record* router;
     };
     const auto data_centre_hash = hash_bytes(options_.data_centre);
+    // While the store is unavailable all routers are stale, and those that
+    // watch it are the first to learn of its return.
+    const bool skips_stale = !is_store_unavailable(now);
     std::vector<candidate> candidates;
     for (const auto& [name, router] : state_.routers())
         if (name != options_.router &&
             router.data_centre == options_.data_centre &&
-            !is_unresponsive(now, name))
+            !is_unresponsive(now, name) &&
+            !(skips_stale && is_stale(now, name)))
             candidates.push_back(
                 {rendezvous_score(data_centre_hash, hash_bytes(name)),
                  &router});
@@ -319,6 +332,13 @@
     return found != unresponsive_until_.end() && found->second > now;
 }
 
+bool directory_follower::is_stale(time_point now,
+                                  const std::string& router) const
+{
+    const auto found = stale_until_.find(router);
+    return found != stale_until_.end() && found->second > now;
+}
+
 const router_record*
 directory_follower::any_responsive_router(time_point now) const
 {
@@ -331,7 +351,7 @@
     {
         const auto score = rendezvous_score(own_hash, hash_bytes(name));
         if (name == options_.router || is_unresponsive(now, name) ||
-            score <= best_score)
+            is_stale(now, name) || score <= best_score)
             continue;
         best_score = score;
         chosen = &router;
@@ -339,6 +359,20 @@
     return chosen;
 }
 
+bool directory_follower::is_store_unavailable(time_point now) const
+{
+    return confirmed_at_ &&
+           store_pace_.is_unavailable(
+               now, std::max(*confirmed_at_, store_responded_at_));
+}
+
+bool directory_follower::may_call_store(time_point now) const
+{
+    return !is_store_unavailable(now) ||
+           store_pace_.is_call_due(now, watcher(now) == nullptr,
+                                   state_.routers().size());
+}
+
 void directory_follower::record_store_return(time_point now, time_point sent_at)
 {
     // The store may have been unavailable to this router only.
@@ -387,6 +421,7 @@
 {
     call_in_progress_ = false;
     store_failed_at_.reset();
+    store_pace_.record_response();
     next_call_due_ = now;
     if (!accept_store_era(now, page.era))
         return;
@@ -472,6 +507,7 @@
 {
     call_in_progress_ = false;
     store_failed_at_.reset();
+    store_pace_.record_response();
     if (!accept_store_era(now, changes.era))
         return;
     record_store_return(now, call_sent_at_);
@@ -497,8 +533,10 @@
 {
     call_in_progress_ = false;
     store_failed_at_ = now;
+    store_pace_.record_failure(now);
     failure_pause_ = std::clamp(failure_pause_ * 2, options_.retry_pause,
-                                options_.max_retry_pause);
+                                was_complete_ ? options_.max_retry_pause
+                                              : options_.max_first_read_pause);
     next_call_due_ = now + failure_pause_;
 }
 
@@ -507,6 +545,7 @@
 {
     call_in_progress_ = false;
     store_failed_at_.reset();
+    store_pace_.record_response();
     next_call_due_ = now;
     if (accept_store_era(now, lookup.era) && pending_long_entry_)
         finish_long_entry(now, lookup.item);
@@ -604,10 +643,18 @@
     if (!response.has_history || reported_age > options_.max_reported_age)
     {
         record_store_response(response.confirmation_age_ms);
+        if (is_store_unavailable(now))
+        {
+            stale_until_[responder] = now + options_.stale_router_pause;
+            use_store_next_ = may_call_store(now);
+            if (!use_store_next_)
+                next_call_due_ = now + options_.unavailable_query_pause;
+            return true;
+        }
         // Another router may have a fresher state. A router that should watch
         // the store and is behind is skipped for longer, so that another one
         // watches.
-        unresponsive_until_[responder] =
+        stale_until_[responder] =
             now + (store_failed_at_ ? options_.stale_router_pause
                                     : options_.unresponsive_router_pause);
         use_store_next_ = true;
@@ -732,7 +779,8 @@
 {
     if (!accept_router_era(now, notice.era))
         return;
-    if (notice.era == era_ && notice.revision > known_revision_)
+    if (notice.era == era_ &&
+        (notice.revision > known_revision_ || is_store_unavailable(now)))
         next_call_due_ = std::min(next_call_due_, now);
 }
 
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -261,6 +261,20 @@
                 std::to_string(context_.confirmation_age(now) / 1ms)}});
 }
 
+void relay::record_store_availability(time_point now)
+{
+    const bool unavailable = context_.follower.is_store_unavailable(now);
+    if (unavailable == store_was_unavailable_)
+        return;
+    store_was_unavailable_ = unavailable;
+    log_event(
+        unavailable ? log_level::warning : log_level::info,
+        unavailable ? "store_unavailable" : "store_available",
+        {{"proof_age_ms", std::to_string(context_.confirmation_age(now) / 1ms)},
+         {"watches_store",
+          context_.follower.is_watching_store(now) ? "yes" : "no"}});
+}
+
 void relay::run_maintenance()
 {
     const auto now = net::boot_now();
@@ -274,6 +288,7 @@
         context_.selector.erase_removed_upstreams();
     }
     record_readiness();
+    record_store_availability(now);
     context_.protection.tick(now);
     send_protection_messages();
     maintain_registration();
@@ -305,6 +320,8 @@
                  static_cast<double>(std::ssize(quarantined) - requests));
     counters.set("baobab_watches_store",
                  context_.follower.is_watching_store(now) ? 1 : 0);
+    counters.set("baobab_store_unavailable",
+                 context_.follower.is_store_unavailable(now) ? 1 : 0);
     counters.set("baobab_log_lines_lost",
                  static_cast<double>(router::lost_log_lines()));
 }
--- a/lib/relay/relay_directory.cpp
+++ b/lib/relay/relay_directory.cpp
@@ -22,7 +22,8 @@
 constexpr duration registration_retry = 500ms;
 /// Pause after a renewal that failed; the lease outlives several of these.
 constexpr duration renewal_retry = 2s;
-/// After a restore of the store, routers register again within this time.
+/// After a restore or an outage of the store, routers register again or renew
+/// their leases within this time.
 constexpr duration registration_spread = 1s;
 
 } // namespace
@@ -50,6 +51,9 @@
          {"proof_age_ms",
           std::to_string(context_.confirmation_age(net::boot_now()) / 1ms)},
          {"reason", reason.message}});
+    // Routers that wait for the store's return query this one at once.
+    if (succeeded && store_was_unavailable_)
+        notify_routers();
 }
 
 void relay::start_call(const directory::read_page& call)
@@ -163,6 +167,14 @@
         return;
     if (!context_.follower.has_complete_state())
         return;
+    if (context_.follower.is_store_unavailable(now))
+    {
+        std::uniform_real_distribution<double> distribution{0, 1};
+        next_registration_at_ =
+            now + from_seconds(distribution(context_.random) *
+                               to_seconds(registration_spread));
+        return;
+    }
     registering_ = true;
     if (lease_)
     {
--- a/unittests/directory/directory_test.cpp
+++ b/unittests/directory/directory_test.cpp
@@ -1214,6 +1214,29 @@
     EXPECT_LE(calls, 3 * routers);
 }
 
+// Guards against a fleet whose routers all call a store that rejects calls.
+RC_GTEST_PROP(directory_follower, pattern_outage_of_a_large_fleet, ())
+{
+    constexpr std::size_t routers = 49;
+    fleet_model fleet{routers};
+    fleet.set_loss(false, 1);
+    auto now = fleet.run(start, 2s);
+    fleet.set_store_unavailable(true);
+    now = fleet.run(now, 3s);
+    const auto before = fleet.store_calls();
+    const auto outage_s = *rc::gen::inRange<std::size_t>(1, 7);
+    now = fleet.run(now, std::chrono::seconds{outage_s});
+    // Five routers watch the store and call it every 0.4 s at most; each other
+    // one calls it every 4 s on average.
+    RC_ASSERT(fleet.store_calls() - before <= 25 * outage_s + 10);
+    fleet.write_config(now);
+    fleet.set_store_unavailable(false);
+    now = fleet.run(now, 1500ms);
+    RC_ASSERT(fleet.all_have_version(fleet.version()));
+    for (std::size_t router = 0; router < routers; ++router)
+        RC_ASSERT(fleet.confirmation_age(now, router) < 2s);
+}
+
 RC_GTEST_PROP(directory_follower, few_routers_of_a_data_centre_call_the_store,
               ())
 {
