dispatch: waits for room and a schedule of returns

Seen: a request that all upstreams decline is refused, and its caller is told to return after a random 0.12 to 0.27 of its time, past its objective. Where no upstream is left, and during an outage of the store, callers are told to return soon to routers that cannot serve them either.

Change: return_schedule decides both. A request that no upstream can take waits at the router while it can still be on time, or, if it was refused before, while an answer can reach its caller. Others are refused as not run: Retry-After is the next time in an even flow at half of the rate at which room opens, all of the time left where no upstream is usable or none will have room in time, and late in the time for which callers wait where all routers lack the store. The log event "refused" and baobab_returns_total say which.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "baobabloft/directory/directory_state.hpp"
+#include "baobabloft/dispatch/return_schedule.hpp"
 #include "baobabloft/dispatch/sliding_count.hpp"
 #include "baobabloft/dispatch/traffic_monitor.hpp"
 #include "baobabloft/routing/recent_chats.hpp"
@@ -130,6 +131,11 @@
     [[nodiscard]] bool has_sound_upstream(time_point now,
                                           const upstream_query& query);
 
+    /// Returns what is known of room at the upstreams of `service`, whatever
+    /// upstreams a request has tried.
+    [[nodiscard]] room_outlook
+    outlook(time_point now, const directory::routed_service& service) const;
+
     /// Records that a request was sent to the upstream `id`, or will be at
     /// once.
     void record_sent(time_point now, const std::string& id);
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -86,6 +86,9 @@
     /// no upstream or retry budget left, tries again later if a response has
     /// begun, or else ends the request.
     void try_next_upstream();
+    /// Starts the next attempt of a request that did not run once an upstream
+    /// may have room. Returns false if the request must not wait.
+    [[nodiscard]] bool wait_for_room();
     /// Starts the next attempt after a pause, at any upstream.
     void try_later(std::string_view reason);
     /// Takes a repeat from the retry budget if the next attempt needs one.
@@ -137,6 +140,9 @@
     void close_attempt(const attempt_ptr& attempt);
     void forward_response(const attempt_ptr& attempt);
 
+    /// Returns when the caller of a request refused as `kind` may return.
+    [[nodiscard]] dispatch::planned_return
+    plan_return(router::refusal_kind kind, time_point now);
     /// Ends a request that did not run.
     void refuse(router::refusal_kind kind, std::string_view reason);
     /// Ends a request that may have run.
@@ -180,6 +186,8 @@
     time_point arrived_at_;
     time_point deadline_;
     dispatch::attempt_history history_;
+    /// Number of times the request has waited for room at an upstream.
+    std::uint32_t waits_ = 0;
     /// Ended attempts whose request was sent to an upstream.
     std::uint32_t upstream_arrivals_ = 0;
     /// A repeat was taken from the retry budget and has not reached an
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -480,6 +480,31 @@
                                });
 }
 
+room_outlook
+upstream_selector::outlook(time_point now,
+                           const directory::routed_service& service) const
+{
+    room_outlook result;
+    for (const auto& [id, item] : directory_.upstreams())
+    {
+        if (item.record.service != service.name || item.record.draining ||
+            directory_.is_out_of_service(item.record.data_centre))
+            continue;
+        auto from = now;
+        if (const auto found = states_.find(id); found != states_.end())
+        {
+            if (is_leaving(item, found->second))
+                continue;
+            from = std::max({now, found->second.avoid_until,
+                             found->second.requested_pause_until});
+        }
+        result.usable_from =
+            result.is_usable ? std::min(result.usable_from, from) : from;
+        result.is_usable = true;
+    }
+    return result;
+}
+
 void upstream_selector::record_sent(time_point now, const std::string& id)
 {
     auto& state = states_[id];
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -109,6 +109,7 @@
                                context_.router_count());
                        }},
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
+          .returns = {},
           .freshness = freshness_of(options),
           .protection = {self_id(),
                          [this]
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -35,14 +35,6 @@
 constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
 /// Longer pauses that an upstream asks for are cut before they are converted.
 constexpr double max_pause_s = 3600;
-/// Retry-After of requests that another router may be able to serve: at least
-/// the minimum, plus a random part of the spread.
-constexpr duration min_other_router_retry = 20ms;
-constexpr duration other_router_retry_spread = 60ms;
-/// Retry-After of other refusals, as a share of the time left: at least the
-/// minimum, plus a random part of the spread.
-constexpr double min_retry_share = 0.12;
-constexpr double retry_share_spread = 0.15;
 
 } // namespace
 
@@ -351,23 +343,38 @@
     finish("answered");
 }
 
-void relay_session::refuse(refusal_kind kind, std::string_view reason)
+dispatch::planned_return relay_session::plan_return(refusal_kind kind,
+                                                    time_point now)
 {
-    const auto now = net::boot_now();
+    std::uniform_real_distribution<double> distribution{0, 1};
+    const double random = distribution(context_.random);
+    const auto time_left = std::max<duration>(deadline_ - now, 0ms);
     const bool other_router_may_serve = kind == refusal_kind::isolated ||
                                         kind == refusal_kind::not_ready ||
                                         kind == refusal_kind::leaving;
-    std::uniform_real_distribution<double> distribution{0, 1};
-    duration retry_after{};
-    if (other_router_may_serve)
-        retry_after = min_other_router_retry +
-                      from_seconds(distribution(context_.random) *
-                                   to_seconds(other_router_retry_spread));
-    else if (route_ != nullptr)
-        retry_after =
-            from_seconds((min_retry_share +
-                          retry_share_spread * distribution(context_.random)) *
-                         to_seconds(std::max<duration>(deadline_ - now, 0ms)));
+    if (!other_router_may_serve)
+        return context_.returns.plan(
+            now, service_ != nullptr ? service_->name : "",
+            service_ != nullptr ? context_.selector.outlook(now, *service_)
+                                : dispatch::room_outlook{},
+            time_left, random);
+    if (kind == refusal_kind::isolated &&
+        context_.follower.is_store_unavailable(now))
+        return dispatch::return_schedule::plan_store_return(time_left, random);
+    return dispatch::return_schedule::plan_other_router(random);
+}
+
+void relay_session::refuse(refusal_kind kind, std::string_view reason)
+{
+    const auto now = net::boot_now();
+    std::optional<dispatch::planned_return> planned;
+    if (router::refusal_row_of(kind).retry_after_s > 0)
+        planned = plan_return(kind, now);
+    const auto return_reason =
+        planned ? name_in(dispatch::return_reason_names, planned->reason)
+                : "never";
+    context_.counters.increment("baobab_returns_total", "reason",
+                                return_reason);
     log_event(log_level::info, "refused",
               {{"request", request_id_},
                {"kind", std::string{router::refusal_row_of(kind).name}},
@@ -378,11 +385,12 @@
                {"proof_age_ms", format_ms(context_.confirmation_age(now))},
                {"attempts", std::to_string(history_.attempts)},
                {"after_ms", format_ms(now - arrived_at_)},
+               {"return", std::string{return_reason}},
+               {"return_ms", format_ms(planned ? planned->after : 0ms)},
                {"executed", "no"}});
     respond_with_problem(kind, router::executed::no,
-                         router::refusal_row_of(kind).retry_after_s > 0
-                             ? std::optional{retry_after}
-                             : std::nullopt);
+                         planned ? std::optional{planned->after}
+                                 : std::nullopt);
     finish("refused");
 }
 
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -286,7 +286,7 @@
         }
         if (history_.runs > 0)
             fail(refusal_kind::upstream_failed, "no other upstream available");
-        else
+        else if (!wait_for_room())
             refuse(chosen.reason == dispatch::choice::all_busy
                        ? refusal_kind::overloaded
                        : refusal_kind::no_upstream,
@@ -310,6 +310,39 @@
     start_attempt(*chosen.upstream, chosen);
 }
 
+bool relay_session::wait_for_room()
+{
+    const auto now = net::boot_now();
+    std::uniform_real_distribution<double> distribution{0, 1};
+    const auto wait =
+        dispatch::wait_for_room(now,
+                                {.arrived_at = arrived_at_,
+                                 .deadline = deadline_,
+                                 .timeout = route_->timeout,
+                                 .objective = route_->response_objective,
+                                 .waits = waits_},
+                                context_.selector.outlook(now, *service_),
+                                distribution(context_.random));
+    if (!wait)
+        return false;
+    ++waits_;
+    context_.counters.increment("baobab_waits_total", "service",
+                                service_->name);
+    log_event(log_level::info, "request_waits",
+              {{"request", request_id_},
+               {"wait_ms", format_ms(*wait)},
+               {"attempts", std::to_string(history_.attempts)},
+               {"left_ms", format_ms(deadline_ - now)}});
+    tried_upstreams_.clear();
+    attempt_timer_.set(*wait,
+                       [weak = weak_from_this()]
+                       {
+                           if (const auto self = weak.lock())
+                               self->try_next_upstream();
+                       });
+    return true;
+}
+
 void relay_session::try_later(std::string_view reason)
 {
     log_event(log_level::info, "stream_waits",
@@ -605,9 +638,10 @@
         forward_response(attempt);
         return;
     case next_step::refuse_not_run:
-        refuse(end == attempt_end::declined ? refusal_kind::overloaded
-                                            : refusal_kind::no_upstream,
-               reason);
+        if (!wait_for_room())
+            refuse(end == attempt_end::declined ? refusal_kind::overloaded
+                                                : refusal_kind::no_upstream,
+                   reason);
         return;
     case next_step::fail_unknown:
         fail(end == attempt_end::timed_out ? refusal_kind::upstream_timed_out
