--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -126,13 +126,13 @@
             except OSError:
                 pass  # the router closed the connection
 
-    def send(self, method, path, request_id, body=None):
+    def send(self, method, path, request_id, body=None, time_left_ms=4000):
         connection = http.client.HTTPConnection("127.0.0.1", self.listen,
                                                 timeout=10)
         self.addCleanup(connection.close)
         connection.request(method, path, body, {
             "Host": "relay.example", "X-Request-Id": request_id,
-            "X-Deadline-Ms": "4000"})
+            "X-Deadline-Ms": str(time_left_ms)})
         return connection.getresponse()
 
     def peak_mb(self):
@@ -342,6 +342,40 @@
         self.assertIn(self.ports[0], self.ports[1:])
 
 
+class DeclinedRequestTest(RelayTest):
+    """The upstream declines the request "a" once."""
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        declines = request_id == "a" and self.requests.count("a") == 1
+        connection.sendall(head(
+            request_id,
+            "Content-Length: 0\r\n" + ("X-Not-Run: 1\r\n" if declines else ""),
+            REFUSAL if declines else "200 OK"))
+
+    # Guards against callers that are refused again while an upstream is usable.
+    def test_a_request_that_was_refused_before_waits_for_room(self):
+        # The retry budget grows with the requests.
+        for number in range(20):
+            self.send("GET", "/safe/1", f"r{number}")
+        self.assertEqual(
+            self.send("POST", "/unsafe/1", "a", time_left_ms=3000).status, 200)
+        self.assertEqual(self.requests.count("a"), 2)
+
+    # Guards against callers that are invited back while no upstream is usable.
+    def test_without_upstreams_no_caller_is_invited_back(self):
+        self.store.write("op/evacuate/a", "{}")
+        deadline = time.monotonic() + 5
+        response = None
+        while time.monotonic() < deadline:
+            response = self.send("GET", "/safe/1", "b", time_left_ms=3000)
+            if response.status == 503:
+                break
+            time.sleep(0.1)
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["Retry-After"]), 2.9)
+
+
 class SilenceTest(RelayTest):
     """The upstreams fall silent for a while and go on."""
 
