dispatch: bounds on the requests that wait for room at a router

Waiting requests hold their bodies, up to 4 MB each, on hosts with 160 MB. waiting_room bounds them to 128 requests and 8 MiB, a quarter of either for one customer, so that a customer's surge is refused and the requests of others still wait. The gauge baobab_requests_waiting shows them.

--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -9,6 +9,7 @@
 #include "baobabloft/dispatch/return_schedule.hpp"
 #include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
+#include "baobabloft/dispatch/waiting_room.hpp"
 #include "baobabloft/http/caller_table.hpp"
 #include "baobabloft/http/channel_pool.hpp"
 #include "baobabloft/net/codec.hpp"
@@ -45,6 +46,7 @@
     dispatch::upstream_selector selector;
     dispatch::arrival_budget retry_budget;
     dispatch::return_schedule returns;
+    dispatch::waiting_room waiting;
     dispatch::freshness_bounds freshness;
     routing::crash_protection protection;
     /// See http::caller_table::record_received().
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -188,6 +188,8 @@
     dispatch::attempt_history history_;
     /// Number of times the request has waited for room at an upstream.
     std::uint32_t waits_ = 0;
+    /// Held while it waits.
+    std::optional<dispatch::waiting_room::place> waiting_place_;
     /// Ended attempts whose request was sent to an upstream.
     std::uint32_t upstream_arrivals_ = 0;
     /// A repeat was taken from the retry budget and has not reached an
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -110,6 +110,7 @@
                        }},
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
           .returns = {},
+          .waiting = dispatch::waiting_room{},
           .freshness = freshness_of(options),
           .protection = {self_id(),
                          [this]
@@ -321,6 +322,8 @@
                  static_cast<double>(std::ssize(quarantined) - requests));
     counters.set("baobab_watches_store",
                  context_.follower.is_watching_store(now) ? 1 : 0);
+    counters.set("baobab_requests_waiting",
+                 static_cast<double>(context_.waiting.size()));
     counters.set("baobab_store_unavailable",
                  context_.follower.is_store_unavailable(now) ? 1 : 0);
     counters.set("baobab_log_lines_lost",
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -323,7 +323,10 @@
                                  .waits = waits_},
                                 context_.selector.outlook(now, *service_),
                                 distribution(context_.random));
-    if (!wait)
+    if (!wait ||
+        !context_.waiting.enter(waiting_place_,
+                                customer_ != nullptr ? customer_->name : "",
+                                request_.body().size()))
         return false;
     ++waits_;
     context_.counters.increment("baobab_waits_total", "service",
@@ -337,8 +340,11 @@
     attempt_timer_.set(*wait,
                        [weak = weak_from_this()]
                        {
-                           if (const auto self = weak.lock())
-                               self->try_next_upstream();
+                           const auto self = weak.lock();
+                           if (!self)
+                               return;
+                           self->waiting_place_.reset();
+                           self->try_next_upstream();
                        });
     return true;
 }
@@ -660,6 +666,7 @@
         return;
     finished_ = true;
     attempt_timer_.clear();
+    waiting_place_.reset();
     const auto now = net::boot_now();
     // Failed attempts, refusals and failures have log events of their own;
     // this one describes every request.
--- a/lib/router/metrics.cpp
+++ b/lib/router/metrics.cpp
@@ -69,6 +69,8 @@
     metric_row{"baobab_choices_total", "Upstreams chosen, by reason"},
     metric_row{"baobab_waits_total",
                "Waits of requests for room at an upstream, by service"},
+    metric_row{"baobab_requests_waiting",
+               "Requests that wait for room at an upstream"},
     metric_row{"baobab_returns_total",
                "Refusals, by when the caller may return"},
     metric_row{"baobab_store_unavailable",
