dispatch: a reserve of repeats for requests that were refused before

Change: a request that an upstream declined and that was not refused before may use three quarters of the allowed repeats, one that was may use all, and waits up to eight times instead of four.

--- a/include/baobabloft/dispatch/arrival_budget.hpp
+++ b/include/baobabloft/dispatch/arrival_budget.hpp
@@ -22,6 +22,15 @@
     duration window = 10s;
 };
 
+/// What a repeat arrival is for.
+enum class repeat_use : std::uint8_t
+{
+    any,
+    /// An upstream declined a request that was not refused before. A reserve is
+    /// left for those that were, so that they find room first.
+    first_request
+};
+
 /// One router's share of the bound.
 class arrival_budget
 {
@@ -34,13 +43,16 @@
     void record_first_arrival(time_point now, const std::string& service);
 
     /// Spends one repeat arrival at `service`; returns false if this router's
-    /// share is used up. `router_count` is the number of routers in the fleet.
+    /// share is used up, or for `repeat_use::first_request` if only the reserve
+    /// is left. `router_count` is the number of routers in the fleet.
     bool try_take_repeat(time_point now, const std::string& service,
-                         std::size_t router_count);
+                         std::size_t router_count,
+                         repeat_use use = repeat_use::any);
 
     /// Returns true if try_take_repeat() would succeed.
     [[nodiscard]] bool has_repeat(time_point now, const std::string& service,
-                                  std::size_t router_count);
+                                  std::size_t router_count,
+                                  repeat_use use = repeat_use::any);
 
     /// Replaces the bound. Services already counted keep the length of their
     /// windows.
--- a/include/baobabloft/dispatch/return_schedule.hpp
+++ b/include/baobabloft/dispatch/return_schedule.hpp
@@ -65,10 +65,14 @@
     std::uint32_t waits = 0;
 };
 
+/// Returns true if the request has less time than its route grants, so that its
+/// caller was refused before.
+bool was_refused_before(const unplaced_request& request);
+
 /// Returns how long the request waits at this router before it is tried again;
 /// nothing if it is to be refused now. A first request waits only while it can
-/// still be answered on time. One with less time than its route grants has been
-/// refused before, and waits while an answer can reach its caller at all.
+/// still be answered on time, one that was refused before while an answer can
+/// reach its caller at all.
 /// `random` is uniform in [0, 1).
 std::optional<duration> wait_for_room(time_point now,
                                       const unplaced_request& request,
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -86,6 +86,7 @@
     /// no upstream or retry budget left, tries again later if a response has
     /// begun, or else ends the request.
     void try_next_upstream();
+    [[nodiscard]] dispatch::unplaced_request as_unplaced() const;
     /// Starts the next attempt of a request that did not run once an upstream
     /// may have room. Returns false if the request must not wait.
     [[nodiscard]] bool wait_for_room();
@@ -188,6 +189,8 @@
     dispatch::attempt_history history_;
     /// Number of times the request has waited for room at an upstream.
     std::uint32_t waits_ = 0;
+    /// The last attempt was declined.
+    bool was_declined_ = false;
     /// Held while it waits.
     std::optional<dispatch::waiting_room::place> waiting_place_;
     /// Ended attempts whose request was sent to an upstream.
--- a/lib/dispatch/arrival_budget.cpp
+++ b/lib/dispatch/arrival_budget.cpp
@@ -12,6 +12,9 @@
 /// of different routers that do not line up and routers that learn late how
 /// many routers there are.
 constexpr double used_share = 0.75;
+/// Share of the allowed repeats that requests may use which upstreams declined
+/// and which were not refused before.
+constexpr double first_request_share = 0.75;
 
 } // namespace
 
@@ -38,7 +41,7 @@
 }
 
 bool arrival_budget::has_repeat(time_point now, const std::string& service,
-                                std::size_t router_count)
+                                std::size_t router_count, repeat_use use)
 {
     auto& counts = counts_for(service);
     // What this router spent before a restart is unknown, so the fixed
@@ -49,14 +52,15 @@
         bound_.slack * window_fraction /
         static_cast<double>(std::max<std::size_t>(router_count, 1));
     const double allowed =
-        used_share * (bound_.ratio * counts.firsts.total(now) + slack_share);
+        used_share * (bound_.ratio * counts.firsts.total(now) + slack_share) *
+        (use == repeat_use::first_request ? first_request_share : 1);
     return counts.repeats.total(now) + 1.0 <= allowed;
 }
 
 bool arrival_budget::try_take_repeat(time_point now, const std::string& service,
-                                     std::size_t router_count)
+                                     std::size_t router_count, repeat_use use)
 {
-    if (!has_repeat(now, service, router_count))
+    if (!has_repeat(now, service, router_count, use))
         return false;
     counts_for(service).repeats.add(now);
     return true;
--- a/lib/dispatch/return_schedule.cpp
+++ b/lib/dispatch/return_schedule.cpp
@@ -31,7 +31,7 @@
 /// that it can still be answered on time.
 constexpr double first_wait_share = 0.5;
 /// Each wait ends with an attempt that the upstream may decline.
-constexpr std::uint32_t max_waits = 4;
+constexpr std::uint32_t max_waits = 8;
 
 duration scaled(duration length, double factor)
 {
@@ -40,6 +40,12 @@
 
 } // namespace
 
+bool was_refused_before(const unplaced_request& request)
+{
+    return request.deadline - request.arrived_at <
+           scaled(request.timeout, returned_share);
+}
+
 std::optional<duration> wait_for_room(time_point now,
                                       const unplaced_request& request,
                                       const room_outlook& outlook,
@@ -47,11 +53,9 @@
 {
     if (!outlook.is_usable || request.waits >= max_waits)
         return std::nullopt;
-    const bool has_returned = request.deadline - request.arrived_at <
-                              scaled(request.timeout, returned_share);
     auto latest =
         request.arrived_at + scaled(request.objective, first_wait_share);
-    if (has_returned)
+    if (was_refused_before(request))
         latest = std::max(latest, request.deadline - request.objective);
     const auto until = std::max(now + min_pause, outlook.usable_from) +
                        scaled(min_pause, random);
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -310,19 +310,22 @@
     start_attempt(*chosen.upstream, chosen);
 }
 
+dispatch::unplaced_request relay_session::as_unplaced() const
+{
+    return {.arrived_at = arrived_at_,
+            .deadline = deadline_,
+            .timeout = route_->timeout,
+            .objective = route_->response_objective,
+            .waits = waits_};
+}
+
 bool relay_session::wait_for_room()
 {
     const auto now = net::boot_now();
     std::uniform_real_distribution<double> distribution{0, 1};
-    const auto wait =
-        dispatch::wait_for_room(now,
-                                {.arrived_at = arrived_at_,
-                                 .deadline = deadline_,
-                                 .timeout = route_->timeout,
-                                 .objective = route_->response_objective,
-                                 .waits = waits_},
-                                context_.selector.outlook(now, *service_),
-                                distribution(context_.random));
+    const auto wait = dispatch::wait_for_room(
+        now, as_unplaced(), context_.selector.outlook(now, *service_),
+        distribution(context_.random));
     if (!wait ||
         !context_.waiting.enter(waiting_place_,
                                 customer_ != nullptr ? customer_->name : "",
@@ -370,8 +373,12 @@
 {
     if (upstream_arrivals_ == 0 || has_unused_repeat_)
         return true;
+    const bool leaves_reserve =
+        was_declined_ && !dispatch::was_refused_before(as_unplaced());
     has_unused_repeat_ = context_.retry_budget.try_take_repeat(
-        now, service_->name, context_.router_count());
+        now, service_->name, context_.router_count(),
+        leaves_reserve ? dispatch::repeat_use::first_request
+                       : dispatch::repeat_use::any);
     return has_unused_repeat_;
 }
 
@@ -574,6 +581,7 @@
     const auto now = net::boot_now();
     const bool reused = attempt->channel && attempt->channel->was_reused();
     close_attempt(attempt);
+    was_declined_ = end == attempt_end::declined;
     auto& selector = context_.selector;
     switch (end)
     {
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -935,6 +935,24 @@
     }
 }
 
+// Guards against demand above the room that spends all repeats on requests that
+// are refused for the first time.
+TEST(arrival_budget, pattern_declined_requests_leave_repeats_for_returned_ones)
+{
+    arrival_budget budget{{.ratio = 0.2, .slack = 0, .window = 10s}, start};
+    for (int request = 0; request < 1000; ++request)
+        budget.record_first_arrival(start, "chat");
+    const auto take = [&budget](repeat_use use)
+    {
+        int taken = 0;
+        while (budget.try_take_repeat(start, "chat", 1, use))
+            ++taken;
+        return taken;
+    };
+    EXPECT_EQ(take(repeat_use::first_request), 112);
+    EXPECT_EQ(take(repeat_use::any), 38);
+}
+
 TEST(arrival_budget, a_restarted_router_begins_without_the_fixed_allowance)
 {
     arrival_budget budget{{}, start};
