--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -6,9 +6,11 @@
 #include "baobabloft/directory/directory_follower.hpp"
 #include "baobabloft/dispatch/arrival_budget.hpp"
 #include "baobabloft/dispatch/freshness.hpp"
+#include "baobabloft/dispatch/return_schedule.hpp"
 #include "baobabloft/dispatch/rollout_control.hpp"
 #include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
+#include "baobabloft/dispatch/waiting_room.hpp"
 #include "baobabloft/http/caller_table.hpp"
 #include "baobabloft/http/channel_pool.hpp"
 #include "baobabloft/net/codec.hpp"
@@ -44,6 +46,8 @@
     http::channel_pool pool;
     dispatch::upstream_selector selector;
     dispatch::arrival_budget retry_budget;
+    dispatch::return_schedule returns;
+    dispatch::waiting_room waiting;
     dispatch::freshness_bounds freshness;
     routing::crash_protection protection;
     dispatch::rollout_control rollouts;
@@ -215,6 +219,9 @@
     void check_shutdown();
     /// Logs a change of readiness and updates its gauge.
     void record_readiness();
+    /// Logs whether the store has become unavailable to all routers, or is so
+    /// no longer.
+    void record_store_availability(time_point now);
     void update_gauges();
     [[nodiscard]] bool is_ready(time_point now) const;
     [[nodiscard]] http::caller_limits caller_limits() const;
@@ -242,6 +249,7 @@
     /// Result of the last call to the store.
     bool store_reachable_ = false;
     bool was_ready_ = false;
+    bool store_was_unavailable_ = false;
     /// Change count of the directory state when the selector last dropped
     /// upstreams that are no longer listed.
     std::uint64_t pruned_change_count_ = 0;
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -118,6 +118,8 @@
                                context_.router_count());
                        }},
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
+          .returns = {},
+          .waiting = dispatch::waiting_room{},
           .freshness = freshness_of(options),
           .protection = {self_id(),
                          [this]
@@ -281,6 +283,20 @@
                 std::to_string(context_.confirmation_age(now) / 1ms)}});
 }
 
+void relay::record_store_availability(time_point now)
+{
+    const bool unavailable = context_.follower.is_store_unavailable(now);
+    if (unavailable == store_was_unavailable_)
+        return;
+    store_was_unavailable_ = unavailable;
+    log_event(
+        unavailable ? log_level::warning : log_level::info,
+        unavailable ? "store_unavailable" : "store_available",
+        {{"proof_age_ms", std::to_string(context_.confirmation_age(now) / 1ms)},
+         {"watches_store",
+          context_.follower.is_watching_store(now) ? "yes" : "no"}});
+}
+
 void relay::run_maintenance()
 {
     const auto now = net::boot_now();
@@ -294,6 +310,7 @@
         context_.selector.erase_removed_upstreams();
     }
     record_readiness();
+    record_store_availability(now);
     context_.protection.tick(now);
     send_protection_messages();
     run_rollouts();
@@ -335,6 +352,10 @@
                      })));
     counters.set("baobab_watches_store",
                  context_.follower.is_watching_store(now) ? 1 : 0);
+    counters.set("baobab_requests_waiting",
+                 static_cast<double>(context_.waiting.size()));
+    counters.set("baobab_store_unavailable",
+                 context_.follower.is_store_unavailable(now) ? 1 : 0);
     counters.set("baobab_log_lines_lost",
                  static_cast<double>(router::lost_log_lines()));
 }
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -285,7 +285,7 @@
         }
         if (history_.runs > 0)
             fail(refusal_kind::upstream_failed, "no other upstream available");
-        else
+        else if (!wait_for_room())
             refuse(chosen.reason == dispatch::choice::all_busy
                        ? refusal_kind::overloaded
                        : refusal_kind::no_upstream,
@@ -341,6 +341,48 @@
                               net::boot_now() - attempt->started)});
 }
 
+dispatch::unplaced_request relay_session::as_unplaced() const
+{
+    return {.arrived_at = arrived_at_,
+            .deadline = deadline_,
+            .timeout = route_->timeout,
+            .objective = route_->response_objective,
+            .waits = waits_};
+}
+
+bool relay_session::wait_for_room()
+{
+    const auto now = net::boot_now();
+    std::uniform_real_distribution<double> distribution{0, 1};
+    const auto wait = dispatch::wait_for_room(
+        now, as_unplaced(), context_.selector.outlook(now, *service_),
+        distribution(context_.random));
+    if (!wait ||
+        !context_.waiting.enter(waiting_place_,
+                                customer_ != nullptr ? customer_->name : "",
+                                request_.body().size()))
+        return false;
+    ++waits_;
+    context_.counters.increment("baobab_waits_total", "service",
+                                service_->name);
+    log_event(log_level::info, "request_waits",
+              {{"request", request_id_},
+               {"wait_ms", format_ms(*wait)},
+               {"attempts", std::to_string(history_.attempts)},
+               {"left_ms", format_ms(deadline_ - now)}});
+    tried_upstreams_.clear();
+    attempt_timer_.set(*wait,
+                       [weak = weak_from_this()]
+                       {
+                           const auto self = weak.lock();
+                           if (!self)
+                               return;
+                           self->waiting_place_.reset();
+                           self->try_next_upstream();
+                       });
+    return true;
+}
+
 void relay_session::try_later(std::string_view reason)
 {
     log_event(log_level::info, "stream_waits",
@@ -362,8 +404,12 @@
 {
     if (upstream_arrivals_ == 0 || has_unused_repeat_)
         return true;
+    const bool leaves_reserve =
+        was_declined_ && !dispatch::was_refused_before(as_unplaced());
     has_unused_repeat_ = context_.retry_budget.try_take_repeat(
-        now, service_->name, context_.router_count());
+        now, service_->name, context_.router_count(),
+        leaves_reserve ? dispatch::repeat_use::first_request
+                       : dispatch::repeat_use::any);
     return has_unused_repeat_;
 }
 
@@ -572,6 +618,7 @@
     const auto now = net::boot_now();
     const bool reused = attempt->channel && attempt->channel->was_reused();
     close_attempt(attempt);
+    was_declined_ = end == attempt_end::declined;
     auto& selector = context_.selector;
     switch (end)
     {
@@ -644,9 +691,10 @@
         forward_response(attempt);
         return;
     case next_step::refuse_not_run:
-        refuse(end == attempt_end::declined ? refusal_kind::overloaded
-                                            : refusal_kind::no_upstream,
-               reason);
+        if (!wait_for_room())
+            refuse(end == attempt_end::declined ? refusal_kind::overloaded
+                                                : refusal_kind::no_upstream,
+                   reason);
         return;
     case next_step::fail_unknown:
         fail(end == attempt_end::timed_out ? refusal_kind::upstream_timed_out
@@ -665,6 +713,7 @@
         return;
     finished_ = true;
     attempt_timer_.clear();
+    waiting_place_.reset();
     const auto now = net::boot_now();
     // Failed attempts, refusals and failures have log events of their own;
     // this one describes every request.
