dispatch: when, where and how often slow requests get a second run

Operators saw: a few slow answers set the 99.9th percentile, and the only remedy was a retry after a multiple of the route's objective. Cause: the router knew no route's usual times and had no budget for a second run beside the first. The fake upstreams of dispatch_test have 8 slots now, as an upstream with one slot has no room for a hedge.

--- a/include/baobabloft/dispatch/arrival_budget.hpp
+++ b/include/baobabloft/dispatch/arrival_budget.hpp
@@ -42,11 +42,23 @@
     [[nodiscard]] bool has_repeat(time_point now, const std::string& service,
                                   std::size_t router_count);
 
+    /// Sets the share of a service's requests that may be sent to a second
+    /// upstream while the first has not responded; 0 for none.
+    void set_hedge_share(double share);
+
+    /// Spends one repeat arrival at `service` on such a request; returns false
+    /// if this router's share is used up. Retries come first: hedges leave half
+    /// of the repeat arrivals to them.
+    bool try_take_hedge(time_point now, const std::string& service,
+                        std::size_t router_count);
+
     /// Replaces the bound. Services already counted keep the length of their
     /// windows.
     void set_bound(const arrival_bound& bound);
 
 private:
+    static constexpr duration hedge_window = 60s;
+
     struct arrival_counts
     {
         explicit arrival_counts(duration window)
@@ -56,11 +68,20 @@
 
         sliding_count firsts;
         sliding_count repeats;
+        /// First arrivals and hedges over a longer time, since a router with
+        /// few requests earns less than one hedge per window.
+        sliding_count hedged_firsts{hedge_window};
+        sliding_count hedges{hedge_window};
     };
 
     arrival_counts& counts_for(const std::string& service);
+    /// Returns the repeat arrivals that this router may spend in a window.
+    [[nodiscard]] double allowed_repeats(time_point now,
+                                         const arrival_counts& counts,
+                                         std::size_t router_count) const;
 
     arrival_bound bound_;
+    double hedge_share_ = 0;
     time_point started_;
     std::unordered_map<std::string, arrival_counts> services_;
 };
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -130,6 +130,13 @@
     [[nodiscard]] bool has_sound_upstream(time_point now,
                                           const upstream_query& query);
 
+    /// Returns the upstream for a second run of a request whose first one is
+    /// slow, or null. It is up, warm, below the load limit, has not failed of
+    /// late and has room, as most of the service's upstreams must. Records
+    /// nothing.
+    [[nodiscard]] const directory::known_upstream*
+    choose_hedge(time_point now, const upstream_query& query);
+
     /// Records that a request was sent to the upstream `id`, or will be at
     /// once.
     void record_sent(time_point now, const std::string& id);
@@ -144,6 +151,10 @@
     /// Records that a request at `id` failed. Pauses `id` after several
     /// failures in a row or if its failure rate is too high.
     void record_failure(time_point now, const std::string& id);
+    /// Records that a slow request at `id` was cancelled without a response, as
+    /// another upstream responded to it first. That is no failure, but `id` is
+    /// paused after several in a row.
+    void record_cancelled(time_point now, const std::string& id);
     /// Records that `id` announced that it leaves: it gets no further requests
     /// in this lifetime, whatever the directory says. Returns false if that is
     /// known.
@@ -185,6 +196,10 @@
         /// Moving average, 0 to 1.
         double failure_rate = 0;
         std::uint32_t consecutive_failures = 0;
+        std::uint32_t consecutive_cancellations = 0;
+        /// When the upstream last reported that requests wait in its queue;
+        /// empty if its latest report says that none does.
+        std::optional<time_point> queue_reported_at;
         /// End of the current pause.
         time_point avoid_until;
         /// End of the pause that the upstream asked for.
@@ -253,6 +268,9 @@
                                        const upstream_query& query,
                                        const candidate& item,
                                        double limit) const;
+    /// Returns true if the upstream could run another request at once, as far
+    /// as is known.
+    static bool has_room(time_point now, const candidate& item);
     /// Returns the best of `eligible`, which are in the order of preference:
     /// the first, or another one that has the prefix cached. `is_preferred` is
     /// true if the first is the preferred one of all candidates.
--- a/lib/dispatch/arrival_budget.cpp
+++ b/lib/dispatch/arrival_budget.cpp
@@ -12,6 +12,8 @@
 /// of different routers that do not line up and routers that learn late how
 /// many routers there are.
 constexpr double used_share = 0.75;
+/// Share of a router's repeat arrivals up to which hedges are sent.
+constexpr double hedge_part = 0.5;
 
 } // namespace
 
@@ -34,13 +36,16 @@
 void arrival_budget::record_first_arrival(time_point now,
                                           const std::string& service)
 {
-    counts_for(service).firsts.add(now);
+    auto& counts = counts_for(service);
+    counts.firsts.add(now);
+    if (hedge_share_ > 0)
+        counts.hedged_firsts.add(now);
 }
 
-bool arrival_budget::has_repeat(time_point now, const std::string& service,
-                                std::size_t router_count)
+double arrival_budget::allowed_repeats(time_point now,
+                                       const arrival_counts& counts,
+                                       std::size_t router_count) const
 {
-    auto& counts = counts_for(service);
     // What this router spent before a restart is unknown, so the fixed
     // allowance grows from zero over the first window.
     const double window_fraction = std::clamp(
@@ -48,9 +53,15 @@
     const double slack_share =
         bound_.slack * window_fraction /
         static_cast<double>(std::max<std::size_t>(router_count, 1));
-    const double allowed =
-        used_share * (bound_.ratio * counts.firsts.total(now) + slack_share);
-    return counts.repeats.total(now) + 1.0 <= allowed;
+    return used_share * (bound_.ratio * counts.firsts.total(now) + slack_share);
+}
+
+bool arrival_budget::has_repeat(time_point now, const std::string& service,
+                                std::size_t router_count)
+{
+    const auto& counts = counts_for(service);
+    return counts.repeats.total(now) + 1.0 <=
+           allowed_repeats(now, counts, router_count);
 }
 
 bool arrival_budget::try_take_repeat(time_point now, const std::string& service,
@@ -62,4 +73,24 @@
     return true;
 }
 
+void arrival_budget::set_hedge_share(double share)
+{
+    hedge_share_ = share;
+}
+
+bool arrival_budget::try_take_hedge(time_point now, const std::string& service,
+                                    std::size_t router_count)
+{
+    auto& counts = counts_for(service);
+    const double allowed_hedges =
+        used_share * hedge_share_ * counts.hedged_firsts.total(now);
+    if (counts.hedges.total(now) + 1.0 > allowed_hedges ||
+        counts.repeats.total(now) + 1.0 >
+            hedge_part * allowed_repeats(now, counts, router_count))
+        return false;
+    counts.hedges.add(now);
+    counts.repeats.add(now);
+    return true;
+}
+
 } // namespace baobabloft::dispatch
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -84,6 +84,11 @@
 constexpr double failure_rate_limit = 0.45;
 /// Failures in a row from which an upstream is paused.
 constexpr std::uint32_t consecutive_failure_limit = 3;
+/// Time for which a report of waiting requests is taken to hold.
+constexpr duration queue_report_lifetime = 2s;
+/// Share of a service's upstreams that must have room for another request
+/// before one is sent to a second upstream.
+constexpr double min_share_with_room = 0.75;
 
 /// Share of the cold-start limit that all routers use together.
 constexpr double cold_used_share = 0.6;
@@ -480,6 +485,52 @@
                                });
 }
 
+bool upstream_selector::has_room(time_point now, const candidate& item)
+{
+    const auto& queued_at = item.state->queue_reported_at;
+    return item.load + 1 <= item.upstream->record.slots &&
+           (!queued_at || now - *queued_at > queue_report_lifetime);
+}
+
+const directory::known_upstream*
+upstream_selector::choose_hedge(time_point now, const upstream_query& query)
+{
+    load_means means;
+    auto candidates = usable_candidates(now, query, means);
+    if (query.affinity)
+        rank_by_affinity(now, *query.affinity, means.of_usable, candidates);
+    else
+        rank_by_cost(candidates);
+    const double limit = load_limit(query, means);
+    auto any_upstream = query;
+    any_upstream.excluded_ids = {};
+    std::size_t with_room = 0;
+    const candidate* first = nullptr;
+    const candidate* holder = nullptr;
+    for (const auto& item : candidates)
+    {
+        if (classify(now, any_upstream, item, limit) != eligibility::eligible ||
+            !has_room(now, item))
+            continue;
+        ++with_room;
+        if (item.state->consecutive_failures > 0 ||
+            std::ranges::find(query.excluded_ids, item.upstream->record.id) !=
+                query.excluded_ids.end())
+            continue;
+        if (first == nullptr)
+            first = &item;
+        if (holder == nullptr && query.affinity &&
+            cached_prefixes_.contains(
+                now, prefix_key(*query.affinity, *item.upstream)))
+            holder = &item;
+    }
+    if (first == nullptr ||
+        static_cast<double>(with_room) <
+            min_share_with_room * static_cast<double>(candidates.size()))
+        return nullptr;
+    return (holder != nullptr ? holder : first)->upstream;
+}
+
 void upstream_selector::record_sent(time_point now, const std::string& id)
 {
     auto& state = states_[id];
@@ -499,7 +550,10 @@
 {
     const auto reported = load.running + load.waiting;
     traffic_.record_load(now, make_upstream_id(id), reported);
-    update_load(states_[id], now, reported);
+    auto& state = states_[id];
+    update_load(state, now, reported);
+    state.queue_reported_at =
+        load.waiting > 0 ? std::optional{now} : std::nullopt;
 }
 
 void upstream_selector::update_load(upstream_state& state,
@@ -563,6 +617,7 @@
     auto& state = states_[id];
     state.failure_rate *= 1 - failure_weight;
     state.consecutive_failures = 0;
+    state.consecutive_cancellations = 0;
     state.backoff = duration{0};
     state.avoid_until = {};
 }
@@ -585,6 +640,15 @@
         back_off(now, state, failure_pause, max_failure_pause);
 }
 
+void upstream_selector::record_cancelled(time_point now, const std::string& id)
+{
+    auto& state = states_[id];
+    if (++state.consecutive_cancellations < consecutive_failure_limit)
+        return;
+    state.consecutive_cancellations = 0;
+    back_off(now, state, failure_pause, max_failure_pause);
+}
+
 bool upstream_selector::record_leaving(const std::string& id)
 {
     const auto known = directory_.upstreams().find(id);
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -51,6 +51,7 @@
         upstream.id = key.name;
         upstream.service = "chat";
         upstream.data_centre = key.name.substr(3, 1);
+        upstream.slots = 8;
         upstream.draining = value == "draining";
         if (value == "cold")
             upstream.cold_remaining = 3s;
@@ -182,6 +183,62 @@
     EXPECT_EQ(id_of(choose(start + 65s, 42)), paused);
 }
 
+// Guards against hedges to upstreams that cannot take them at once.
+TEST_F(selector_test, hedges_go_to_sound_upstreams_with_room_only)
+{
+    add_engines(9);
+    const std::vector<std::string> slow{"up/a/0"};
+    const auto hedge = [&](std::optional<std::uint64_t> affinity = {})
+    {
+        const auto* chosen =
+            selector.choose_hedge(start, {.service = &service,
+                                          .affinity = affinity,
+                                          .excluded_ids = slow,
+                                          .is_repeatable = true});
+        return chosen == nullptr ? "" : chosen->record.id;
+    };
+    const auto first = hedge(42);
+    EXPECT_NE(first, "");
+    EXPECT_NE(first, slow.front());
+    EXPECT_NE(hedge(), "");
+    selector.record_failure(start, first);
+    EXPECT_NE(hedge(42), first);
+    selector.record_success(start, first);
+    EXPECT_EQ(hedge(42), first);
+    add(first, "cold");
+    const auto second = hedge(42);
+    EXPECT_NE(second, first);
+    selector.record_requested_pause(start, second, 2s);
+    const auto third = hedge(42);
+    EXPECT_NE(third, second);
+    add(third, "draining");
+    EXPECT_NE(hedge(42), third);
+    // Under three quarters of the others have room now.
+    selector.record_load(start, "up/a/0", {.running = 1, .waiting = 4});
+    EXPECT_EQ(hedge(42), "");
+}
+
+// Guards against an upstream that never responds and is never paused, since
+// other upstreams respond first.
+TEST_F(selector_test, cancelled_requests_in_a_row_pause_an_upstream)
+{
+    add_engines(3);
+    const std::vector<std::string> others{"up/b/1", "up/c/2"};
+    const auto is_sound = [&]
+    {
+        return selector.has_sound_upstream(
+            start, {.service = &service, .excluded_ids = others});
+    };
+    for (int count = 0; count < 2; ++count)
+        selector.record_cancelled(start, "up/a/0");
+    selector.record_success(start, "up/a/0");
+    for (int count = 0; count < 2; ++count)
+        selector.record_cancelled(start, "up/a/0");
+    EXPECT_TRUE(is_sound());
+    selector.record_cancelled(start, "up/a/0");
+    EXPECT_FALSE(is_sound());
+}
+
 TEST_F(selector_test, upstreams_draining_or_out_of_service_get_no_requests)
 {
     add("up/a/0");
