relay: hedged requests, off by default

Change: with hedge-share above 0, a safe request or resumable stream without a first byte after its route's usual time is sent to a second upstream as well. The first usable response wins and the other attempt is closed at once. It is logged and counted as cancelled, not as failed, and counts as a run and an arrival. With the default of 0 no time is measured and no timer is set. Measured: end to end, a request whose upstream is silent for a second is answered by another one, and the first run is closed within 0.3 s (HedgeTest); without the setting it moves after its timeout as before (HedgesOffTest).

--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -6,6 +6,7 @@
 #include "baobabloft/directory/directory_follower.hpp"
 #include "baobabloft/dispatch/arrival_budget.hpp"
 #include "baobabloft/dispatch/freshness.hpp"
+#include "baobabloft/dispatch/hedge_policy.hpp"
 #include "baobabloft/dispatch/shutdown_rules.hpp"
 #include "baobabloft/dispatch/upstream_selector.hpp"
 #include "baobabloft/http/caller_table.hpp"
@@ -43,6 +44,7 @@
     http::channel_pool pool;
     dispatch::upstream_selector selector;
     dispatch::arrival_budget retry_budget;
+    dispatch::hedge_policy hedges;
     dispatch::freshness_bounds freshness;
     routing::crash_protection protection;
     /// See http::caller_table::record_received().
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -54,6 +54,12 @@
         bool is_under_way = false;
         /// The response is forwarded event by event as it arrives.
         bool is_stream = false;
+        /// The time to its first byte counts for the route's distribution, and
+        /// is not recorded yet.
+        bool is_timed = false;
+        /// No first byte has arrived within the time that is usual for the
+        /// route.
+        bool is_slow = false;
         /// The attempt has ended; later callbacks of it are ignored.
         bool over = false;
     };
@@ -95,10 +101,35 @@
     make_query(std::span<const std::string> excluded_ids) const;
     void start_attempt(const directory::known_upstream& upstream,
                        const dispatch::selection& chosen);
+    /// Sends the request as `attempt`, which is new.
+    void send_attempt(const attempt_ptr& attempt,
+                      const directory::known_upstream& upstream,
+                      const dispatch::selection& chosen);
     http::request_head upstream_head(const directory::upstream_record& target,
                                      const dispatch::selection& chosen,
                                      time_point now) const;
 
+    /// Schedules a hedge for the time at which the request's first attempt is
+    /// slow for its route.
+    void arm_hedge_timer(const attempt_ptr& attempt);
+    /// Starts a hedge if the request, the service and the budget permit one.
+    void on_slow(const attempt_ptr& attempt);
+    /// Returns true if the request may run at a second upstream at once.
+    [[nodiscard]] bool may_hedge(time_point now) const;
+    /// Records the time to the first byte of a response.
+    void record_first_byte(const attempt_ptr& attempt);
+    void on_hedge_body(const attempt_ptr& attempt, std::string_view bytes);
+    void on_hedge_complete(const attempt_ptr& attempt);
+    /// Makes the hedge the current attempt, and cancels the former one unless
+    /// it has ended.
+    void adopt_hedge(dispatch::hedge_outcome outcome);
+    /// Cancels the hedge if there is one.
+    void cancel_hedge();
+    /// Ends an attempt whose response is no longer needed. That is no failure.
+    void cancel_attempt(const attempt_ptr& attempt);
+    /// Records what became of the hedge, and forgets it.
+    void record_hedge_outcome(dispatch::hedge_outcome outcome);
+
     void on_head(const attempt_ptr& attempt, const http::response_head& head);
     void on_body(const attempt_ptr& attempt, std::string_view bytes);
     void on_complete(const attempt_ptr& attempt);
@@ -133,7 +164,9 @@
     /// Records how an attempt ended and takes the next step of the request.
     void end_attempt(const attempt_ptr& attempt, dispatch::attempt_end end,
                      std::string_view reason);
-    /// Releases the attempt's connection and stops its timer.
+    /// Releases the attempt's connection.
+    void release_attempt(const attempt_ptr& attempt);
+    /// Releases the connection of the current attempt and stops its timer.
     void close_attempt(const attempt_ptr& attempt);
     void forward_response(const attempt_ptr& attempt);
 
@@ -188,6 +221,10 @@
     /// Ids of the upstreams at which an attempt failed.
     std::vector<std::string> tried_upstreams_;
     attempt_ptr current_attempt_;
+    /// Second attempt that runs beside the current one; null if none. Its
+    /// response is buffered until it becomes the current attempt.
+    attempt_ptr hedge_attempt_;
+    net::restartable_timer hedge_timer_;
     net::restartable_timer attempt_timer_;
     router::sse_splitter event_splitter_;
     std::optional<std::uint64_t> last_event_id_;
--- a/include/baobabloft/router/settings.hpp
+++ b/include/baobabloft/router/settings.hpp
@@ -59,6 +59,9 @@
     /// Retries per window beyond retry_ratio, over the whole fleet.
     double retry_slack = 58;
     duration retry_window = 10s;
+    /// Share of a service's requests that the fleet may send to a second
+    /// upstream while the first is slow; 0 for none.
+    double hedge_share = 0;
     /// Highest request rate of a cold upstream, as a multiple of the cold rate
     /// of its service.
     double cold_overrun = 1.5;
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -109,6 +109,7 @@
                                context_.router_count());
                        }},
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
+          .hedges = dispatch::hedge_policy{options.hedge_share},
           .freshness = freshness_of(options),
           .protection = {self_id(),
                          [this]
@@ -126,6 +127,7 @@
           .shutdown_started_at = std::nullopt},
       started_at_(net::boot_now())
 {
+    context_.retry_budget.set_hedge_share(options.hedge_share);
 }
 
 relay::~relay() = default;
@@ -319,6 +321,8 @@
     if (!context_.is_shutting_down())
         context_.shutdown.limit = options.shutdown_timeout;
     context_.retry_budget.set_bound(arrival_bound_of(options));
+    context_.retry_budget.set_hedge_share(options.hedge_share);
+    context_.hedges.set_max_share(options.hedge_share);
     context_.selector.set_cold_start_limit(
         {.overrun = options.cold_overrun, .slack = options.cold_slack});
     const bool listeners_changed =
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -31,8 +31,6 @@
 /// A request that crashes its upstream does so when its response begins. A
 /// response with more events than this is well under way.
 constexpr std::uint32_t max_events_of_suspect = 1;
-constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
-constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
 /// Longer pauses that an upstream asks for are cut before they are converted.
 constexpr double max_pause_s = 3600;
 /// Retry-After of requests that another router may be able to serve: at least
@@ -91,6 +89,8 @@
     record_announcements(attempt);
     attempt->is_stream = route_->kind == directory::request_kind::streaming &&
                          head.result_int() == status_ok;
+    if (!attempt->is_stream && head.result_int() < first_server_error)
+        record_first_byte(attempt);
 }
 
 void relay_session::record_announcements(const attempt_ptr& attempt)
@@ -118,6 +118,11 @@
 
 void relay_session::on_body(const attempt_ptr& attempt, std::string_view bytes)
 {
+    if (attempt == hedge_attempt_)
+    {
+        on_hedge_body(attempt, bytes);
+        return;
+    }
     if (!attempt->is_stream)
     {
         attempt->body += bytes;
@@ -237,6 +242,8 @@
 
 void relay_session::start_stream(const attempt_ptr& attempt)
 {
+    record_first_byte(attempt);
+    cancel_hedge();
     stream_started_ = true;
     history_.response_started = true;
     http::response_head head;
@@ -249,7 +256,9 @@
 
 void relay_session::on_complete(const attempt_ptr& attempt)
 {
-    if (attempt->is_stream)
+    if (attempt == hedge_attempt_)
+        on_hedge_complete(attempt);
+    else if (attempt->is_stream)
         finish_stream(attempt);
     else
         finish_buffered(attempt);
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -68,8 +68,8 @@
                              std::shared_ptr<http::caller_channel> caller,
                              http::request&& request)
     : context_(context), caller_(std::move(caller)),
-      request_(std::move(request)), attempt_timer_(context.loop),
-      pace_timer_(context.loop)
+      request_(std::move(request)), hedge_timer_(context.loop),
+      attempt_timer_(context.loop), pace_timer_(context.loop)
 {
     context_.counters.add_requests_in_progress(1);
 }
@@ -381,8 +381,25 @@
 void relay_session::start_attempt(const directory::known_upstream& upstream,
                                   const dispatch::selection& chosen)
 {
-    const auto now = net::boot_now();
     const auto attempt = std::make_shared<upstream_attempt>();
+    ++history_.attempts;
+    current_attempt_ = attempt;
+    event_splitter_.clear();
+    is_paused_for_caller_ = false;
+    is_paused_for_pace_ = false;
+    pace_timer_.clear();
+    send_attempt(attempt, upstream, chosen);
+    if (attempt->over)
+        return;
+    arm_attempt_timer(attempt);
+    arm_hedge_timer(attempt);
+}
+
+void relay_session::send_attempt(const attempt_ptr& attempt,
+                                 const directory::known_upstream& upstream,
+                                 const dispatch::selection& chosen)
+{
+    const auto now = net::boot_now();
     attempt->upstream = upstream.record.id;
     attempt->chosen = chosen;
     if (chosen.prefix_source != nullptr)
@@ -390,12 +407,6 @@
     attempt->chosen.upstream = nullptr;
     attempt->chosen.prefix_source = nullptr;
     attempt->started = now;
-    ++history_.attempts;
-    current_attempt_ = attempt;
-    event_splitter_.clear();
-    is_paused_for_caller_ = false;
-    is_paused_for_pace_ = false;
-    pace_timer_.clear();
     const bool is_repeatable = route_->is_repeatable();
     attempt->channel = context_.pool.acquire(
         now, upstream.record.id, upstream.record.address,
@@ -422,8 +433,6 @@
          .on_body = as_callback(&relay_session::on_body),
          .on_complete = as_callback(&relay_session::on_complete),
          .on_failure = as_callback(&relay_session::on_failure)});
-    if (!attempt->over)
-        arm_attempt_timer(attempt);
 }
 
 duration relay_session::attempt_timeout(time_point now) const
@@ -498,7 +507,8 @@
                                                         : attempt_end::not_sent;
     // The upstream may still answer, so that its silence ends nothing unless
     // the request can go on elsewhere.
-    if (now + timer_tolerance < deadline_ && !can_move_from(attempt, end, now))
+    if (now + timer_tolerance < deadline_ && !hedge_attempt_ &&
+        !can_move_from(attempt, end, now))
     {
         log_event(log_level::info, "silent_attempt_kept",
                   {{"request", request_id_},
@@ -514,10 +524,15 @@
 {
     if (attempt->over)
         return;
-    attempt->over = true;
     attempt_timer_.clear();
-    context_.selector.record_ended(attempt->upstream);
     event_splitter_.clear();
+    release_attempt(attempt);
+}
+
+void relay_session::release_attempt(const attempt_ptr& attempt)
+{
+    attempt->over = true;
+    context_.selector.record_ended(attempt->upstream);
     if (!attempt->channel)
         return;
     if (attempt->channel->is_reusable())
@@ -534,7 +549,11 @@
     const auto self = shared_from_this();
     const auto now = net::boot_now();
     const bool reused = attempt->channel && attempt->channel->was_reused();
-    close_attempt(attempt);
+    const bool is_hedge = attempt == hedge_attempt_;
+    if (is_hedge)
+        release_attempt(attempt);
+    else
+        close_attempt(attempt);
     auto& selector = context_.selector;
     switch (end)
     {
@@ -572,23 +591,41 @@
         has_unused_repeat_ = false;
     tried_upstreams_.push_back(attempt->upstream);
     history_.has_time = now + min_attempt_time < deadline_;
+    if (!is_hedge && !history_.has_time)
+        cancel_hedge();
     const auto step = step_after(*route_, end, history_);
     context_.counters.increment("baobab_attempt_ends_total", "end",
                                 name_in(dispatch::attempt_end_names, end));
-    log_event(
-        log_level::info, "attempt_failed",
-        {{"request", request_id_},
-         {"upstream", attempt->upstream},
-         {"end", std::string{name_in(dispatch::attempt_end_names, end)}},
-         {"why", std::string{reason}},
-         {"after_ms", format_ms(now - attempt->started)},
-         {"choice",
-          std::string{name_in(dispatch::choice_names, attempt->chosen.reason)}},
-         {"load", format_one_decimal(attempt->chosen.load)},
-         {"mean", format_one_decimal(attempt->chosen.mean_load)},
-         {"runs", std::to_string(history_.runs)},
-         {"left_ms", format_ms(deadline_ - now)},
-         {"next", std::string{name_in(dispatch::next_step_names, step)}}});
+    log_event(log_level::info, "attempt_failed",
+              {{"request", request_id_},
+               {"upstream", attempt->upstream},
+               {"end", std::string{name_in(dispatch::attempt_end_names, end)}},
+               {"why", std::string{reason}},
+               {"after_ms", format_ms(now - attempt->started)},
+               {"choice", std::string{name_in(dispatch::choice_names,
+                                              attempt->chosen.reason)}},
+               {"load", format_one_decimal(attempt->chosen.load)},
+               {"mean", format_one_decimal(attempt->chosen.mean_load)},
+               {"runs", std::to_string(history_.runs)},
+               {"left_ms", format_ms(deadline_ - now)},
+               {"next",
+                hedge_attempt_
+                    ? "other_attempt"
+                    : std::string{name_in(dispatch::next_step_names, step)}}});
+    if (is_hedge)
+    {
+        attempt->body = {};
+        // What the hedge took from the retry budget is left for a retry.
+        has_unused_repeat_ = end == attempt_end::not_sent;
+        record_hedge_outcome(dispatch::hedge_outcome::failed);
+        return;
+    }
+    if (hedge_attempt_)
+    {
+        attempt->body = {};
+        adopt_hedge(dispatch::hedge_outcome::replaced);
+        return;
+    }
     if (step != next_step::forward)
         attempt->body = {};
     switch (step)
@@ -626,6 +663,8 @@
         return;
     finished_ = true;
     attempt_timer_.clear();
+    hedge_timer_.clear();
+    cancel_hedge();
     const auto now = net::boot_now();
     // Failed attempts, refusals and failures have log events of their own;
     // this one describes every request.
@@ -669,12 +708,14 @@
     if (!current_attempt_ || current_attempt_->over)
         return {};
     return {.upstream = current_attempt_->upstream,
-            .bytes =
-                current_attempt_->body.capacity() + event_splitter_.capacity()};
+            .bytes = current_attempt_->body.capacity() +
+                     event_splitter_.capacity() +
+                     (hedge_attempt_ ? hedge_attempt_->body.capacity() : 0)};
 }
 
 void relay_session::release_response()
 {
+    cancel_hedge();
     if (!finished_ && current_attempt_ && !current_attempt_->over)
         end_attempt(current_attempt_, attempt_end::broken,
                     "buffers of the router are full");
--- a/lib/relay/session_text.hpp
+++ b/lib/relay/session_text.hpp
@@ -12,6 +12,12 @@
 namespace baobabloft::relay
 {
 
+/// Longest response that is buffered.
+inline constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
+
+/// Longest event of a stream.
+inline constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
+
 /// Returns true if callers take `status` as a promise that the request has not
 /// run and will not run.
 bool promises_not_run(unsigned status);
--- a/lib/router/metrics.cpp
+++ b/lib/router/metrics.cpp
@@ -68,7 +68,12 @@
                "Connections to upstreams opened since the start"},
     metric_row{"baobab_choices_total", "Upstreams chosen, by reason"},
     metric_row{"baobab_attempt_ends_total",
-               "Attempts without a usable answer, by how they ended"},
+               "Attempts without a usable answer, or cancelled, by how they "
+               "ended"},
+    metric_row{"baobab_hedges_total",
+               "Second attempts beside a slow one, by outcome"},
+    metric_row{"baobab_hedges_withheld_total",
+               "Slow requests without a second attempt, by reason"},
     metric_row{"baobab_log_lines_lost",
                "Log lines that standard output did not take"},
     metric_row{"baobab_ready", "1 if the router takes new requests"},
--- a/lib/router/settings.cpp
+++ b/lib/router/settings.cpp
@@ -117,6 +117,9 @@
 
 constexpr std::size_t max_bytes = std::size_t{1} << 30U;
 
+/// Beyond this share, requests that are slow cannot be told from the others.
+constexpr double max_hedge_share = 0.25;
+
 constexpr std::array table{
     setting_row{"listen", "IP:PORT", "127.0.0.1:8080", false,
                 "address for callers and operators",
@@ -301,6 +304,14 @@
                 {
                     return apply_seconds(result.retry_window, text);
                 }},
+    setting_row{"hedge-share", "SHARE", "0", false,
+                "share of a service's requests that the fleet may send to a "
+                "second upstream while the first is slow; 0 for none",
+                [](settings& result, const std::string& text)
+                {
+                    return apply_number<double>(result.hedge_share, text, 0,
+                                                max_hedge_share);
+                }},
     setting_row{"cold-overrun", "MULTIPLE", "1.5", false,
                 "highest request rate of a cold upstream, as a multiple of its "
                 "service's cold rate",
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -377,6 +377,101 @@
         self.check_that_silence_ends_nothing()
 
 
+class HedgeTest(RelayTest):
+    """The first run of a request "slow-..." gets no response for a second; a
+    second run gets one at once."""
+    upstreams = 4
+    extra_settings = "hedge-share=0.25\n"
+
+    def setUp(self):
+        self.cancelled_after = {}
+        super().setUp()
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        run = self.requests.count(request_id)
+        length = "Content-Length: 2\r\n"
+        if not request_id.startswith("slow"):
+            time.sleep(0.02 if request_id.startswith("usual") else 0)
+            body = event(1) if "stream" in request_id else b"ok"
+            connection.sendall(
+                head(request_id, f"Content-Length: {len(body)}\r\n") + body)
+        elif run > 1:
+            connection.sendall(head(request_id) + event(1) + event(2)
+                               if "stream" in request_id
+                               else head(request_id, length) + b"2.")
+            connection.shutdown(socket.SHUT_RDWR)
+        else:
+            if "stream" in request_id:
+                connection.sendall(head(request_id) + b": one\n\nid: 1\n")
+            started = time.monotonic()
+            connection.settimeout(1)
+            try:
+                connection.recv(1)
+            except TimeoutError:
+                connection.sendall(head(request_id, length) + b"1.")
+                return
+            except ConnectionError:
+                pass
+            self.cancelled_after[request_id] = time.monotonic() - started
+            connection.shutdown(socket.SHUT_RDWR)
+
+    def learn(self, method, path):
+        for number in range(40):
+            self.send(method, path, f"usual-{number}{path}").read()
+        # Requests that may not be repeated add to the budget.
+        for number in range(60):
+            self.send("POST", "/unsafe/1", f"unsafe-{number}").read()
+        self.send(method, path, f"quick{path}").read()
+
+    def log_of(self, request_id):
+        with open(self.log_path, encoding="utf-8") as file:
+            return "".join(line for line in file if request_id in line)
+
+    def check_hedged(self, request_id):
+        self.assertLess(self.cancelled_after[request_id], 0.3)
+        log = self.log_of(request_id)
+        self.assertIn("hedge_sent", log)
+        self.assertIn("attempt_cancelled", log)
+        self.assertNotIn("attempt_failed", log)
+        self.assertEqual(self.requests.count(request_id), 2)
+
+    # Guards against requests that wait for one slow upstream, and against a
+    # run that goes on after its request has been answered.
+    def test_a_slow_request_gets_its_answer_from_a_second_upstream(self):
+        self.learn("GET", "/safe/1")
+        self.assertEqual(self.send("GET", "/safe/1", "slow-safe").read(),
+                         b"2.")
+        time.sleep(0.1)
+        self.check_hedged("slow-safe")
+
+    # Guards against a stream that is mixed from two runs.
+    def test_a_slow_stream_comes_from_one_run_only(self):
+        self.learn("POST", "/stream/1")
+        self.assertEqual(self.send("POST", "/stream/1", "slow-stream").read(),
+                         event(1) + event(2))
+        time.sleep(0.1)
+        self.check_hedged("slow-stream")
+
+    def test_a_request_that_may_not_be_repeated_runs_once(self):
+        self.learn("GET", "/safe/1")
+        self.assertEqual(self.send("POST", "/unsafe/1", "slow-unsafe").read(),
+                         b"1.")
+        self.assertEqual(self.requests.count("slow-unsafe"), 1)
+
+
+class HedgesOffTest(HedgeTest):
+    """Without the setting, a slow request moves after its attempt's timeout, as
+    before."""
+    extra_settings = ""
+
+    def check_hedged(self, request_id):
+        log = self.log_of(request_id)
+        self.assertNotIn("hedge_sent", log)
+        self.assertNotIn("attempt_cancelled", log)
+        self.assertIn("attempt_failed", log)
+
+
 class UnreachableUpstreamTest(RelayTest):
     upstreams = 2
     zones = "ab"
