baobabctl where: which upstream a request would get, and why

Operators saw: why a router prefers an upstream could only be read from logs of requests that had been sent. Change: with a directory, the metrics listener serves /where: for a route, a customer and prompt parts the candidates in order, with load, its age, cold time, pause, failures and cached tokens, the load limit, and the refusal if there is one. upstream_selector::explain() runs the code of choose() and puts back what that records. baobabctl asks one router or several, says whether they agree, prints text or JSON (--json), and names the remedy for an unknown route or customer and for routers that do not respond. The choice of the service moved from the session to request_target, which both use. Measured: end to end, 12 of 12 requests went where the command had said, asked twice before each (WhereTest); 60 of 60 choices in virtual time, and the same as those of a selector that nobody asks. Not there yet: Retry-After of a refusal, and fleets with presets.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "baobabloft/directory/directory_state.hpp"
+#include "baobabloft/dispatch/choice_report.hpp"
 #include "baobabloft/dispatch/sliding_count.hpp"
 #include "baobabloft/dispatch/traffic_monitor.hpp"
 #include "baobabloft/routing/recent_chats.hpp"
@@ -125,6 +126,11 @@
     /// record_sent().
     selection choose(time_point now, const upstream_query& query);
 
+    /// Returns the choice that choose() would make now, and what it rests on.
+    /// Records nothing, so that it changes no later choice.
+    [[nodiscard]] choice_report explain(time_point now,
+                                        const upstream_query& query);
+
     /// Returns true if an upstream that is neither failing nor paused could
     /// take the request.
     [[nodiscard]] bool has_sound_upstream(time_point now,
@@ -257,6 +263,28 @@
         double of_reported = 0;
     };
 
+    static constexpr std::array eligibility_names{
+        enum_name<eligibility>{eligibility::eligible, "eligible"},
+        enum_name<eligibility>{eligibility::over_limit, "over_limit"},
+        enum_name<eligibility>{eligibility::cold, "cold"},
+        enum_name<eligibility>{eligibility::cold_and_full, "cold_and_full"},
+        enum_name<eligibility>{eligibility::failing, "failing"},
+        enum_name<eligibility>{eligibility::paused, "paused"},
+        enum_name<eligibility>{eligibility::excluded, "no_connection"},
+    };
+
+    /// Makes the choice for `query`. If `report` is not null, adds what it
+    /// rests on.
+    selection decide(time_point now, const upstream_query& query,
+                     choice_report* report);
+    [[nodiscard]] candidate_report
+    report_on(time_point now, const upstream_query& query,
+              const directory::known_upstream& item,
+              const upstream_state& state) const;
+    /// Adds the service's upstreams that get no requests at all.
+    void add_unusable(time_point now, const upstream_query& query,
+                      choice_report& report) const;
+
     /// Returns the upstreams that may receive requests, and sets `means`.
     std::vector<candidate> usable_candidates(time_point now,
                                              const upstream_query& query,
--- a/include/baobabloft/operators/fleet_client.hpp
+++ b/include/baobabloft/operators/fleet_client.hpp
@@ -17,6 +17,8 @@
     std::string url;
     /// Empty unless the router responded with status 200 in time.
     std::string body;
+    /// The body of a response with another status.
+    std::string problem{};
 };
 
 /// State of an upstream, as its owner reports it on /status.
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -80,6 +80,15 @@
     [[nodiscard]] std::size_t router_count() const;
 };
 
+/// The response to an operator's query.
+struct where_answer
+{
+    /// HTTP status.
+    unsigned status = 0;
+    /// JSON.
+    std::string body;
+};
+
 /// One router of the fleet.
 class relay
 {
@@ -114,6 +123,9 @@
     void accept_status_connection(std::shared_ptr<http::byte_stream> stream);
     void serve_status_page(const caller_ptr& channel,
                            const http::request& request);
+    /// Says where a request would go now and why, and changes no state.
+    /// `target` is the request target of the page, with the query.
+    [[nodiscard]] where_answer where(std::string_view target);
     void begin_request(const caller_ptr& channel, http::request&& request);
     /// Performs the periodic work other than following the directory.
     void run_maintenance();
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -73,7 +73,7 @@
     /// Sets the deadline from the route's timeout and the caller's header,
     /// whichever is shorter.
     void set_deadline(time_point now);
-    /// Reads the prompt prefix and draws a service of the route by weight;
+    /// Reads the prompt parts and draws a service of the route by weight;
     /// leaves `service_` null if there is none.
     void choose_service();
 
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -394,6 +394,16 @@
 {
     if (query.affinity && query.excluded_ids.empty())
         traffic_.record_request(now, prefix_id_of(*query.affinity));
+    const auto result = decide(now, query, nullptr);
+    if (query.affinity && result.upstream != nullptr)
+        cached_prefixes_.insert(now,
+                                prefix_key(*query.affinity, *result.upstream));
+    return result;
+}
+
+selection upstream_selector::decide(time_point now, const upstream_query& query,
+                                    choice_report* report)
+{
     load_means means;
     auto candidates = usable_candidates(now, query, means);
     if (candidates.empty())
@@ -405,6 +415,8 @@
     const double limit = query.affinity
                              ? load_limit(query, means)
                              : std::numeric_limits<double>::infinity();
+    if (report != nullptr && query.affinity)
+        report->load_limit = limit;
 
     std::vector<const candidate*> eligible;
     const candidate* over_limit = nullptr;
@@ -414,6 +426,14 @@
     for (const auto& item : candidates)
     {
         const auto status = classify(now, query, item, limit);
+        if (report != nullptr)
+        {
+            report->candidates.push_back(
+                report_on(now, query, *item.upstream, *item.state));
+            report->candidates.back().state =
+                name_in(eligibility_names, status);
+            report->candidates.back().load = item.load;
+        }
         any_not_excluded = any_not_excluded || status != eligibility::excluded;
         if (status == eligibility::eligible)
             eligible.push_back(&item);
@@ -435,8 +455,6 @@
             return result;
         result.prefix_source =
             find_prefix_source(now, *query.affinity, *item.upstream);
-        cached_prefixes_.insert(now,
-                                prefix_key(*query.affinity, *item.upstream));
         return result;
     };
     if (!eligible.empty())
@@ -470,6 +488,79 @@
             nullptr, 0, means.of_usable};
 }
 
+candidate_report
+upstream_selector::report_on(time_point now, const upstream_query& query,
+                             const directory::known_upstream& item,
+                             const upstream_state& state) const
+{
+    const auto left = [now](time_point until)
+    {
+        return std::max<duration>(until - now, duration{0});
+    };
+    return {
+        .upstream = item.record.id,
+        .data_centre = item.record.data_centre,
+        .state = {},
+        .load = estimated_load(now, state),
+        .load_age = state.reported_at ? std::optional{now - *state.reported_at}
+                                      : std::nullopt,
+        .cold_left = left(item.cold_until),
+        .pause_left =
+            left(std::max(state.avoid_until, state.requested_pause_until)),
+        .consecutive_failures = state.consecutive_failures,
+        .failure_rate = state.failure_rate,
+        .has_prefix =
+            query.affinity &&
+            cached_prefixes_.contains(now, prefix_key(*query.affinity, item))};
+}
+
+void upstream_selector::add_unusable(time_point now,
+                                     const upstream_query& query,
+                                     choice_report& report) const
+{
+    for (const auto& [id, item] : directory_.upstreams())
+    {
+        if (item.record.service != query.service->name)
+            continue;
+        const auto known = states_.find(id);
+        const auto state =
+            known == states_.end() ? upstream_state{} : known->second;
+        std::string_view reason;
+        if (item.record.draining)
+            reason = "draining";
+        else if (directory_.is_out_of_service(item.record.data_centre))
+            reason = "data_centre_out";
+        else if (is_leaving(item, state))
+            reason = "leaving";
+        else
+            continue;
+        report.candidates.push_back(report_on(now, query, item, state));
+        report.candidates.back().state = reason;
+    }
+}
+
+choice_report upstream_selector::explain(time_point now,
+                                         const upstream_query& query)
+{
+    // The request would be counted before its upstream is chosen.
+    const auto traffic = traffic_;
+    const auto ranked_by_cost = ranked_by_cost_;
+    if (query.affinity && query.excluded_ids.empty())
+        traffic_.record_request(now, prefix_id_of(*query.affinity));
+    choice_report report;
+    const auto chosen = decide(now, query, &report);
+    traffic_ = traffic;
+    ranked_by_cost_ = ranked_by_cost;
+    add_unusable(now, query, report);
+    report.reason = name_in(choice_names, chosen.reason);
+    report.mean_load = chosen.mean_load;
+    if (chosen.upstream != nullptr)
+        report.upstream = chosen.upstream->record.id;
+    if (chosen.prefix_source != nullptr)
+        report.prefix_source = chosen.prefix_source->record.id;
+    return report;
+}
+
 bool upstream_selector::has_sound_upstream(time_point now,
                                            const upstream_query& query)
 {
--- a/lib/operators/fleet_client.cpp
+++ b/lib/operators/fleet_client.cpp
@@ -90,8 +90,10 @@
                    [&, index](const std::optional<net::http_response>& reply,
                               const failure&)
                    {
-                       if (reply && reply->status == status_ok)
-                           pages[index].body = reply->body;
+                       if (reply)
+                           (reply->status == status_ok ? pages[index].body
+                                                       : pages[index].problem) =
+                               reply->body;
                        if (--pending == 0)
                            loop_.stop();
                    });
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -235,6 +235,13 @@
         update_gauges();
         out.body() = context_.counters.text();
     }
+    else if (path.starts_with("/where"))
+    {
+        auto answer = where(path);
+        out.result(answer.status);
+        out.set(bhttp::field::content_type, "application/json");
+        out.body() = std::move(answer.body);
+    }
     else
         out.result(status_not_found);
     channel->respond(net::boot_now(), std::move(out), true);
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -1,4 +1,5 @@
 // Admission, choice of service and upstream, attempts and retries of a session.
+#include "request_target.hpp"
 #include "session_text.hpp"
 
 #include "baobabloft/http/attempt_callback.hpp"
@@ -205,41 +206,18 @@
 {
     const auto text =
         http::field_value(request_, context_.dialect.prompt_parts);
-    if (route_->has_affinity && !text.empty())
-    {
-        const auto parts = context_.dialect.parse_prompt_parts(text);
-        // The last part belongs to this request only; the part before it ends
-        // the longest prefix that other requests share.
-        if (!parts.empty())
-            affinity_ = parts.size() > 1 ? parts[parts.size() - 2].id
-                                         : parts.front().id;
-        for (std::size_t index = 0; index + 1 < parts.size(); ++index)
-        {
-            shared_prefix_tokens_ += parts[index].tokens;
-            features_.push_back(request_feature{parts[index].id});
-        }
-    }
-    std::uint64_t total = 0;
-    for (const auto& item : route_->services)
-        total += item.weight;
-    if (total == 0)
+    const auto target = target_of(*route_, context_.dialect, text);
+    affinity_ = target.affinity;
+    shared_prefix_tokens_ = target.shared_prefix_tokens;
+    features_.insert(features_.end(), target.features.begin(),
+                     target.features.end());
+    const auto offset =
+        affinity_ ? affinity_offset(*route_, target) : context_.random();
+    const auto* drawn = service_at(*route_, offset);
+    if (drawn == nullptr)
         return;
-    // Requests with the same prefix get the same service.
-    auto weight_offset =
-        affinity_ ? hash_combine(*affinity_, hash_bytes(route_->name))
-                  : context_.random();
-    weight_offset %= total;
-    for (const auto& item : route_->services)
-    {
-        if (weight_offset < item.weight)
-        {
-            const auto found = config_->services.find(item.service);
-            service_ =
-                found == config_->services.end() ? nullptr : &found->second;
-            return;
-        }
-        weight_offset -= item.weight;
-    }
+    const auto found = config_->services.find(drawn->service);
+    service_ = found == config_->services.end() ? nullptr : &found->second;
 }
 
 std::uint32_t relay_session::urgency() const
--- a/tools/baobabctl/commands.cpp
+++ b/tools/baobabctl/commands.cpp
@@ -5,6 +5,7 @@
 #include "baobabloft/operators/fleet_client.hpp"
 #include "baobabloft/operators/preset_store.hpp"
 #include "baobabloft/operators/request_timeline.hpp"
+#include "baobabloft/operators/where_report.hpp"
 
 #include <nlohmann/json.hpp>
 #include <sodium.h>
@@ -465,6 +466,28 @@
     return exit_ok;
 }
 
+int where(const command_context& context)
+{
+    service_clients clients{context};
+    failure reason;
+    const auto report = operators::merge_where(
+        clients.fleet().fetch_pages(
+            context.routers,
+            operators::where_path({.route = context.arguments.front(),
+                                   .customer = context.customer,
+                                   .prompt = context.prompt})),
+        reason);
+    if (!report)
+    {
+        std::cerr << "baobabctl: " << reason.text() << '\n';
+        return reason.kind == failure_kind::peer_unavailable ? exit_unavailable
+                                                             : exit_negative;
+    }
+    std::cout << (context.json ? report->content.dump() + "\n"
+                               : operators::where_text(*report));
+    return report->agree ? exit_ok : exit_negative;
+}
+
 } // namespace
 
 const std::vector<command_definition>& command_table()
@@ -515,6 +538,9 @@
         {"explain", "REQUEST-ID LOG...",
          "merge the log lines of several routers about one request", 2,
          max_logs + 1, explain},
+        {"where", "ROUTE",
+         "show where a request would go now, by each --router, and why", 1, 1,
+         where},
     };
     return table;
 }
--- a/tools/baobabctl/commands.hpp
+++ b/tools/baobabctl/commands.hpp
@@ -34,6 +34,9 @@
     std::string author;
     /// File for a report, or empty for standard output.
     std::string output_file;
+    /// Customer and prompt parts of the request that `where` asks about.
+    std::string customer;
+    std::string prompt;
     bool json = false;
     bool html = false;
     /// Wait until a change is in force at every live router.
--- a/tools/baobabctl/main.cpp
+++ b/tools/baobabctl/main.cpp
@@ -47,6 +47,11 @@
         cxxopts::value<std::string>(), "NAME");
     add("output", "output format: text, json, or html (reports only)",
         cxxopts::value<std::string>()->default_value("text"), "FORM");
+    add("customer", "customer of the request (where)",
+        cxxopts::value<std::string>(), "NAME");
+    add("prompt", "prompt parts of the request (where)",
+        cxxopts::value<std::string>(), "ID:TOKENS,...");
+    add("json", "same as --output json");
     add("out", "write the report to a file", cxxopts::value<std::string>(),
         "FILE");
     add("wait", "wait until a change is in force at every live router");
@@ -97,7 +102,10 @@
         parsed, "author",
         from_environment("BAOBAB_AUTHOR", from_environment("USER", "unknown")));
     context.output_file = option_value(parsed, "out", "");
-    context.json = parsed["output"].as<std::string>() == "json";
+    context.customer = option_value(parsed, "customer", "");
+    context.prompt = option_value(parsed, "prompt", "");
+    context.json = parsed.count("json") != 0 ||
+                   parsed["output"].as<std::string>() == "json";
     context.html = parsed["output"].as<std::string>() == "html";
     context.wait = parsed.count("wait") != 0;
     context.wait_s = parsed["wait-seconds"].as<unsigned>();
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -183,6 +183,48 @@
     EXPECT_EQ(id_of(choose(start + 65s, 42)), paused);
 }
 
+// Guards against an explanation that differs from the next choice, or that
+// changes a later one.
+TEST_F(selector_test, an_explanation_names_the_next_choice_and_changes_nothing)
+{
+    add_engines(9);
+    upstream_selector unasked{
+        state,
+        {.data_centre = "a", .router = "router/0", .started = start - 60s},
+        [](const auto&, const auto&)
+        {
+            return true;
+        }};
+    for (std::uint64_t count = 0; count < 60; ++count)
+    {
+        const auto now = start + count * 10ms;
+        const upstream_query query{.service = &service,
+                                   .affinity = count % 3 == 0
+                                                   ? std::nullopt
+                                                   : std::optional{count % 5},
+                                   .excluded_ids = {},
+                                   .is_repeatable = true};
+        const auto report = selector.explain(now, query);
+        EXPECT_EQ(selector.explain(now, query).upstream, report.upstream);
+        EXPECT_EQ(report.candidates.size(), 9);
+        const auto chosen = selector.choose(now, query);
+        EXPECT_EQ(id_of(chosen), report.upstream);
+        EXPECT_EQ(name_in(choice_names, chosen.reason), report.reason);
+        EXPECT_EQ(id_of(unasked.choose(now, query)), report.upstream);
+        for (auto* router : {&selector, &unasked})
+        {
+            router->record_sent(now, report.upstream);
+            router->record_load(
+                now, report.upstream,
+                {.running = static_cast<std::uint32_t>(count % 7)});
+        }
+    }
+    add("up/a/0", "draining");
+    EXPECT_EQ(
+        selector.explain(start, {.service = &service}).candidates.back().state,
+        "draining");
+}
+
 // Guards against hedges to upstreams that cannot take them at once.
 TEST_F(selector_test, hedges_go_to_sound_upstreams_with_room_only)
 {
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -472,6 +472,70 @@
         self.assertIn("attempt_failed", log)
 
 
+class WhereTest(RelayTest):
+    upstreams = 4
+
+    def setUp(self):
+        self.ids = {}
+        self.served = {}
+        self.status = free_ports(1)[0]
+        self.extra_settings = f"metrics-listen=127.0.0.1:{self.status}\n"
+        super().setUp()
+
+    def add_upstream(self, index, port, zone):
+        self.ids[port] = f"i-{index}"
+        super().add_upstream(index, port, zone)
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        self.served[request_id] = self.ids[connection.getsockname()[1]]
+        if request_id == "pause":
+            connection.sendall(head(request_id, "X-Not-Run: 1\r\n"
+                                    "Retry-After: 9\r\nContent-Length: 0\r\n",
+                                    REFUSAL))
+            return
+        connection.sendall(head(request_id, "Content-Length: 0\r\n"))
+
+    def ask(self, *words):
+        return subprocess.run(
+            [f"{BUILD}/tools/baobabctl/baobabctl", "--router",
+             f"http://127.0.0.1:{self.status}", "where", *words],
+            capture_output=True, text=True, timeout=10)
+
+    def service(self):
+        page = json.loads(self.ask("s", "--json").stdout)
+        return page["routers"][0]["services"][0]
+
+    # Guards against an answer that differs from what the router does, and
+    # against a question that changes what it does.
+    def test_the_next_request_goes_where_the_command_said(self):
+        for number in range(12):
+            expected = self.service()["upstream"]
+            self.assertEqual(self.service()["upstream"], expected)
+            self.send("GET", "/safe/1", f"r{number}").read()
+            self.assertEqual(self.served[f"r{number}"], expected)
+
+    def test_it_says_why_an_upstream_gets_no_request(self):
+        self.send("POST", "/unsafe/1", "pause").read()
+        paused = self.served["pause"]
+        states = {item["upstream"]: item["state"]
+                  for item in self.service()["candidates"]}
+        self.assertEqual(len(states), 4)
+        self.assertEqual(states.pop(paused), "paused")
+        self.assertEqual(set(states.values()), {"eligible"})
+        self.assertIn("paused", self.ask("s").stdout)
+
+    def test_mistakes_are_named_with_their_remedy(self):
+        unknown = self.ask("none")
+        self.assertEqual(unknown.returncode, 1)
+        self.assertIn("no route has the name none", unknown.stderr)
+        self.assertIn("configuration in force", unknown.stderr)
+        customer = self.ask("s", "--customer", "none")
+        self.assertIn("no customer has the name none", customer.stderr)
+        self.status = free_ports(1)[0]
+        self.assertEqual(self.ask("s").returncode, 3)
+
+
 class UnreachableUpstreamTest(RelayTest):
     upstreams = 2
     zones = "ab"
