Hedges go to no cold upstream of any service; where names a wrong address

Operators saw: an upstream that reports itself as cold could get a hedge where its service sets no cold rate; the log gave load 0.0 for the winner of a hedge; and baobabctl where printed no remedy for an address that serves no such page. Change: choose_hedge() skips every cold upstream and returns a selection with the loads, which is logged; merge_where() names metrics-listen. Tests of merge_where().

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -136,12 +136,12 @@
     [[nodiscard]] bool has_sound_upstream(time_point now,
                                           const upstream_query& query);
 
-    /// Returns the upstream for a second run of a request whose first one is
-    /// slow, or null. It is up, warm, below the load limit, has not failed of
-    /// late and has room, as most of the service's upstreams must. Records
-    /// nothing.
-    [[nodiscard]] const directory::known_upstream*
-    choose_hedge(time_point now, const upstream_query& query);
+    /// Chooses an upstream for a second run of a request whose first one is
+    /// slow, without a source for the prefix. It is up, warm, below the load
+    /// limit, has not failed of late and has room, as most of the service's
+    /// upstreams must. Records nothing.
+    [[nodiscard]] selection choose_hedge(time_point now,
+                                         const upstream_query& query);
 
     /// Records that a request was sent to the upstream `id`, or will be at
     /// once.
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -583,8 +583,8 @@
            (!queued_at || now - *queued_at > queue_report_lifetime);
 }
 
-const directory::known_upstream*
-upstream_selector::choose_hedge(time_point now, const upstream_query& query)
+selection upstream_selector::choose_hedge(time_point now,
+                                          const upstream_query& query)
 {
     load_means means;
     auto candidates = usable_candidates(now, query, means);
@@ -601,7 +601,7 @@
     for (const auto& item : candidates)
     {
         if (classify(now, any_upstream, item, limit) != eligibility::eligible ||
-            !has_room(now, item))
+            item.upstream->cold_until > now || !has_room(now, item))
             continue;
         ++with_room;
         if (item.state->consecutive_failures > 0 ||
@@ -618,8 +618,9 @@
     if (first == nullptr ||
         static_cast<double>(with_room) <
             min_share_with_room * static_cast<double>(candidates.size()))
-        return nullptr;
-    return (holder != nullptr ? holder : first)->upstream;
+        return {};
+    const auto& best = holder != nullptr ? *holder : *first;
+    return {choice::other, best.upstream, nullptr, best.load, means.of_usable};
 }
 
 void upstream_selector::record_sent(time_point now, const std::string& id)
--- a/lib/operators/where_report.cpp
+++ b/lib/operators/where_report.cpp
@@ -100,6 +100,12 @@
             row.update({{"error", "no_answer"},
                         {"message", "the router did not respond"},
                         {"remedy", "check --router"}});
+        else if (!root.contains("services") && !root.contains("error"))
+            row.update(
+                {{"error", "no_page"},
+                 {"message", "the address serves no such page"},
+                 {"remedy", "use the metrics-listen address of a router with a "
+                            "directory"}});
         else
             row.update(root);
         if (row.contains("services"))
--- a/lib/relay/relay_hedge.cpp
+++ b/lib/relay/relay_hedge.cpp
@@ -44,14 +44,14 @@
     context_.hedges.record_slow(now, route_->name);
     const auto excluded_ids = std::vector{attempt->upstream};
     const auto query = make_query(excluded_ids);
-    const directory::known_upstream* target = nullptr;
+    dispatch::selection target;
     std::optional<hedge_refusal> refusal;
     if (!may_hedge(now))
         refusal = hedge_refusal::request;
     else if (!context_.hedges.permits_hedge(now, route_->name))
         refusal = hedge_refusal::all_slow;
     else if (target = context_.selector.choose_hedge(now, query);
-             target == nullptr)
+             target.upstream == nullptr)
         refusal = hedge_refusal::no_upstream;
     else if (!context_.retry_budget.try_take_hedge(now, service_->name,
                                                    context_.router_count()))
@@ -68,14 +68,13 @@
               {{"request", request_id_},
                {"route", route_->name},
                {"slow", attempt->upstream},
-               {"upstream", target->record.id},
+               {"upstream", target.upstream->record.id},
                {"after_ms", format_ms(now - attempt->started)},
                {"left_ms", format_ms(deadline_ - now)}});
     ++history_.attempts;
     const auto hedge = std::make_shared<upstream_attempt>();
     hedge_attempt_ = hedge;
-    send_attempt(hedge, *target,
-                 {.reason = dispatch::choice::other, .upstream = target});
+    send_attempt(hedge, *target.upstream, target);
 }
 
 bool relay_session::may_hedge(time_point now) const
--- a/unittests/dispatch/dispatch_test.cpp
+++ b/unittests/dispatch/dispatch_test.cpp
@@ -232,12 +232,13 @@
     const std::vector<std::string> slow{"up/a/0"};
     const auto hedge = [&](std::optional<std::uint64_t> affinity = {})
     {
-        const auto* chosen =
+        const auto chosen =
             selector.choose_hedge(start, {.service = &service,
                                           .affinity = affinity,
                                           .excluded_ids = slow,
                                           .is_repeatable = true});
-        return chosen == nullptr ? "" : chosen->record.id;
+        EXPECT_EQ(chosen.prefix_source, nullptr);
+        return id_of(chosen);
     };
     const auto first = hedge(42);
     EXPECT_NE(first, "");
--- a/unittests/operators/operators_test.cpp
+++ b/unittests/operators/operators_test.cpp
@@ -1,8 +1,10 @@
 // Tests of preset changes over a key-value service that loses responses, of the
-// burn report and of the request timeline.
+// burn report, of the request timeline and of the report where a request would
+// go.
 #include "baobabloft/operators/burn_report.hpp"
 #include "baobabloft/operators/preset_store.hpp"
 #include "baobabloft/operators/request_timeline.hpp"
+#include "baobabloft/operators/where_report.hpp"
 #include "baobabloft/router/control_task.hpp"
 
 #include <gtest/gtest.h>
@@ -275,6 +277,50 @@
     EXPECT_TRUE(build_timeline("r7", {{"one", &log}}).empty());
 }
 
+std::string where_page(const std::string& upstream)
+{
+    return R"({"router":"r","route":"s","config":3,"config_age_ms":4,"services":
+        [{"service":"app","share":1,"upstream":")" +
+           upstream +
+           R"(","choice":"other","prefix_source":"","load_limit":null,
+        "mean_load":1.5,"candidates":[],"refusal":null}]})";
+}
+
+TEST(where_report, says_whether_routers_agree)
+{
+    failure reason;
+    std::vector<router_page> pages{{.url = "a", .body = where_page("i-1")},
+                                   {.url = "b", .body = where_page("i-1")},
+                                   {.url = "c", .body = ""}};
+    auto report = merge_where(pages, reason);
+    ASSERT_TRUE(report);
+    EXPECT_TRUE(report->agree);
+    EXPECT_NE(where_text(*report).find("i-1, other"), std::string::npos);
+    EXPECT_NE(where_text(*report).find("did not respond"), std::string::npos);
+    pages[1].body = where_page("i-2");
+    report = merge_where(pages, reason);
+    ASSERT_TRUE(report);
+    EXPECT_FALSE(report->agree);
+}
+
+TEST(where_report, an_error_names_the_remedy)
+{
+    failure reason;
+    const std::vector<router_page> unknown{
+        {.url = "a",
+         .body = "",
+         .problem =
+             R"({"error":"unknown_route","message":"m","remedy":"do r"})"}};
+    EXPECT_FALSE(merge_where(unknown, reason));
+    EXPECT_NE(reason.text().find("do r"), std::string::npos);
+    const std::vector<router_page> other{
+        {.url = "a", .body = "", .problem = R"({"kind":"unknown_path"})"}};
+    EXPECT_FALSE(merge_where(other, reason));
+    EXPECT_NE(reason.text().find("metrics-listen"), std::string::npos);
+    EXPECT_FALSE(merge_where({}, reason));
+    EXPECT_EQ(reason.kind, failure_kind::peer_unavailable);
+}
+
 } // namespace
 
 } // namespace baobabloft::operators
