--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "baobabloft/directory/directory_state.hpp"
+#include "baobabloft/dispatch/choice_report.hpp"
 #include "baobabloft/dispatch/return_schedule.hpp"
 #include "baobabloft/dispatch/rollout_control.hpp"
 #include "baobabloft/dispatch/sliding_count.hpp"
@@ -133,6 +134,11 @@
     /// record_sent().
     selection choose(time_point now, const upstream_query& query);
 
+    /// Returns the choice that choose() would make now, and what it rests on.
+    /// Records nothing, so that it changes no later choice.
+    [[nodiscard]] choice_report explain(time_point now,
+                                        const upstream_query& query);
+
     /// Returns true if an upstream that is neither failing nor paused could
     /// take the request.
     [[nodiscard]] bool has_sound_upstream(time_point now,
@@ -142,6 +148,12 @@
     /// upstreams a request has tried.
     [[nodiscard]] room_outlook
     outlook(time_point now, const directory::routed_service& service) const;
+    /// Chooses an upstream for a second run of a request whose first one is
+    /// slow, without a source for the prefix. It is up, warm, below the load
+    /// limit, has not failed of late and has room, as most of the service's
+    /// upstreams must. Records nothing.
+    [[nodiscard]] selection choose_hedge(time_point now,
+                                         const upstream_query& query);
 
     /// Records that a request was sent to the upstream `id`, or will be at
     /// once.
@@ -157,6 +169,10 @@
     /// Records that a request at `id` failed. Pauses `id` after several
     /// failures in a row or if its failure rate is too high.
     void record_failure(time_point now, const std::string& id);
+    /// Records that a slow request at `id` was cancelled without a response, as
+    /// another upstream responded to it first. That is no failure, but `id` is
+    /// paused after several in a row.
+    void record_cancelled(time_point now, const std::string& id);
     /// Records that `id` announced that it leaves: it gets no further requests
     /// in this lifetime, whatever the directory says. Returns false if that is
     /// known.
@@ -200,6 +216,10 @@
         /// Moving average, 0 to 1.
         double failure_rate = 0;
         std::uint32_t consecutive_failures = 0;
+        std::uint32_t consecutive_cancellations = 0;
+        /// When the upstream last reported that requests wait in its queue;
+        /// empty if its latest report says that none does.
+        std::optional<time_point> queue_reported_at;
         /// End of the current pause.
         time_point avoid_until;
         /// End of the pause that the upstream asked for.
@@ -258,6 +278,28 @@
         double of_reported = 0;
     };
 
+    static constexpr std::array eligibility_names{
+        enum_name<eligibility>{eligibility::eligible, "eligible"},
+        enum_name<eligibility>{eligibility::over_limit, "over_limit"},
+        enum_name<eligibility>{eligibility::cold, "cold"},
+        enum_name<eligibility>{eligibility::cold_and_full, "cold_and_full"},
+        enum_name<eligibility>{eligibility::failing, "failing"},
+        enum_name<eligibility>{eligibility::paused, "paused"},
+        enum_name<eligibility>{eligibility::excluded, "no_connection"},
+    };
+
+    /// Makes the choice for `query`. If `report` is not null, adds what it
+    /// rests on.
+    selection decide(time_point now, const upstream_query& query,
+                     choice_report* report);
+    [[nodiscard]] candidate_report
+    report_on(time_point now, const upstream_query& query,
+              const directory::known_upstream& item,
+              const upstream_state& state) const;
+    /// Adds the service's upstreams that get no requests at all.
+    void add_unusable(time_point now, const upstream_query& query,
+                      choice_report& report) const;
+
     /// Returns the upstreams that may receive requests, and sets `means`.
     std::vector<candidate> usable_candidates(time_point now,
                                              const upstream_query& query,
@@ -273,6 +315,9 @@
                                        const upstream_query& query,
                                        const candidate& item,
                                        double limit) const;
+    /// Returns true if the upstream could run another request at once, as far
+    /// as is known.
+    static bool has_room(time_point now, const candidate& item);
     /// Returns the best of `eligible`, which are in the order of preference:
     /// the first, or another one that has the prefix cached. `is_preferred` is
     /// true if the first is the preferred one of all candidates.
--- a/include/baobabloft/relay/relay.hpp
+++ b/include/baobabloft/relay/relay.hpp
@@ -6,6 +6,7 @@
 #include "baobabloft/directory/directory_follower.hpp"
 #include "baobabloft/dispatch/arrival_budget.hpp"
 #include "baobabloft/dispatch/freshness.hpp"
+#include "baobabloft/dispatch/hedge_policy.hpp"
 #include "baobabloft/dispatch/return_schedule.hpp"
 #include "baobabloft/dispatch/rollout_control.hpp"
 #include "baobabloft/dispatch/shutdown_rules.hpp"
@@ -48,6 +49,7 @@
     dispatch::arrival_budget retry_budget;
     dispatch::return_schedule returns;
     dispatch::waiting_room waiting;
+    dispatch::hedge_policy hedges;
     dispatch::freshness_bounds freshness;
     routing::crash_protection protection;
     dispatch::rollout_control rollouts;
@@ -84,6 +86,15 @@
     [[nodiscard]] std::size_t router_count() const;
 };
 
+/// The response to an operator's query.
+struct where_answer
+{
+    /// HTTP status.
+    unsigned status = 0;
+    /// JSON.
+    std::string body;
+};
+
 /// One router of the fleet.
 class relay
 {
@@ -118,6 +129,9 @@
     void accept_status_connection(std::shared_ptr<http::byte_stream> stream);
     void serve_status_page(const caller_ptr& channel,
                            const http::request& request);
+    /// Says where a request would go now and why, and changes no state.
+    /// `target` is the request target of the page, with the query.
+    [[nodiscard]] where_answer where(std::string_view target);
     void begin_request(const caller_ptr& channel, http::request&& request);
     /// Performs the periodic work other than following the directory.
     void run_maintenance();
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -58,6 +58,12 @@
         bool is_under_way = false;
         /// The response is forwarded event by event as it arrives.
         bool is_stream = false;
+        /// The time to its first byte counts for the route's distribution, and
+        /// is not recorded yet.
+        bool is_timed = false;
+        /// No first byte has arrived within the time that is usual for the
+        /// route.
+        bool is_slow = false;
         /// The attempt has ended; later callbacks of it are ignored.
         bool over = false;
     };
@@ -71,7 +77,7 @@
     /// Sets the deadline from the route's timeout and the caller's header,
     /// whichever is shorter.
     void set_deadline(time_point now);
-    /// Reads the prompt prefix and draws a service of the route by weight;
+    /// Reads the prompt parts and draws a service of the route by weight;
     /// leaves `service_` null if there is none.
     void choose_service();
 
@@ -107,10 +113,35 @@
     void record_version_outcome(const attempt_ptr& attempt, bool failed);
     void start_attempt(const directory::known_upstream& upstream,
                        const dispatch::selection& chosen);
+    /// Sends the request as `attempt`, which is new.
+    void send_attempt(const attempt_ptr& attempt,
+                      const directory::known_upstream& upstream,
+                      const dispatch::selection& chosen);
     http::request_head upstream_head(const directory::upstream_record& target,
                                      const dispatch::selection& chosen,
                                      time_point now) const;
 
+    /// Schedules a hedge for the time at which the request's first attempt is
+    /// slow for its route.
+    void arm_hedge_timer(const attempt_ptr& attempt);
+    /// Starts a hedge if the request, the service and the budget permit one.
+    void on_slow(const attempt_ptr& attempt);
+    /// Returns true if the request may run at a second upstream at once.
+    [[nodiscard]] bool may_hedge(time_point now) const;
+    /// Records the time to the first byte of a response.
+    void record_first_byte(const attempt_ptr& attempt);
+    void on_hedge_body(const attempt_ptr& attempt, std::string_view bytes);
+    void on_hedge_complete(const attempt_ptr& attempt);
+    /// Makes the hedge the current attempt, and cancels the former one unless
+    /// it has ended.
+    void adopt_hedge(dispatch::hedge_outcome outcome);
+    /// Cancels the hedge if there is one.
+    void cancel_hedge();
+    /// Ends an attempt whose response is no longer needed. That is no failure.
+    void cancel_attempt(const attempt_ptr& attempt);
+    /// Records what became of the hedge, and forgets it.
+    void record_hedge_outcome(dispatch::hedge_outcome outcome);
+
     void on_head(const attempt_ptr& attempt, const http::response_head& head);
     void on_body(const attempt_ptr& attempt, std::string_view bytes);
     void on_complete(const attempt_ptr& attempt);
@@ -145,7 +176,9 @@
     /// Records how an attempt ended and takes the next step of the request.
     void end_attempt(const attempt_ptr& attempt, dispatch::attempt_end end,
                      std::string_view reason);
-    /// Releases the attempt's connection and stops its timer.
+    /// Releases the attempt's connection.
+    void release_attempt(const attempt_ptr& attempt);
+    /// Releases the connection of the current attempt and stops its timer.
     void close_attempt(const attempt_ptr& attempt);
     void forward_response(const attempt_ptr& attempt);
 
@@ -213,6 +246,10 @@
     dispatch::version_choice versions_;
     std::optional<std::uint64_t> version_key_;
     attempt_ptr current_attempt_;
+    /// Second attempt that runs beside the current one; null if none. Its
+    /// response is buffered until it becomes the current attempt.
+    attempt_ptr hedge_attempt_;
+    net::restartable_timer hedge_timer_;
     net::restartable_timer attempt_timer_;
     router::sse_splitter event_splitter_;
     std::optional<std::uint64_t> last_event_id_;
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -79,6 +79,11 @@
 constexpr double failure_rate_limit = 0.45;
 /// Failures in a row from which an upstream is paused.
 constexpr std::uint32_t consecutive_failure_limit = 3;
+/// Time for which a report of waiting requests is taken to hold.
+constexpr duration queue_report_lifetime = 2s;
+/// Share of a service's upstreams that must have room for another request
+/// before one is sent to a second upstream.
+constexpr double min_share_with_room = 0.75;
 
 /// Share of the cold-start limit that all routers use together.
 constexpr double cold_used_share = 0.6;
@@ -462,6 +467,16 @@
 {
     if (query.affinity && query.excluded_ids.empty())
         traffic_.record_request(now, prefix_id_of(*query.affinity));
+    const auto result = decide(now, query, nullptr);
+    if (query.affinity && result.upstream != nullptr)
+        cached_prefixes_.insert(now,
+                                prefix_key(*query.affinity, *result.upstream));
+    return result;
+}
+
+selection upstream_selector::decide(time_point now, const upstream_query& query,
+                                    choice_report* report)
+{
     load_means means;
     auto candidates = usable_candidates(now, query, means);
     if (candidates.empty())
@@ -473,6 +488,8 @@
     const double limit = query.affinity
                              ? load_limit(query, means)
                              : std::numeric_limits<double>::infinity();
+    if (report != nullptr && query.affinity)
+        report->load_limit = limit;
 
     std::vector<const candidate*> eligible;
     const candidate* over_limit = nullptr;
@@ -485,6 +502,14 @@
         const auto status = classify(now, query, item, limit);
         is_moved = is_moved || (status == eligibility::over_limit &&
                                 &item == &candidates.front());
+        if (report != nullptr)
+        {
+            report->candidates.push_back(
+                report_on(now, query, *item.upstream, *item.state));
+            report->candidates.back().state =
+                name_in(eligibility_names, status);
+            report->candidates.back().load = item.load;
+        }
         any_not_excluded = any_not_excluded || status != eligibility::excluded;
         if (status == eligibility::eligible)
             eligible.push_back(&item);
@@ -506,8 +531,6 @@
             return result;
         result.prefix_source =
             find_prefix_source(now, *query.affinity, *item.upstream);
-        cached_prefixes_.insert(now,
-                                prefix_key(*query.affinity, *item.upstream));
         return result;
     };
     if (!eligible.empty())
@@ -545,6 +568,79 @@
             nullptr, 0, means.of_usable};
 }
 
+candidate_report
+upstream_selector::report_on(time_point now, const upstream_query& query,
+                             const directory::known_upstream& item,
+                             const upstream_state& state) const
+{
+    const auto left = [now](time_point until)
+    {
+        return std::max<duration>(until - now, duration{0});
+    };
+    return {
+        .upstream = item.record.id,
+        .data_centre = item.record.data_centre,
+        .state = {},
+        .load = estimated_load(now, state),
+        .load_age = state.reported_at ? std::optional{now - *state.reported_at}
+                                      : std::nullopt,
+        .cold_left = left(item.cold_until),
+        .pause_left =
+            left(std::max(state.avoid_until, state.requested_pause_until)),
+        .consecutive_failures = state.consecutive_failures,
+        .failure_rate = state.failure_rate,
+        .has_prefix =
+            query.affinity &&
+            cached_prefixes_.contains(now, prefix_key(*query.affinity, item))};
+}
+
+void upstream_selector::add_unusable(time_point now,
+                                     const upstream_query& query,
+                                     choice_report& report) const
+{
+    for (const auto& [id, item] : directory_.upstreams())
+    {
+        if (item.record.service != query.service->name)
+            continue;
+        const auto known = states_.find(id);
+        const auto state =
+            known == states_.end() ? upstream_state{} : known->second;
+        std::string_view reason;
+        if (item.record.draining)
+            reason = "draining";
+        else if (directory_.is_out_of_service(item.record.data_centre))
+            reason = "data_centre_out";
+        else if (is_leaving(item, state))
+            reason = "leaving";
+        else
+            continue;
+        report.candidates.push_back(report_on(now, query, item, state));
+        report.candidates.back().state = reason;
+    }
+}
+
+choice_report upstream_selector::explain(time_point now,
+                                         const upstream_query& query)
+{
+    // The request would be counted before its upstream is chosen.
+    const auto traffic = traffic_;
+    const auto ranked_by_cost = ranked_by_cost_;
+    if (query.affinity && query.excluded_ids.empty())
+        traffic_.record_request(now, prefix_id_of(*query.affinity));
+    choice_report report;
+    const auto chosen = decide(now, query, &report);
+    traffic_ = traffic;
+    ranked_by_cost_ = ranked_by_cost;
+    add_unusable(now, query, report);
+    report.reason = name_in(choice_names, chosen.reason);
+    report.mean_load = chosen.mean_load;
+    if (chosen.upstream != nullptr)
+        report.upstream = chosen.upstream->record.id;
+    if (chosen.prefix_source != nullptr)
+        report.prefix_source = chosen.prefix_source->record.id;
+    return report;
+}
+
 bool upstream_selector::has_sound_upstream(time_point now,
                                            const upstream_query& query)
 {
@@ -585,6 +681,53 @@
     return result;
 }
 
+bool upstream_selector::has_room(time_point now, const candidate& item)
+{
+    const auto& queued_at = item.state->queue_reported_at;
+    return item.load + 1 <= item.upstream->record.slots &&
+           (!queued_at || now - *queued_at > queue_report_lifetime);
+}
+
+selection upstream_selector::choose_hedge(time_point now,
+                                          const upstream_query& query)
+{
+    load_means means;
+    auto candidates = usable_candidates(now, query, means);
+    if (query.affinity)
+        rank_by_affinity(now, *query.affinity, means.of_usable, candidates);
+    else
+        rank_by_cost(candidates);
+    const double limit = load_limit(query, means);
+    auto any_upstream = query;
+    any_upstream.excluded_ids = {};
+    std::size_t with_room = 0;
+    const candidate* first = nullptr;
+    const candidate* holder = nullptr;
+    for (const auto& item : candidates)
+    {
+        if (classify(now, any_upstream, item, limit) != eligibility::eligible ||
+            item.upstream->cold_until > now || !has_room(now, item))
+            continue;
+        ++with_room;
+        if (item.state->consecutive_failures > 0 ||
+            std::ranges::find(query.excluded_ids, item.upstream->record.id) !=
+                query.excluded_ids.end())
+            continue;
+        if (first == nullptr)
+            first = &item;
+        if (holder == nullptr && query.affinity &&
+            cached_prefixes_.contains(
+                now, prefix_key(*query.affinity, *item.upstream)))
+            holder = &item;
+    }
+    if (first == nullptr ||
+        static_cast<double>(with_room) <
+            min_share_with_room * static_cast<double>(candidates.size()))
+        return {};
+    const auto& best = holder != nullptr ? *holder : *first;
+    return {choice::other, best.upstream, nullptr, best.load, means.of_usable};
+}
+
 void upstream_selector::record_sent(time_point now, const std::string& id)
 {
     auto& state = states_[id];
@@ -609,6 +752,8 @@
     update_load(state, now, reported);
     if (load.work_percent)
         state.pace.record(now, *load.work_percent / 100.0, pace_persistence_);
+    state.queue_reported_at =
+        load.waiting > 0 ? std::optional{now} : std::nullopt;
 }
 
 void upstream_selector::update_load(upstream_state& state,
@@ -678,6 +823,7 @@
     auto& state = states_[id];
     state.failure_rate *= 1 - failure_weight;
     state.consecutive_failures = 0;
+    state.consecutive_cancellations = 0;
     state.backoff = duration{0};
     state.avoid_until = {};
 }
@@ -700,6 +846,15 @@
         back_off(now, state, failure_pause, max_failure_pause);
 }
 
+void upstream_selector::record_cancelled(time_point now, const std::string& id)
+{
+    auto& state = states_[id];
+    if (++state.consecutive_cancellations < consecutive_failure_limit)
+        return;
+    state.consecutive_cancellations = 0;
+    back_off(now, state, failure_pause, max_failure_pause);
+}
+
 bool upstream_selector::record_leaving(const std::string& id)
 {
     const auto known = directory_.upstreams().find(id);
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -120,6 +120,7 @@
           .retry_budget = {arrival_bound_of(options), net::boot_now()},
           .returns = {},
           .waiting = dispatch::waiting_room{},
+          .hedges = dispatch::hedge_policy{options.hedge_share},
           .freshness = freshness_of(options),
           .protection = {self_id(),
                          [this]
@@ -141,6 +142,7 @@
           .shutdown_started_at = std::nullopt},
       started_at_(net::boot_now())
 {
+    context_.retry_budget.set_hedge_share(options.hedge_share);
 }
 
 relay::~relay() = default;
@@ -254,6 +256,13 @@
         out.set(bhttp::field::content_type, "application/json");
         out.body() = rollouts_page();
     }
+    else if (path.starts_with("/where"))
+    {
+        auto answer = where(path);
+        out.result(answer.status);
+        out.set(bhttp::field::content_type, "application/json");
+        out.body() = std::move(answer.body);
+    }
     else
         out.result(status_not_found);
     channel->respond(net::boot_now(), std::move(out), true);
@@ -371,6 +380,8 @@
         context_.shutdown.limit = options.shutdown_timeout;
     context_.retry_budget.set_bound(arrival_bound_of(options));
     context_.rollouts.set_options(rollout_options_of(options));
+    context_.retry_budget.set_hedge_share(options.hedge_share);
+    context_.hedges.set_max_share(options.hedge_share);
     context_.selector.set_cold_start_limit(
         {.overrun = options.cold_overrun, .slack = options.cold_slack});
     const bool listeners_changed =
