--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -696,7 +696,7 @@
     if (query.affinity)
         rank_by_affinity(now, *query.affinity, means.of_usable, candidates);
     else
-        rank_by_cost(candidates);
+        rank_by_cost(now, candidates);
     const double limit = load_limit(query, means);
     auto any_upstream = query;
     any_upstream.excluded_ids = {};
