--- a/lib/dispatch/hedge_policy.cpp
+++ b/lib/dispatch/hedge_policy.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Range of the times that are told apart, in seconds, and the number of bins:
+/// Range of the times that are distinguished, in seconds, and number of bins:
 /// neighbouring bins differ by a tenth.
 constexpr double min_time_s = 0.001;
 constexpr double max_time_s = 100;
--- a/lib/router/settings.cpp
+++ b/lib/router/settings.cpp
@@ -117,7 +117,7 @@
 
 constexpr std::size_t max_bytes = std::size_t{1} << 30U;
 
-/// Beyond this share, requests that are slow cannot be told from the others.
+/// Beyond this share, slow requests cannot be distinguished from the others.
 constexpr double max_hedge_share = 0.25;
 
 constexpr std::array table{
