fleet: no captures of structured bindings

clang rejects a lambda that captures a structured binding by default, so that the linter failed on this file; g++ accepts it. No change of behaviour.

--- a/lib/fleet/node.cpp
+++ b/lib/fleet/node.cpp
@@ -928,7 +928,7 @@
             hosted.appender.on_history_checked(now, hosted.checked, *result);
         for (auto& action : hosted.appender.take_actions())
             std::visit(
-                [&](auto& alternative)
+                [this, now, &hosted = hosted, shard = shard](auto& alternative)
                 {
                     if constexpr (is_one_of<std::decay_t<decltype(alternative)>,
                                             ledger::check_history>)
