--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -269,12 +269,7 @@
 void relay::compare_config_versions()
 {
     if (!router_socket_)
-    {
-        // A new fleet has no secret yet, and nothing to compare.
-        if (context_.follower.state().secret().empty())
-            context_.follower.take_comparison_peers(net::boot_now());
         return;
-    }
     for (const auto& peer :
          context_.follower.take_config_peers(net::boot_now()))
         if (const auto id = router_id_at(peer.control_address))
