Revert "directory: compare the configuration before a key is accepted after a start"

Callers saw: after all routers had lost power, requests with a key were refused for seconds. Cause: a router accepted no key until a router that had compared its own configuration responded, or all listed routers had responded that they had not; entries outlive routers by up to 24 s, so that all is rarely reached, and each waited for five seconds instead. This reverts.

--- a/include/baobabloft/directory/directory_follower.hpp
+++ b/include/baobabloft/directory/directory_follower.hpp
@@ -111,9 +111,6 @@
     /// Routers with which the versions of configurations are compared after a
     /// start and after a restore of the store.
     std::size_t max_config_peers = 3;
-    /// Pause after which twice as many routers are asked to compare, if none of
-    /// those asked has responded.
-    duration comparison_retry = 80ms;
     /// Time after a restore of the store within which its writers have written
     /// again what it lost. Longer than the grace of upstreams, which register
     /// again by themselves.
@@ -159,8 +156,7 @@
                                           const change_query& query) const;
     [[nodiscard]] entry_part respond(time_point now,
                                      const entry_query& query) const;
-    [[nodiscard]] config_part respond(time_point now,
-                                      const config_query& query) const;
+    [[nodiscard]] config_part respond(const config_query& query) const;
     [[nodiscard]] listing_response respond(time_point now,
                                            const listing_query& query) const;
     /// Handles the version of the configuration that another router has in
@@ -172,18 +168,6 @@
     /// with a newer configuration respond: a few after a start, after a restore
     /// of the store, and with each configuration for some time after that.
     std::vector<router_record> take_config_peers(time_point now);
-    /// Returns the routers to which comparison_query() is to be sent now: after
-    /// a start, a few at first, until one responds that had compared its own
-    /// configuration before.
-    std::vector<router_record> take_comparison_peers(time_point now);
-    [[nodiscard]] static config_query comparison_query();
-    /// Handles the response to a comparison_query().
-    void handle_comparison(time_point now, const config_part& part,
-                           const endpoint& from);
-    /// Returns true if the known configuration is at least as new as that of
-    /// another router, or the time in which the store's writers replace what a
-    /// restore has lost has passed since the start.
-    [[nodiscard]] bool is_config_compared(time_point now) const;
     /// Returns the notice to send before the response to `query`, or nothing if
     /// the sender's era and configuration are as recent as the own ones.
     [[nodiscard]] std::optional<change_notice>
@@ -246,8 +230,6 @@
     /// Returns the query for a newer configuration of another router, or
     /// nothing if none is due.
     [[nodiscard]] std::optional<query_router> next_config_query(time_point now);
-    /// Returns the other routers, in an order of this router's own.
-    [[nodiscard]] std::vector<const router_record*> ranked_routers() const;
     /// Forgets the reported configuration once it is not newer any more.
     void update_reported_config();
     /// Applies a page of a full read, and ends the read if it is the last one.
@@ -356,17 +338,6 @@
     };
     std::optional<reported_config> reported_config_;
     bool config_query_in_progress_ = false;
-    /// The configuration was compared since the start.
-    bool is_compared_ = false;
-    /// First full read, after which the comparison begins.
-    std::optional<time_point> comparison_started_at_;
-    time_point next_comparison_at_;
-    /// Routers asked in the last round, and how many have been asked by then.
-    std::size_t comparison_peers_ = 0;
-    std::size_t asked_routers_ = 0;
-    /// Addresses of routers that have responded without having compared their
-    /// own configuration.
-    std::set<std::string> uncompared_routers_;
     /// Version of a configuration that this router could not read.
     std::uint64_t unusable_config_version_ = 0;
     /// The version and era at the last call of take_config_peers() that
--- a/include/baobabloft/dispatch/freshness.hpp
+++ b/include/baobabloft/dispatch/freshness.hpp
@@ -27,9 +27,6 @@
     /// The store was restored from a copy a moment ago and may lack
     /// configurations that were confirmed.
     store_restored,
-    /// It was read at the start of the router and not yet compared with that of
-    /// another one. The store may have been restored from a copy.
-    not_compared,
     /// A newer one is known to exist. It was written after the confirmation.
     superseded
 };
--- a/lib/directory/directory_follower.cpp
+++ b/lib/directory/directory_follower.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <limits>
 #include <utility>
 
 namespace baobabloft::directory
@@ -28,10 +27,6 @@
 constexpr std::ptrdiff_t max_creators = 3;
 constexpr duration creation_patience = 3s;
 
-/// Sequence number of comparison_query(); other queries count from 1.
-constexpr std::uint32_t comparison_sequence =
-    std::numeric_limits<std::uint32_t>::max();
-
 } // namespace
 
 directory_follower::directory_follower(const record_codec& codec,
@@ -115,7 +110,6 @@
         return std::nullopt;
     auto& reported = *reported_config_;
     if (!reported.is_missing_in_store && !awaits_rewrites(now) &&
-        is_config_compared(now) &&
         now - reported.reported_at < options_.config_report_patience)
         return std::nullopt;
     config_query_in_progress_ = true;
@@ -196,15 +190,6 @@
         return {};
     compared_era_ = era_;
     compared_version_ = state_.config_version();
-    std::vector<router_record> peers;
-    for (const auto* router : ranked_routers())
-        if (peers.size() < options_.max_config_peers)
-            peers.push_back(*router);
-    return peers;
-}
-
-std::vector<const router_record*> directory_follower::ranked_routers() const
-{
     const auto own_hash = hash_bytes(options_.router);
     std::vector<std::pair<std::uint64_t, const router_record*>> ranked;
     for (const auto& [name, router] : state_.routers())
@@ -213,74 +198,14 @@
                                 &router);
     std::ranges::sort(ranked, std::greater{},
                       [](const auto& item) { return item.first; });
-    std::vector<const router_record*> routers;
-    routers.reserve(ranked.size());
-    for (const auto& [score, router] : ranked)
-        routers.push_back(router);
-    return routers;
-}
-
-std::vector<router_record>
-directory_follower::take_comparison_peers(time_point now)
-{
-    if (is_compared_ || !state_complete_ || now < next_comparison_at_)
-        return {};
-    const auto routers = ranked_routers();
-    // A store without a secret has never had a fleet. If no router has compared
-    // its configuration, all have read it from the store since their starts.
-    const bool all_uncompared =
-        std::ranges::all_of(routers,
-                            [this](const router_record* router) {
-                                return uncompared_routers_.contains(
-                                    to_string(router->control_address));
-                            });
-    if (state_.secret().empty() || (all_uncompared && !reported_config_))
-    {
-        is_compared_ = true;
-        return {};
-    }
-    next_comparison_at_ = now + options_.comparison_retry;
-    comparison_peers_ =
-        std::max(2 * comparison_peers_, options_.max_config_peers);
+    ranked.resize(std::min(ranked.size(), options_.max_config_peers));
     std::vector<router_record> peers;
-    for (const auto* router : routers)
-        if (peers.size() < comparison_peers_ &&
-            !uncompared_routers_.contains(to_string(router->control_address)))
-            peers.push_back(*router);
-    asked_routers_ = uncompared_routers_.size() + peers.size();
+    peers.reserve(ranked.size());
+    for (const auto& [score, router] : ranked)
+        peers.push_back(*router);
     return peers;
 }
 
-config_query directory_follower::comparison_query()
-{
-    return {.sequence = comparison_sequence,
-            .offset = std::numeric_limits<std::uint32_t>::max()};
-}
-
-void directory_follower::handle_comparison(time_point now,
-                                           const config_part& part,
-                                           const endpoint& from)
-{
-    if (part.sequence != comparison_sequence || is_compared_)
-        return;
-    handle_config_version(now, part.version, from);
-    if (part.total_bytes == 0)
-    {
-        uncompared_routers_.insert(to_string(from));
-        if (uncompared_routers_.size() >= asked_routers_)
-            next_comparison_at_ = now;
-    }
-    else if (part.version <= state_.config_version())
-        is_compared_ = true;
-}
-
-bool directory_follower::is_config_compared(time_point now) const
-{
-    return is_compared_ ||
-           (comparison_started_at_ &&
-            now - *comparison_started_at_ > options_.rewrite_time);
-}
-
 void directory_follower::start_era(time_point now, store_era era)
 {
     era_ = era;
@@ -297,15 +222,6 @@
     // Writers whose entries the copy does not have register again.
     store_returned_at_ = now;
     state_.begin_era(era, now + options_.rewrite_time);
-    // After a long time out of touch, the configuration is as uncertain as
-    // after a start.
-    if (!confirmed_at_ || now - *confirmed_at_ > options_.rewrite_time)
-    {
-        is_compared_ = false;
-        comparison_started_at_.reset();
-        comparison_peers_ = 0;
-        uncompared_routers_.clear();
-    }
 }
 
 bool directory_follower::accept_store_era(time_point now, store_era era)
@@ -478,8 +394,6 @@
     if (!state_complete_)
         reset_full_read();
     state_complete_ = true;
-    if (!comparison_started_at_)
-        comparison_started_at_ = sent_at;
     failure_pause_ = duration{0};
     update_reported_config();
     if (reported_config_)
@@ -824,18 +738,9 @@
     return result;
 }
 
-config_part directory_follower::respond(time_point now,
-                                        const config_query& query) const
+config_part directory_follower::respond(const config_query& query) const
 {
-    auto part = state_.config_part_for(query);
-    if (query.sequence != comparison_sequence)
-        return part;
-    // Routers of former versions respond to a comparison with 0 as well.
-    const bool is_recent =
-        confirmed_at_ &&
-        now - *confirmed_at_ < options_.store_unavailable_after;
-    part.total_bytes = is_recent && is_config_compared(now) ? 1 : 0;
-    return part;
+    return state_.config_part_for(query);
 }
 
 entry_part directory_follower::respond(time_point now,
--- a/lib/dispatch/freshness.cpp
+++ b/lib/dispatch/freshness.cpp
@@ -29,8 +29,7 @@
     const auto age = now - *confirmed_at;
     if (doubt == config_doubt::superseded && age >= bounds.in_force)
         return permitted_use::superseded;
-    if (doubt == config_doubt::not_compared ||
-        age >= bounds.key_revocation - key_margin)
+    if (age >= bounds.key_revocation - key_margin)
         return permitted_use::routes_only;
     if (doubt != config_doubt::none ||
         age >= bounds.in_force * deny_numerator / deny_denominator)
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -63,9 +63,7 @@
 relay_context::permitted_config_use(time_point now) const
 {
     auto doubt = dispatch::config_doubt::none;
-    if (!follower.is_config_compared(now))
-        doubt = dispatch::config_doubt::not_compared;
-    else if (follower.is_config_superseded())
+    if (follower.is_config_superseded())
         doubt = dispatch::config_doubt::superseded;
     else if (follower.awaits_rewrites(now))
         doubt = dispatch::config_doubt::store_restored;
@@ -273,7 +271,6 @@
     return !context_.is_shutting_down() &&
            dispatch::is_fresh_enough_for_new_connections(
                now, context_.follower.confirmed_at(), context_.freshness) &&
-           context_.follower.is_config_compared(now) &&
            context_.follower.state().config() != nullptr;
 }
 
--- a/lib/relay/relay_routers.cpp
+++ b/lib/relay/relay_routers.cpp
@@ -188,7 +188,7 @@
 
 void relay::handle(router_id from, const directory::config_query& message)
 {
-    send_datagram(from, context_.follower.respond(net::boot_now(), message));
+    send_datagram(from, context_.follower.respond(message));
 }
 
 void relay::handle(router_id from, const directory::listing_query& message)
@@ -203,10 +203,8 @@
         end_router_query();
 }
 
-void relay::handle(router_id from, const directory::config_part& message)
+void relay::handle(router_id /*from*/, const directory::config_part& message)
 {
-    if (const auto address = parse_endpoint(to_string(from)))
-        context_.follower.handle_comparison(net::boot_now(), message, *address);
     if (context_.follower.handle_config_part(net::boot_now(), message))
         end_router_query();
 }
@@ -274,11 +272,6 @@
          context_.follower.take_config_peers(net::boot_now()))
         if (const auto id = router_id_at(peer.control_address))
             send_datagram(*id, context_.follower.notice());
-    for (const auto& peer :
-         context_.follower.take_comparison_peers(net::boot_now()))
-        if (const auto id = router_id_at(peer.control_address))
-            send_datagram(*id,
-                          directory::directory_follower::comparison_query());
 }
 
 void relay::send_to_all(const fleet::message& message)
