--- a/lib/operators/rollout_report.cpp
+++ b/lib/operators/rollout_report.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <map>
 #include <sstream>
@@ -40,9 +41,9 @@
 
 std::string progress_bar(double share)
 {
-    const auto filled = std::min(
-        bar_width,
-        static_cast<std::size_t>(std::max(share, 0.0) * bar_width + 0.5));
+    const auto filled =
+        std::min(bar_width, static_cast<std::size_t>(
+                                std::lround(std::max(share, 0.0) * bar_width)));
     return "[" + std::string(filled, '#') +
            std::string(bar_width - filled, '.') + "]";
 }
