Tests: ports of processes lie outside the range of outgoing connections

Cause: free_ports() took ephemeral ports, closed them, and another test's outgoing connection got one before it was bound again. Change: ports below the ephemeral range, each probed.

--- a/utils/fleet.py
+++ b/utils/fleet.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,13 +21,21 @@
 
 
 def free_ports(count):
-    """Returns TCP port numbers that are free on 127.0.0.1."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound_socket in sockets:
-        bound_socket.bind(("127.0.0.1", 0))
-    ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
+    """Returns TCP port numbers that are free on 127.0.0.1.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections, one of which could otherwise take a port before it is used.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
