relay: the end of an attempt is logged with what shows whether it ran

An attempt counts as not run if the upstream refused it or nothing was sent. The logs could not show which connection and exchange a refusal came on, whether it named the request, or how many bytes had left, so that a refusal of another exchange could not be told from a true one. attempt_failed has these now.

--- a/include/baobabloft/http/upstream_channel.hpp
+++ b/include/baobabloft/http/upstream_channel.hpp
@@ -101,6 +101,13 @@
     [[nodiscard]] std::optional<duration> announced_idle_timeout() const;
     /// Returns true if this exchange is not the connection's first.
     [[nodiscard]] bool was_reused() const;
+    /// Returns the number of exchanges of this connection, with the current
+    /// one.
+    [[nodiscard]] std::uint32_t exchange_count() const;
+    /// Returns how many bytes of the current request the system has accepted.
+    [[nodiscard]] std::uint64_t sent_request_bytes() const;
+    /// Returns the number of this connection, unique in this process.
+    [[nodiscard]] std::uint64_t serial() const;
 
 private:
     using parser_type =
@@ -120,6 +127,7 @@
 
     net::event_loop& loop_;
     std::shared_ptr<tcp_stream> stream_;
+    std::uint64_t serial_;
     /// Shared, so that a callback may cancel the exchange that runs it.
     std::shared_ptr<handlers> handlers_;
     std::string id_header_;
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -50,6 +50,7 @@
         /// Time from the start to the first content of the response.
         std::optional<duration> first_content_after;
         http::response_head head;
+        bool has_head = false;
         std::string body;
         /// Events received with content.
         std::uint32_t events = 0;
@@ -70,6 +71,16 @@
 
     using attempt_ptr = std::shared_ptr<upstream_attempt>;
 
+    /// Where and how far an attempt's request was sent.
+    struct attempt_trace
+    {
+        /// As upstream_channel::serial() and exchange_count(); 0 if there was
+        /// no connection.
+        std::uint64_t connection = 0;
+        std::uint32_t exchange = 0;
+        std::uint64_t sent_bytes = 0;
+    };
+
     void begin();
     /// Finds the route and the customer. Refuses the request and returns false
     /// if it may not be served.
@@ -176,6 +187,12 @@
     /// Records how an attempt ended and takes the next step of the request.
     void end_attempt(const attempt_ptr& attempt, dispatch::attempt_end end,
                      std::string_view reason);
+    /// Logs how an attempt ended, and what shows whether the request ran.
+    void log_attempt_end(const attempt_ptr& attempt, const attempt_trace& trace,
+                         dispatch::attempt_end end, dispatch::next_step step,
+                         std::string_view reason) const;
+    /// Returns where and how far the attempt's request was sent.
+    [[nodiscard]] static attempt_trace trace_of(const attempt_ptr& attempt);
     /// Releases the attempt's connection.
     void release_attempt(const attempt_ptr& attempt);
     /// Releases the connection of the current attempt and stops its timer.
--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -3,6 +3,7 @@
 
 #include "baobabloft/support/numbers.hpp"
 
+#include <atomic>
 #include <utility>
 
 namespace baobabloft::http
@@ -37,6 +38,13 @@
     return *seconds * 1s;
 }
 
+/// Returns a number that no other connection has.
+std::uint64_t next_serial()
+{
+    static std::atomic<std::uint64_t> last{0};
+    return ++last;
+}
+
 } // namespace
 
 std::shared_ptr<upstream_channel>
@@ -53,7 +61,7 @@
 
 upstream_channel::upstream_channel(net::event_loop& loop,
                                    std::shared_ptr<tcp_stream> stream)
-    : loop_(loop), stream_(std::move(stream))
+    : loop_(loop), stream_(std::move(stream)), serial_(next_serial())
 {
 }
 
@@ -158,7 +166,7 @@
 
 bool upstream_channel::has_sent_bytes() const
 {
-    return stream_->sent_bytes() > request_start_offset_;
+    return sent_request_bytes() > 0;
 }
 
 bool upstream_channel::is_reusable() const
@@ -181,6 +189,21 @@
     return exchange_count_ > 1;
 }
 
+std::uint32_t upstream_channel::exchange_count() const
+{
+    return exchange_count_;
+}
+
+std::uint64_t upstream_channel::sent_request_bytes() const
+{
+    return stream_->sent_bytes() - request_start_offset_;
+}
+
+std::uint64_t upstream_channel::serial() const
+{
+    return serial_;
+}
+
 void upstream_channel::on_data(std::string_view bytes)
 {
     if (!busy_)
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -65,6 +65,7 @@
 {
     const auto now = net::boot_now();
     attempt->head = head;
+    attempt->has_head = true;
     const auto& names = context_.dialect;
     if (const auto load = names.parse_load(http::field_value(head, names.load)))
         context_.selector.record_load(now, attempt->upstream, *load);
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -610,6 +610,7 @@
     const auto self = shared_from_this();
     const auto now = net::boot_now();
     const bool reused = attempt->channel && attempt->channel->was_reused();
+    const auto trace = trace_of(attempt);
     const bool is_hedge = attempt == hedge_attempt_;
     if (is_hedge)
         release_attempt(attempt);
@@ -660,22 +661,7 @@
     const auto step = step_after(*route_, end, history_);
     context_.counters.increment("baobab_attempt_ends_total", "end",
                                 name_in(dispatch::attempt_end_names, end));
-    log_event(log_level::info, "attempt_failed",
-              {{"request", request_id_},
-               {"upstream", attempt->upstream},
-               {"end", std::string{name_in(dispatch::attempt_end_names, end)}},
-               {"why", std::string{reason}},
-               {"after_ms", format_ms(now - attempt->started)},
-               {"choice", std::string{name_in(dispatch::choice_names,
-                                              attempt->chosen.reason)}},
-               {"load", format_one_decimal(attempt->chosen.load)},
-               {"mean", format_one_decimal(attempt->chosen.mean_load)},
-               {"runs", std::to_string(history_.runs)},
-               {"left_ms", format_ms(deadline_ - now)},
-               {"next",
-                hedge_attempt_
-                    ? "other_attempt"
-                    : std::string{name_in(dispatch::next_step_names, step)}}});
+    log_attempt_end(attempt, trace, end, step, reason);
     if (is_hedge)
     {
         attempt->body = {};
@@ -722,6 +708,50 @@
     }
 }
 
+relay_session::attempt_trace
+relay_session::trace_of(const attempt_ptr& attempt)
+{
+    const auto& channel = attempt->channel;
+    if (!channel)
+        return {};
+    return {.connection = channel->serial(),
+            .exchange = channel->exchange_count(),
+            .sent_bytes = channel->sent_request_bytes()};
+}
+
+void relay_session::log_attempt_end(const attempt_ptr& attempt,
+                                    const attempt_trace& trace,
+                                    attempt_end end, next_step step,
+                                    std::string_view reason) const
+{
+    const auto now = net::boot_now();
+    const auto echoed_id =
+        http::field_value(attempt->head, context_.dialect.request_id);
+    log_event(log_level::info, "attempt_failed",
+              {{"request", request_id_},
+               {"upstream", attempt->upstream},
+               {"end", std::string{name_in(dispatch::attempt_end_names, end)}},
+               {"why", std::string{reason}},
+               {"after_ms", format_ms(now - attempt->started)},
+               {"connection", std::to_string(trace.connection)},
+               {"exchange", std::to_string(trace.exchange)},
+               {"sent_bytes", std::to_string(trace.sent_bytes)},
+               {"status", attempt->has_head
+                              ? std::to_string(attempt->head.result_int())
+                              : "none"},
+               {"response_id", std::string{echoed_id}},
+               {"choice", std::string{name_in(dispatch::choice_names,
+                                              attempt->chosen.reason)}},
+               {"load", format_one_decimal(attempt->chosen.load)},
+               {"mean", format_one_decimal(attempt->chosen.mean_load)},
+               {"runs", std::to_string(history_.runs)},
+               {"left_ms", format_ms(deadline_ - now)},
+               {"next",
+                hedge_attempt_
+                    ? "other_attempt"
+                    : std::string{name_in(dispatch::next_step_names, step)}}});
+}
+
 void relay_session::finish(std::string_view outcome)
 {
     if (finished_)
