http: a request never comes back to a connection that carried it

Callers saw a request that must run once run twice, or 503 for a request that ran.

A response is matched by the request's id, which all attempts of a request share. A request that was refused and waited for room could go to the same upstream again, on the same connection. A late second copy of its first refusal then counted as the answer to the second attempt, which ran: the request was sent a third time (TWICE) or refused as not run (REFUSED). Class: evidence of one exchange is accepted for another.

Evidence: relay.CopiedRefusalTest, one router and a scripted upstream, on the code before: attempt_failed end=declined connection=2 exchange=21, then connection=2 exchange=22, then a third attempt; two runs. With the change the second attempt goes on another connection and its answer is used; one run.

A connection remembers the ids that it carried, at most 512, after which it carries no further request; the pool passes over connections that carried the id. A late copy on another connection meets an idle connection, which it closes, or a request with another id, for which it is skipped.

--- a/include/baobabloft/http/channel_pool.hpp
+++ b/include/baobabloft/http/channel_pool.hpp
@@ -26,13 +26,12 @@
 public:
     channel_pool(net::event_loop& loop, const channel_pool_options& options);
 
-    /// Returns a connection that has been idle for less than `max_idle`, or
-    /// opens a new one. Returns null if no socket can be created or the connect
-    /// fails at once.
-    std::shared_ptr<upstream_channel> acquire(time_point now,
-                                              const std::string& id,
-                                              const endpoint& address,
-                                              duration max_idle);
+    /// Returns a connection that has been idle for less than `max_idle` and has
+    /// not carried a request with the id `request_id`, or opens a new one.
+    /// Returns null if no socket can be created or the connect fails at once.
+    std::shared_ptr<upstream_channel>
+    acquire(time_point now, const std::string& id, const endpoint& address,
+            duration max_idle, std::string_view request_id = {});
 
     /// Returns a connection to the pool if it can carry another request. If its
     /// response has begun but not ended, the rest of the response is read and
@@ -81,6 +80,12 @@
     /// Returns the idle time up to which a connection may be reused.
     [[nodiscard]] duration
     usable_idle_time(const upstream_channel& channel) const;
+    /// Removes the most recently used of the idle connections that acquire()
+    /// may return, and closes those that are no longer usable. Returns null if
+    /// there is none.
+    std::shared_ptr<upstream_channel>
+    take_idle(time_point now, std::vector<pooled_channel>& idle,
+              duration max_idle, std::string_view request_id) const;
     /// Makes connections idle whose discarded response has ended, and closes
     /// those whose response takes too long.
     static void collect_discarded(time_point now, upstream_channels& channels);
--- a/include/baobabloft/http/upstream_channel.hpp
+++ b/include/baobabloft/http/upstream_channel.hpp
@@ -106,6 +106,10 @@
     [[nodiscard]] std::uint32_t exchange_count() const;
     /// Returns how many bytes of the current request the system has accepted.
     [[nodiscard]] std::uint64_t sent_request_bytes() const;
+    /// Returns true if an earlier exchange had the request id `id`: a late copy
+    /// of its response would be taken for the response to another request with
+    /// that id.
+    [[nodiscard]] bool has_carried(std::string_view id) const;
     /// Returns the number of this connection, unique in this process.
     [[nodiscard]] std::uint64_t serial() const;
 
@@ -149,6 +153,8 @@
     std::uint64_t request_start_offset_ = 0;
     std::uint64_t request_end_offset_ = 0;
     std::uint32_t exchange_count_ = 0;
+    /// Hashes of the request ids of all exchanges.
+    std::vector<std::uint64_t> carried_ids_;
     std::uint32_t interim_responses_ = 0;
     guint connect_timer_ = 0;
     std::optional<duration> announced_idle_timeout_;
--- a/lib/http/channel_pool.cpp
+++ b/lib/http/channel_pool.cpp
@@ -53,30 +53,38 @@
         { return item.channel->is_reusable() || !item.channel->is_open(); });
 }
 
-std::shared_ptr<upstream_channel> channel_pool::acquire(time_point now,
-                                                        const std::string& id,
-                                                        const endpoint& address,
-                                                        duration max_idle)
+std::shared_ptr<upstream_channel>
+channel_pool::take_idle(time_point now, std::vector<pooled_channel>& idle,
+                        duration max_idle, std::string_view request_id) const
 {
-    auto& channels = upstreams_[id];
-    collect_discarded(now, channels);
     // The most recently used connection is the least likely to be unresponsive.
-    while (!channels.idle.empty())
+    for (auto index = idle.size(); index > 0; --index)
     {
-        auto item = std::move(channels.idle.back());
-        channels.idle.pop_back();
-        const auto idle = now - item.added_at;
-        if (item.channel->is_reusable() &&
-            idle < std::min(usable_idle_time(*item.channel), max_idle))
+        const auto item = idle[index - 1];
+        const auto age = now - item.added_at;
+        if (age >= max_idle)
+            return nullptr;
+        const bool is_usable = item.channel->is_reusable() &&
+                               age < usable_idle_time(*item.channel);
+        if (is_usable && item.channel->has_carried(request_id))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index - 1));
+        if (is_usable)
             return item.channel;
-        if (idle < max_idle)
-            item.channel->abandon();
-        else
-        {
-            channels.idle.push_back(std::move(item));
-            break;
-        }
+        item.channel->abandon();
     }
+    return nullptr;
+}
+
+std::shared_ptr<upstream_channel>
+channel_pool::acquire(time_point now, const std::string& id,
+                      const endpoint& address, duration max_idle,
+                      std::string_view request_id)
+{
+    auto& channels = upstreams_[id];
+    collect_discarded(now, channels);
+    if (auto idle = take_idle(now, channels.idle, max_idle, request_id))
+        return idle;
     auto channel = upstream_channel::open(loop_, address, options_.stream);
     if (!channel)
         return nullptr;
--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -1,8 +1,10 @@
 // Implements HTTP/1.1 exchanges on one client connection.
 #include "baobabloft/http/upstream_channel.hpp"
 
+#include "baobabloft/support/hash.hpp"
 #include "baobabloft/support/numbers.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -22,6 +24,8 @@
 constexpr std::uint64_t max_response_body_bytes =
     std::uint64_t{64} * 1024 * 1024;
 constexpr unsigned first_final_status = 200;
+/// Number of request ids after which a connection carries no further request.
+constexpr std::size_t max_carried_ids = 512;
 
 /// Returns the value of "timeout=N" (seconds) in a Keep-Alive header, if any.
 std::optional<duration> parse_keep_alive_timeout(std::string_view value)
@@ -121,6 +125,10 @@
     is_head_request_ = message.head.method() == bhttp::verb::head;
     busy_ = true;
     ++exchange_count_;
+    if (!id_.empty())
+        carried_ids_.push_back(hash_bytes(id_));
+    if (carried_ids_.size() >= max_carried_ids)
+        retired_ = true;
     interim_responses_ = 0;
     reset_parser();
     auto bytes = serialize_head(message.head);
@@ -199,6 +207,12 @@
     return stream_->sent_bytes() - request_start_offset_;
 }
 
+bool upstream_channel::has_carried(std::string_view id) const
+{
+    return !id.empty() && std::ranges::find(carried_ids_, hash_bytes(id)) !=
+                              carried_ids_.end();
+}
+
 std::uint64_t upstream_channel::serial() const
 {
     return serial_;
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -466,7 +466,8 @@
     const bool is_repeatable = route_->is_repeatable();
     attempt->channel = context_.pool.acquire(
         now, upstream.record.id, upstream.record.address,
-        is_repeatable ? max_repeatable_idle : max_unrepeatable_idle);
+        is_repeatable ? max_repeatable_idle : max_unrepeatable_idle,
+        request_id_);
     context_.selector.record_sent(now, attempt->upstream);
     attempt->is_target_version = !versions_.target.empty() &&
                                  upstream.record.version == versions_.target;
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -299,6 +299,37 @@
         self.assertEqual(self.requests.count("b"), 1)
 
 
+class CopiedRefusalTest(RelayTest):
+    """The upstream refuses "a" once, and sends a late copy of that refusal when
+    the request comes again."""
+    extra_settings = "retry-ratio=1.0\nretry-slack=58\n"
+
+    def respond(self, connection, fields, number):
+        request_id = fields["X-Request-Id"]
+        refusal = head(request_id, "X-Not-Run: 1\r\nContent-Length: 4\r\n",
+                       REFUSAL) + b"full"
+        if request_id == "a" and self.requests.count("a") == 1:
+            self.first_connection = connection
+            connection.sendall(refusal)
+            return
+        self.runs.append(request_id)
+        if request_id == "a" and self.runs.count("a") == 1:
+            self.first_connection.sendall(refusal)
+            time.sleep(0.1)
+        connection.sendall(head(request_id, "Content-Length: 4\r\n") + b"done")
+
+    # Guards against a second run of a request whose second attempt runs, after
+    # a late copy of the refusal of its first one.
+    def test_a_copied_refusal_is_no_answer_to_the_second_attempt(self):
+        self.runs = []
+        # The retry budget grows with the requests.
+        for number in range(20):
+            self.send("POST", "/unsafe/1", f"r{number}").read()
+        response = self.send("POST", "/unsafe/1", "a", time_left_ms=3000)
+        self.assertEqual((response.status, response.read()), (200, b"done"))
+        self.assertEqual(self.runs.count("a"), 1)
+
+
 class ErrorInStreamTest(RelayTest):
     """A stream breaks off after its first event, as its request id says."""
     upstreams = 2
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -830,6 +830,34 @@
     EXPECT_EQ(pool.open_count("up"), 0U);
 }
 
+// Guards against a late copy of the response to a request's first attempt that
+// is taken for the response to its second one.
+TEST_F(upstream_test, a_request_never_comes_back_to_its_channel)
+{
+    channel_pool pool{loop, {}};
+    const auto now = net::boot_now();
+    const auto channel = pool.acquire(now, "up", target, 8s, "7");
+    send_request(channel);
+    reply("HTTP/1.1 503 Full\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n");
+    pool.release(now, "up", channel);
+    EXPECT_NE(pool.acquire(now, "up", target, 8s, "7"), channel);
+    EXPECT_EQ(pool.acquire(now, "up", target, 8s, "8"), channel);
+}
+
+// Guards against a connection that forgets an id that it has carried.
+TEST_F(upstream_test, a_channel_carries_a_limited_number_of_requests)
+{
+    const auto channel = open();
+    int exchanges = 0;
+    for (; exchanges < 1000 && (exchanges == 0 || channel->is_reusable());
+         ++exchanges)
+    {
+        send_request(channel);
+        reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n");
+    }
+    EXPECT_EQ(exchanges, 512);
+}
+
 TEST_F(upstream_test, a_released_channel_without_a_response_is_closed)
 {
     channel_pool pool{loop, {}};
