relay: one rule decides whether a request may have run

Callers could get 429 or 503, which promise that a request did not run, although an upstream ran it.

The promise was decided in several places, by counting runs, each of which had to know which ends of an attempt mean 'not run'. Two of them were wrong or unproven: a refusal that names no request counted on a connection's first exchange, and a failure to connect outweighed bytes that had left.

dispatch/run_evidence holds the rule: a request may have run unless no byte of it was accepted for sending, or a response names it and says that it did not run. Each end of an attempt passes through it, and refuse() itself asks whether the request may have run, so that no path can promise too much.

A 421 still needs no header: the published rules name that status itself.

--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -2,7 +2,7 @@
 // response, either buffered or streamed event by event.
 #pragma once
 
-#include "baobabloft/dispatch/retry_rules.hpp"
+#include "baobabloft/dispatch/run_evidence.hpp"
 #include "baobabloft/http/read_pace.hpp"
 #include "baobabloft/net/restartable_timer.hpp"
 #include "baobabloft/relay/relay.hpp"
@@ -71,14 +71,15 @@
 
     using attempt_ptr = std::shared_ptr<upstream_attempt>;
 
-    /// Where and how far an attempt's request was sent.
+    /// Where and how far an attempt's request was sent, and what shows whether
+    /// it ran.
     struct attempt_trace
     {
         /// As upstream_channel::serial() and exchange_count(); 0 if there was
         /// no connection.
         std::uint64_t connection = 0;
         std::uint32_t exchange = 0;
-        std::uint64_t sent_bytes = 0;
+        dispatch::run_evidence evidence;
     };
 
     void begin();
@@ -184,15 +185,21 @@
     /// Returns true if the upstream states that it did not run the request.
     [[nodiscard]] bool reports_not_run(const attempt_ptr& attempt) const;
 
-    /// Records how an attempt ended and takes the next step of the request.
-    void end_attempt(const attempt_ptr& attempt, dispatch::attempt_end end,
+    /// Records how an attempt ended, as far as its evidence supports
+    /// `reported_end`, and takes the next step of the request.
+    void end_attempt(const attempt_ptr& attempt,
+                     dispatch::attempt_end reported_end,
                      std::string_view reason);
     /// Logs how an attempt ended, and what shows whether the request ran.
     void log_attempt_end(const attempt_ptr& attempt, const attempt_trace& trace,
                          dispatch::attempt_end end, dispatch::next_step step,
                          std::string_view reason) const;
-    /// Returns where and how far the attempt's request was sent.
-    [[nodiscard]] static attempt_trace trace_of(const attempt_ptr& attempt);
+    /// Returns where and how far the attempt's request was sent, and what shows
+    /// whether it ran.
+    [[nodiscard]] attempt_trace trace_of(const attempt_ptr& attempt) const;
+    /// Returns false only if the request cannot have run and is not on its way
+    /// to an upstream.
+    [[nodiscard]] bool may_have_run() const;
     /// Releases the attempt's connection.
     void release_attempt(const attempt_ptr& attempt);
     /// Releases the connection of the current attempt and stops its timer.
@@ -202,8 +209,11 @@
     /// Returns when the caller of a request refused as `kind` may return.
     [[nodiscard]] dispatch::planned_return
     plan_return(router::refusal_kind kind, time_point now);
-    /// Ends a request that did not run.
-    void refuse(router::refusal_kind kind, std::string_view reason);
+    /// Ends a request as `kind` if it did not run and will not, and as
+    /// `kind_if_run` if it may have run.
+    void refuse(router::refusal_kind kind, std::string_view reason,
+                router::refusal_kind kind_if_run =
+                    router::refusal_kind::upstream_failed);
     /// Ends a request that may have run.
     void fail(router::refusal_kind kind, std::string_view reason);
     /// Aborts a response that has begun.
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -377,8 +377,14 @@
     return dispatch::return_schedule::plan_other_router(random);
 }
 
-void relay_session::refuse(refusal_kind kind, std::string_view reason)
+void relay_session::refuse(refusal_kind kind, std::string_view reason,
+                           refusal_kind kind_if_run)
 {
+    if (may_have_run())
+    {
+        fail(kind_if_run, reason);
+        return;
+    }
     const auto now = net::boot_now();
     std::optional<dispatch::planned_return> planned;
     if (router::refusal_row_of(kind).retry_after_s > 0)
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -233,22 +233,19 @@
     const auto now = net::boot_now();
     if (now + min_attempt_time >= deadline_ && history_.attempts > 0)
     {
+        constexpr std::string_view reason =
+            "not enough time for another attempt";
         if (stream_started_)
-            break_off("not enough time for another attempt");
-        else if (history_.runs == 0)
-            refuse(refusal_kind::deadline_passed,
-                   "not enough time for another attempt");
+            break_off(reason);
         else
-            fail(refusal_kind::upstream_timed_out,
-                 "not enough time for another attempt");
+            refuse(refusal_kind::deadline_passed, reason,
+                   refusal_kind::upstream_timed_out);
         return;
     }
     if (history_.attempts > 0 && is_quarantined(now))
     {
         if (stream_started_)
             break_off(quarantine_reason);
-        else if (history_.runs > 0)
-            fail(refusal_kind::upstream_failed, quarantine_reason);
         else
             refuse(refusal_kind::quarantined, quarantine_reason);
         return;
@@ -261,9 +258,7 @@
             try_later(name_in(dispatch::choice_names, chosen.reason));
             return;
         }
-        if (history_.runs > 0)
-            fail(refusal_kind::upstream_failed, "no other upstream available");
-        else if (!wait_for_room())
+        if (!wait_for_room())
             refuse(chosen.reason == dispatch::choice::all_busy
                        ? refusal_kind::overloaded
                        : refusal_kind::no_upstream,
@@ -272,12 +267,12 @@
     }
     if (!take_repeat(now))
     {
+        constexpr std::string_view reason = "retry budget is used up";
         if (stream_started_)
-            try_later("retry budget is used up");
-        else if (history_.runs > 0)
-            fail(refusal_kind::retries_spent, "retry budget is used up");
+            try_later(reason);
         else
-            refuse(refusal_kind::overloaded, "retry budget is used up");
+            refuse(refusal_kind::overloaded, reason,
+                   refusal_kind::retries_spent);
         return;
     }
     context_.counters.increment("baobab_choices_total", "reason",
@@ -330,6 +325,8 @@
 
 bool relay_session::wait_for_room()
 {
+    if (may_have_run())
+        return false;
     const auto now = net::boot_now();
     std::uniform_real_distribution<double> distribution{0, 1};
     const auto wait = dispatch::wait_for_room(
@@ -532,12 +529,7 @@
 void relay_session::on_failure(const attempt_ptr& attempt,
                                http::exchange_failure reason)
 {
-    const bool sent = attempt->channel->has_sent_bytes();
-    const bool connecting = reason == http::exchange_failure::connect_failed ||
-                            reason == http::exchange_failure::connect_timed_out;
-    end_attempt(attempt,
-                sent && !connecting ? attempt_end::broken
-                                    : attempt_end::not_sent,
+    end_attempt(attempt, attempt_end::broken,
                 name_in(http::exchange_failure_names, reason));
 }
 
@@ -605,13 +597,15 @@
     attempt->channel.reset();
 }
 
-void relay_session::end_attempt(const attempt_ptr& attempt, attempt_end end,
+void relay_session::end_attempt(const attempt_ptr& attempt,
+                                attempt_end reported_end,
                                 std::string_view reason)
 {
     const auto self = shared_from_this();
     const auto now = net::boot_now();
     const bool reused = attempt->channel && attempt->channel->was_reused();
     const auto trace = trace_of(attempt);
+    const auto end = dispatch::proven_end(reported_end, trace.evidence);
     const bool is_hedge = attempt == hedge_attempt_;
     if (is_hedge)
         release_attempt(attempt);
@@ -710,19 +704,35 @@
 }
 
 relay_session::attempt_trace
-relay_session::trace_of(const attempt_ptr& attempt)
+relay_session::trace_of(const attempt_ptr& attempt) const
 {
-    const auto& channel = attempt->channel;
-    if (!channel)
-        return {};
-    return {.connection = channel->serial(),
-            .exchange = channel->exchange_count(),
-            .sent_bytes = channel->sent_request_bytes()};
+    attempt_trace result;
+    if (const auto& channel = attempt->channel)
+        result = {.connection = channel->serial(),
+                  .exchange = channel->exchange_count(),
+                  .evidence = {.sent_bytes = channel->sent_request_bytes()}};
+    result.evidence.is_refusal = attempt->has_head && reports_not_run(attempt);
+    result.evidence.names_request =
+        attempt->has_head &&
+        http::field_value(attempt->head, context_.dialect.request_id) ==
+            request_id_;
+    return result;
+}
+
+bool relay_session::may_have_run() const
+{
+    const auto may_run = [this](const attempt_ptr& attempt)
+    {
+        return attempt && !attempt->over &&
+               dispatch::may_have_run(trace_of(attempt).evidence);
+    };
+    return history_.runs > 0 || may_run(current_attempt_) ||
+           may_run(hedge_attempt_);
 }
 
 void relay_session::log_attempt_end(const attempt_ptr& attempt,
-                                    const attempt_trace& trace,
-                                    attempt_end end, next_step step,
+                                    const attempt_trace& trace, attempt_end end,
+                                    next_step step,
                                     std::string_view reason) const
 {
     const auto now = net::boot_now();
@@ -736,7 +746,7 @@
                {"after_ms", format_ms(now - attempt->started)},
                {"connection", std::to_string(trace.connection)},
                {"exchange", std::to_string(trace.exchange)},
-               {"sent_bytes", std::to_string(trace.sent_bytes)},
+               {"sent_bytes", std::to_string(trace.evidence.sent_bytes)},
                {"status", attempt->has_head
                               ? std::to_string(attempt->head.result_int())
                               : "none"},
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -293,6 +293,11 @@
         self.assertEqual((response.status, response.read()), (200, b"done"))
         self.assertEqual(self.requests.count("with-id"), 1)
 
+    # Guards against "not run" for a request that a refusal does not name.
+    def test_a_first_refusal_without_an_id_does_not_say_not_run(self):
+        self.assertEqual(self.send("POST", "/unsafe/1", "b").status, 502)
+        self.assertEqual(self.requests.count("b"), 1)
+
     def test_a_repeated_refusal_without_an_id_does_not_say_not_run(self):
         self.assertIn(self.send("POST", "/unsafe/1", "a").status, NOT_RUN)
         self.assertEqual(self.send("POST", "/unsafe/1", "b").status, 502)
