http: a new connection for a repeated request takes an idle one's place

The idle connection that carried the request is closed instead. upstream_test.a_request_never_comes_back_to_its_channel counts the open connections, one where two were open before.

--- a/lib/http/channel_pool.cpp
+++ b/lib/http/channel_pool.cpp
@@ -85,6 +85,16 @@
     collect_discarded(now, channels);
     if (auto idle = take_idle(now, channels.idle, max_idle, request_id))
         return idle;
+    // A new connection takes the place of an idle one that must not carry the
+    // request, so that has_capacity() holds.
+    const auto replaced =
+        std::ranges::find_if(channels.idle, [&](const pooled_channel& item)
+                             { return item.channel->has_carried(request_id); });
+    if (replaced != channels.idle.end())
+    {
+        replaced->channel->abandon();
+        channels.idle.erase(replaced);
+    }
     auto channel = upstream_channel::open(loop_, address, options_.stream);
     if (!channel)
         return nullptr;
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -840,8 +840,11 @@
     send_request(channel);
     reply("HTTP/1.1 503 Full\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n");
     pool.release(now, "up", channel);
-    EXPECT_NE(pool.acquire(now, "up", target, 8s, "7"), channel);
     EXPECT_EQ(pool.acquire(now, "up", target, 8s, "8"), channel);
+    pool.release(now, "up", channel);
+    const auto other = pool.acquire(now, "up", target, 8s, "7");
+    EXPECT_NE(other, channel);
+    EXPECT_EQ(pool.open_count("up"), 1U);
 }
 
 // Guards against a connection that forgets an id that it has carried.
