Tests: a copied refusal may meet a closed connection

relay.CopiedRefusalTest got 502 since the router closes the connection that carried the request: the scripted upstream failed to write its late copy there and closed the second connection, too. It ignores that error now; what is asserted stays (200, one run).

--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -319,7 +319,10 @@
             return
         self.runs.append(request_id)
         if request_id == "a" and self.runs.count("a") == 1:
-            self.first_connection.sendall(refusal)
+            try:
+                self.first_connection.sendall(refusal)
+            except OSError:
+                pass  # the router closed that connection
             time.sleep(0.1)
         connection.sendall(head(request_id, "Content-Length: 4\r\n") + b"done")
 
