relay: a refusal without an id is a failure, not a break

Callers of sound requests got 503 (quarantined): since the rule for 'not run', a refusal that names no request ended an attempt as broken, which looks for a crash of the upstream. If the upstream closed that connection soon after, two such refusals quarantined the path, customer and body.

--- a/include/baobabloft/dispatch/run_evidence.hpp
+++ b/include/baobabloft/dispatch/run_evidence.hpp
@@ -22,7 +22,8 @@
 [[nodiscard]] bool may_have_run(const run_evidence& evidence);
 
 /// Returns `end` if `evidence` supports it; otherwise not_sent if nothing was
-/// sent, and broken if the request may have run.
+/// sent, broken for a request that may have been sent, and failed for one that
+/// may have run although a response denies it.
 [[nodiscard]] attempt_end proven_end(attempt_end end,
                                      const run_evidence& evidence);
 
--- a/lib/dispatch/run_evidence.cpp
+++ b/lib/dispatch/run_evidence.cpp
@@ -13,9 +13,18 @@
 {
     if (evidence.sent_bytes == 0)
         return attempt_end::not_sent;
-    const bool says_not_run =
-        end == attempt_end::not_sent || end == attempt_end::declined;
-    return says_not_run && may_have_run(evidence) ? attempt_end::broken : end;
+    if (!may_have_run(evidence))
+        return end;
+    switch (end)
+    {
+    case attempt_end::not_sent:
+        return attempt_end::broken;
+    case attempt_end::declined:
+        // The connection is sound, which a crash would not leave it.
+        return attempt_end::failed;
+    default:
+        return end;
+    }
 }
 
 } // namespace baobabloft::dispatch
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -304,6 +304,31 @@
         self.assertEqual(self.requests.count("b"), 1)
 
 
+class UnnamedRefusalTest(RelayTest):
+    """The upstreams refuse without an id and close the connection later."""
+    upstreams = 3
+
+    def respond(self, connection, fields, number):
+        if fields["X-Request-Id"].startswith("refused"):
+            connection.sendall(f"HTTP/1.1 {REFUSAL}\r\nX-Not-Run: 1\r\n"
+                               "Content-Length: 4\r\n\r\nfull".encode())
+            time.sleep(0.02)
+            raise OSError
+        connection.sendall(head(fields["X-Request-Id"],
+                                "Content-Length: 4\r\n") + b"done")
+
+    # Guards against sound requests that are quarantined, since upstreams that
+    # refuse without an id count as crashed.
+    def test_a_refusal_without_an_id_is_no_crash(self):
+        for number in range(4):
+            self.send("POST", "/unsafe/1", f"refused{number}", b"x")
+            time.sleep(0.15)
+        response = self.send("POST", "/unsafe/1", "sound", b"x")
+        self.assertEqual((response.status, response.read()), (200, b"done"))
+        with open(self.log_path, encoding="utf-8") as log:
+            self.assertNotIn("upstream_crashed", log.read())
+
+
 class CopiedRefusalTest(RelayTest):
     """The upstream refuses "a" once, and sends a late copy of that refusal when
     the request comes again."""
