http: trailers are no part of a response's header

A caller could get 429 (not run) for a request that an upstream had run and failed: the parser read on past the header before the header was looked at, so that fields of a trailer that arrived in the same read counted as header fields, and those that arrived later did not.

--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -111,7 +111,8 @@
     parser_.emplace();
     parser_->header_limit(max_response_header_bytes);
     parser_->body_limit(max_response_body_bytes);
-    parser_->eager(true);
+    // Stops after the header, so that trailers are not taken for a part of it.
+    parser_->eager(false);
     parser_->skip(is_head_request_);
     head_received_ = false;
     skipping_response_ = false;
@@ -289,6 +290,7 @@
         return false;
     }
     head_received_ = true;
+    parser_->eager(true);
     if (!id_header_.empty())
     {
         const auto echoed = field_value(message, id_header_);
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -625,6 +625,19 @@
     EXPECT_FALSE(channel->is_reusable());
 }
 
+// Guards against a trailer that states something about the request.
+TEST_F(upstream_test, a_trailer_is_no_part_of_the_header)
+{
+    const auto channel = open();
+    send_request(channel);
+    reply("HTTP/1.1 500 Error\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n"
+          "\r\n3\r\nran\r\n0\r\nX-Not-Run: 1\r\n\r\n");
+    EXPECT_TRUE(complete);
+    EXPECT_EQ(body, "ran");
+    ASSERT_TRUE(head);
+    EXPECT_EQ(head->count("X-Not-Run"), 0U);
+}
+
 TEST_F(upstream_test, bytes_after_a_response_prevent_reuse)
 {
     const auto channel = open();
