http: no late response is skipped before that to a HEAD request

A caller could get 503 (not run) for a HEAD request that ran: a late response to another request was skipped as if it had no body, as the response to HEAD has none, and its body was read as the next response.

Such an exchange fails as malformed now. The test that a connection forgets no id sends different ids, as its name says; before it sent one id only.

--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -300,11 +300,9 @@
         if (skipping_response_)
         {
             retired_ = true;
-            if (parser_->need_eof())
-            {
+            // The length of a response to HEAD tells nothing of another one.
+            if (parser_->need_eof() || is_head_request_)
                 fail(exchange_failure::malformed);
-                return true;
-            }
             return true;
         }
     }
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -540,18 +540,20 @@
     }
 
     /// Sends a request and waits until the upstream has received it.
-    void send_request(const std::shared_ptr<upstream_channel>& channel)
+    void send_request(const std::shared_ptr<upstream_channel>& channel,
+                      std::string_view id = "7",
+                      std::string_view method = "GET")
     {
         head.reset();
         body.clear();
         complete = false;
         failed.reset();
         outgoing_request out;
-        out.head.method_string("GET");
+        out.head.method_string(beast_view(method));
         out.head.target("/");
         out.head.version(11);
         out.id_header = "X-Id";
-        out.id = "7";
+        out.id = id;
         channel->exchange(
             std::move(out),
             {.on_head = [this](const response_head& received)
@@ -625,6 +627,18 @@
     EXPECT_FALSE(channel->is_reusable());
 }
 
+// Guards against bytes of a late response's body that are taken for the
+// response, since the request's own has no body.
+TEST_F(upstream_test, no_response_is_skipped_before_that_to_a_head_request)
+{
+    const auto channel = open();
+    send_request(channel, "7", "HEAD");
+    reply("HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 60\r\n\r\n"
+          "HTTP/1.1 503 Full\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_FALSE(head);
+    EXPECT_EQ(failed, exchange_failure::malformed);
+}
+
 // Guards against a trailer that states something about the request.
 TEST_F(upstream_test, a_trailer_is_no_part_of_the_header)
 {
@@ -868,8 +882,11 @@
     for (; exchanges < 1000 && (exchanges == 0 || channel->is_reusable());
          ++exchanges)
     {
-        send_request(channel);
-        reply("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n");
+        const auto id = std::to_string(exchanges);
+        send_request(channel, id);
+        reply("HTTP/1.1 200 OK\r\nX-Id: " + id +
+              "\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_TRUE(channel->has_carried("0"));
     }
     EXPECT_EQ(exchanges, 512);
 }
