relay: a request without an id shares no connection

Callers that send no request id got 503 (not run) for a request that ran, or the answer to another one: on a kept connection nothing told a late copy of the response before from their own, and a refusal without an id counted as naming a request without one.

Such a request has a connection of its own now, a refusal of it does not prove that it did not run, and a response must name a request by exactly one id.

--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -179,6 +179,9 @@
     /// or it is signed by an upstream, carries the id of this request and has
     /// no content encoding.
     [[nodiscard]] bool is_genuine(const attempt_ptr& attempt) const;
+    /// Returns true if the response repeats the id of this request, which has
+    /// one.
+    [[nodiscard]] bool names_request(const attempt_ptr& attempt) const;
     /// Records that the upstream leaves, or asks for a pause, if its response
     /// says so.
     void record_announcements(const attempt_ptr& attempt);
--- a/lib/http/upstream_channel.cpp
+++ b/lib/http/upstream_channel.cpp
@@ -126,10 +126,13 @@
     is_head_request_ = message.head.method() == bhttp::verb::head;
     busy_ = true;
     ++exchange_count_;
-    if (!id_.empty())
+    if (!id_header_.empty())
+    {
         carried_ids_.push_back(hash_bytes(id_));
-    if (carried_ids_.size() >= max_carried_ids)
-        retired_ = true;
+        // Nothing tells the response to a request without an id from another.
+        if (id_.empty() || carried_ids_.size() >= max_carried_ids)
+            retired_ = true;
+    }
     interim_responses_ = 0;
     reset_parser();
     auto bytes = serialize_head(message.head);
@@ -210,8 +213,8 @@
 
 bool upstream_channel::has_carried(std::string_view id) const
 {
-    return !id.empty() && std::ranges::find(carried_ids_, hash_bytes(id)) !=
-                              carried_ids_.end();
+    return std::ranges::find(carried_ids_, hash_bytes(id)) !=
+           carried_ids_.end();
 }
 
 std::uint64_t upstream_channel::serial() const
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -42,16 +42,25 @@
     const bool is_success = attempt->head.result_int() < first_redirect;
     const bool is_signed =
         !http::field_value(attempt->head, names.signature).empty();
-    const bool has_request_id =
-        http::field_value(attempt->head, names.request_id) == request_id_;
+    const bool is_only_one =
+        request_id_.empty() && !attempt->channel->was_reused();
+    const bool is_matched = names_request(attempt) || is_only_one;
     // Upstreams are expected to send bodies without a content encoding.
     const bool is_unencoded =
         attempt->head[bhttp::field::content_encoding].empty();
     // On a reused connection, a response without an id may be a late copy of
     // the previous one.
-    if (!has_request_id && attempt->channel->was_reused())
+    if (!is_matched && attempt->channel->was_reused())
         return false;
-    return !is_success || (is_signed && has_request_id && is_unencoded);
+    return !is_success || (is_signed && is_matched && is_unencoded);
+}
+
+bool relay_session::names_request(const attempt_ptr& attempt) const
+{
+    const auto& name = context_.dialect.request_id;
+    return attempt->has_head && !request_id_.empty() &&
+           attempt->head.count(http::beast_view(name)) == 1 &&
+           http::field_value(attempt->head, name) == request_id_;
 }
 
 bool relay_session::reports_not_run(const attempt_ptr& attempt) const
--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -461,10 +461,12 @@
     attempt->chosen.prefix_source = nullptr;
     attempt->started = now;
     const bool is_repeatable = route_->is_repeatable();
-    attempt->channel = context_.pool.acquire(
-        now, upstream.record.id, upstream.record.address,
-        is_repeatable ? max_repeatable_idle : max_unrepeatable_idle,
-        request_id_);
+    auto max_idle = is_repeatable ? max_repeatable_idle : max_unrepeatable_idle;
+    if (request_id_.empty())
+        max_idle = 0ms;
+    attempt->channel =
+        context_.pool.acquire(now, upstream.record.id, upstream.record.address,
+                              max_idle, request_id_);
     context_.selector.record_sent(now, attempt->upstream);
     attempt->is_target_version = !versions_.target.empty() &&
                                  upstream.record.version == versions_.target;
@@ -712,10 +714,7 @@
                   .exchange = channel->exchange_count(),
                   .evidence = {.sent_bytes = channel->sent_request_bytes()}};
     result.evidence.is_refusal = attempt->has_head && reports_not_run(attempt);
-    result.evidence.names_request =
-        attempt->has_head &&
-        http::field_value(attempt->head, context_.dialect.request_id) ==
-            request_id_;
+    result.evidence.names_request = names_request(attempt);
     return result;
 }
 
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -329,6 +329,44 @@
             self.assertNotIn("upstream_crashed", log.read())
 
 
+class NoRequestIdTest(RelayTest):
+    """Requests without an id. On each connection the upstream repeats its first
+    response before every further one."""
+
+    def respond(self, connection, fields, number):
+        number = self.requests.count(None)
+        refuses = number == self.refused
+        response = (f"HTTP/1.1 {REFUSAL if refuses else '200 OK'}\r\n"
+                    f"X-Server-Stamp: s\r\nContent-Length: 1\r\n"
+                    + ("X-Not-Run: 1\r\n" if refuses else "")
+                    + f"\r\n{number}").encode()
+        copy = self.copies.setdefault(connection, b"")
+        self.copies[connection] = copy or response
+        connection.sendall(copy + response)
+
+    def send_without_id(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.listen)
+        self.addCleanup(connection.close)
+        connection.request("POST", "/unsafe/1", b"x",
+                           {"Host": "relay.example", "X-Deadline-Ms": "1000"})
+        response = connection.getresponse()
+        return response.status, response.read()
+
+    # Guards against an answer to another request, or "not run" for a request
+    # that ran, as requests without an id share a connection.
+    def test_a_copy_answers_no_other_request(self):
+        for self.refused in (1, 5):
+            self.copies = {}
+            self.requests.clear()
+            results = [self.send_without_id() for _ in range(4)]
+            for number, (status, body) in enumerate(results, 1):
+                if number == self.refused:
+                    self.assertEqual(status, 502)
+                else:
+                    self.assertEqual((status, body),
+                                     (200, str(number).encode()))
+
+
 class CopiedRefusalTest(RelayTest):
     """The upstream refuses "a" once, and sends a late copy of that refusal when
     the request comes again."""
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -652,6 +652,17 @@
     EXPECT_EQ(head->count("X-Not-Run"), 0U);
 }
 
+// Guards against an answer to another request: without ids nothing tells late
+// copies apart.
+TEST_F(upstream_test, a_request_without_an_id_is_a_channels_last)
+{
+    const auto channel = open();
+    send_request(channel, "");
+    reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(complete);
+    EXPECT_FALSE(channel->is_reusable());
+}
+
 TEST_F(upstream_test, bytes_after_a_response_prevent_reuse)
 {
     const auto channel = open();
