relay: only an error status can say that a request did not run

A signed success with the refusal header counted as 'not run', and the caller got 503 for a request whose result the upstream had sent. The header counts on statuses from 400 on; on others the response is used as it is. No test of its own: such a response is a contradiction of the upstream.

--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -23,6 +23,7 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned first_redirect = 300;
+constexpr unsigned first_client_error = 400;
 constexpr unsigned first_server_error = 500;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_unavailable = 503;
@@ -65,8 +66,11 @@
 
 bool relay_session::reports_not_run(const attempt_ptr& attempt) const
 {
-    return attempt->head.result_int() == status_misdirected ||
-           !http::field_value(attempt->head, context_.dialect.not_run).empty();
+    const auto status = attempt->head.result_int();
+    return status == status_misdirected ||
+           (status >= first_client_error &&
+            !http::field_value(attempt->head, context_.dialect.not_run)
+                 .empty());
 }
 
 void relay_session::on_head(const attempt_ptr& attempt,
