relay: a response that is not genuine reports no load

The load and the cold time of a late copy without an id were recorded before the response was found to belong to no request, so that a stale load could move requests. Found by reading, in the review of the rule for 'not run'; not seen in a run.

--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -80,18 +80,18 @@
     attempt->head = head;
     attempt->has_head = true;
     const auto& names = context_.dialect;
-    if (const auto load = names.parse_load(http::field_value(head, names.load)))
-        context_.selector.record_load(now, attempt->upstream, *load);
-    if (const auto cold_left_ms = parse_number<std::uint32_t>(
-            http::field_value(head, names.cold_left_ms)))
-        context_.follower.state().record_cold(attempt->upstream,
-                                              now + *cold_left_ms * 1ms);
     if (!is_genuine(attempt))
     {
         end_attempt(attempt, attempt_end::broken,
                     "response is unsigned, encoded or for another request");
         return;
     }
+    if (const auto load = names.parse_load(http::field_value(head, names.load)))
+        context_.selector.record_load(now, attempt->upstream, *load);
+    if (const auto cold_left_ms = parse_number<std::uint32_t>(
+            http::field_value(head, names.cold_left_ms)))
+        context_.follower.state().record_cold(attempt->upstream,
+                                              now + *cold_left_ms * 1ms);
     record_announcements(attempt);
     attempt->is_stream = route_->kind == directory::request_kind::streaming &&
                          head.result_int() == status_ok;
