relay: a request that waited for room is not sent after its deadline

A stop shortens deadlines. A request that waited for room without an attempt could then be sent with no time left, since only requests with an attempt looked at the time.

--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -231,7 +231,8 @@
 void relay_session::try_next_upstream()
 {
     const auto now = net::boot_now();
-    if (now + min_attempt_time >= deadline_ && history_.attempts > 0)
+    const bool has_waited = history_.attempts > 0 || waits_ > 0;
+    if (now + min_attempt_time >= deadline_ && has_waited)
     {
         constexpr std::string_view reason =
             "not enough time for another attempt";
