Tests: ports of concurrent tests are reserved

Cause: free_ports() only looks whether a port is free. Runs that start at the same time, or while a router of another run is down, get the same port. Change: free_ports() reserves each port by a socket in the abstract namespace, until the process ends.

--- a/utils/fleet.py
+++ b/utils/fleet.py
@@ -20,22 +20,31 @@
 SECRET = "a-secret-for-demonstration-only"
 
 
+#: Sockets whose names in the kernel show which ports are reserved.
+port_reservations = []
+
+
 def free_ports(count):
     """Returns TCP port numbers that are free on 127.0.0.1.
 
     They lie below the range from which the kernel takes the ports of outgoing
     connections, one of which could otherwise take a port before it is used.
+    No other call, also in other processes, returns them before this process
+    ends.
     """
     ports = []
     while len(ports) < count:
         port = random.SystemRandom().randrange(10_000, 32_000)
+        reservation = socket.socket(socket.AF_UNIX)
         with socket.socket() as probe:
             try:
+                reservation.bind(f"\0baobab-port-{port}")
                 probe.bind(("127.0.0.1", port))
             except OSError:
+                reservation.close()
                 continue
-        if port not in ports:
-            ports.append(port)
+        port_reservations.append(reservation)
+        ports.append(port)
     return ports
 
 
