http: no request is served after the last response of a connection

A caller that sent "Connection: close" and another request behind it could have that request served, though the response to the first one said that the connection closes. Callers may take a request behind the last response for unread and send it again, so that it runs twice.

Cause: parse_input() went on with buffered bytes if the first request was answered at once and its response did not fit into the socket buffer, so that the connection was still open. It now stops as soon as the connection is closing.

Evidence: caller_test.no_request_is_served_after_the_last_response, two requests served before, one now. Not seen with a whole router: refusals are smaller than the buffer.

--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -118,7 +118,7 @@
 
 void caller_channel::parse_input()
 {
-    if (in_request_handler_ || serving_ || input_.empty() ||
+    if (in_request_handler_ || serving_ || closing_ || input_.empty() ||
         !stream_->is_open())
         return;
     if (!parser_)
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -75,12 +75,20 @@
     caller_test()
     {
         std::array<int, 2> ends{};
-        EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+        EXPECT_EQ(
+            socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()),
+            0);
         peer = ends[0];
         channel = std::make_shared<caller_channel>(
             tcp_stream::adopt(loop, ends[1], {}), limits, net::boot_now());
-        channel->start({.on_request = [this](request&& message)
-                        { requests.push_back(std::move(message)); },
+        channel->start({.on_request =
+                            [this](request&& message)
+                        {
+                            requests.push_back(std::move(message));
+                            if (answers_at_once)
+                                channel->respond(net::boot_now(), large_answer,
+                                                 true);
+                        },
                         .on_closed = [this] { closed = true; },
                         .on_drained = nullptr,
                         .on_rejected =
@@ -119,6 +127,10 @@
     int peer = -1;
     std::shared_ptr<caller_channel> channel;
     std::vector<request> requests;
+    bool answers_at_once = false;
+    /// Does not fit into the system's socket buffers.
+    response large_answer{boost::beast::http::status::ok, 11,
+                          std::string(5'000'000, 'x')};
     bool closed = false;
     unsigned rejected = 0;
 };
@@ -318,6 +330,16 @@
     EXPECT_EQ(rejected, 408U);
 }
 
+// Guards against a request that runs after "Connection: close", where callers
+// take it for unread.
+TEST_F(caller_test, no_request_is_served_after_the_last_response)
+{
+    answers_at_once = true;
+    feed("GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+         "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(requests.size(), 1U);
+}
+
 TEST_F(caller_test, a_new_connection_is_not_idle_before_its_first_request)
 {
     EXPECT_FALSE(channel->close_if_idle(net::boot_now()));
