http: a last response is not destroyed by a reset

A caller whose connection closed after its response could get a reset instead of the response if it had sent more than its request. A request that ran and is reset before any byte of its response looks unread, and callers send it again.

Cause: close() with unread bytes makes the kernel send a reset and drop what it has not delivered; only rejected requests were closed with a shutdown that discards the rest. The connection now closes so after every last response. Idle connections still close at once, since a reset tells the caller truly that its next request was not read.

--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -126,8 +126,12 @@
     void reject(unsigned status, std::string_view reason);
     void finish_response(time_point now);
     void add_connection_fields(fields& headers, bool keep_alive);
-    /// Closes the connection once the last response has been sent.
+    /// Closes the connection once the last response has been sent. A request
+    /// that arrives later is reset, which shows that it was not read.
     void close();
+    /// As close(), but never resets the connection, so that the caller receives
+    /// the whole response.
+    void close_after_response();
     /// Restarts the time within which a request's body must make progress, once
     /// enough bytes have arrived.
     void record_body_progress(std::size_t bytes);
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -202,9 +202,7 @@
     stream_->send(serialize_message(message));
     input_.clear();
     stream_->set_reading(false);
-    // The rest of the request is still to come.
-    stream_->discard_and_close_when_drained();
-    close();
+    close_after_response();
 }
 
 void caller_channel::add_connection_fields(fields& headers, bool keep_alive)
@@ -272,7 +270,7 @@
     phase_start_ = now;
     if (!keep_alive_)
     {
-        close();
+        close_after_response();
         return;
     }
     stream_->set_reading(true);
@@ -280,6 +278,13 @@
         parse_input();
 }
 
+void caller_channel::close_after_response()
+{
+    // The caller may still be sending.
+    stream_->discard_and_close_when_drained();
+    close();
+}
+
 void caller_channel::close()
 {
     closing_ = true;
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -536,6 +536,101 @@
     EXPECT_EQ(callers.size(), 0U);
 }
 
+/// A caller on a TCP connection, where closing with unread bytes resets it.
+class tcp_caller_test : public testing::Test
+{
+protected:
+    tcp_caller_test()
+    {
+        const int listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* raw_address = reinterpret_cast<sockaddr*>(&address);
+        EXPECT_EQ(bind(listener, raw_address, size), 0);
+        EXPECT_EQ(listen(listener, 1), 0);
+        EXPECT_EQ(getsockname(listener, raw_address, &size), 0);
+        peer = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(connect(peer, raw_address, size), 0);
+        const int accepted = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+        ::close(listener);
+        callers.accept(tcp_stream::adopt(loop, accepted, {}), {},
+                       {.on_request =
+                            [this](const auto& caller, request&& message)
+                        {
+                            requests.push_back(std::move(message));
+                            channel = caller;
+                            return session;
+                        },
+                        .on_rejected = nullptr});
+    }
+
+    ~tcp_caller_test() override
+    {
+        ::close(peer);
+    }
+
+    void feed(std::string_view bytes)
+    {
+        write_all(peer, bytes);
+        run_until(loop, [this] { return !requests.empty(); });
+        run_pending_events(loop);
+    }
+
+    /// Reads until the connection ends. Returns errno, or 0 for an orderly end.
+    int read_to_end(std::string& received)
+    {
+        std::array<char, 65536> buffer{};
+        ssize_t size = 1;
+        int error = 0;
+        run_until(loop,
+                  [&]
+                  {
+                      while ((size = recv(peer, buffer.data(), buffer.size(),
+                                          MSG_DONTWAIT)) > 0)
+                          received.append(buffer.data(),
+                                          static_cast<std::size_t>(size));
+                      error = size < 0 ? errno : 0;
+                      return error != EAGAIN;
+                  });
+        return error;
+    }
+
+    struct pending_session final : caller_session
+    {
+        void on_caller_disconnected() override {}
+        void on_caller_drained() override {}
+        void limit_deadline(time_point /*now*/, time_point /*last*/) override {}
+    };
+
+    net::event_loop loop;
+    caller_table callers{1000};
+    std::shared_ptr<caller_session> session =
+        std::make_shared<pending_session>();
+    std::shared_ptr<caller_channel> channel;
+    std::vector<request> requests;
+    int peer = -1;
+};
+
+const std::string request_with_large_rest =
+    "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" +
+    std::string(200'000, '\n');
+
+// Guards against a response that is lost since the connection is reset after
+// it, because the caller has sent more than its request.
+TEST_F(tcp_caller_test, the_last_response_arrives_despite_unread_bytes)
+{
+    feed(request_with_large_rest);
+    response out;
+    out.result(200);
+    out.body() = std::string(300'000, 'x');
+    channel->respond(net::boot_now(), std::move(out), true);
+    std::string received;
+    EXPECT_EQ(read_to_end(received), 0);
+    EXPECT_GT(received.size(), 300'000U);
+}
+
 /// An upstream whose response bytes are written by the test.
 class upstream_test : public testing::Test
 {
