http: a request in progress is not reset as if it were unread

A caller could see a reset without a byte of a response for a request that was with an upstream, if the buffers of all callers were full and its connection was chosen. Callers take that for 'not read' and send the request again, so that it runs twice. A broken stream was reset, too, which destroyed what the caller had not received, its head included.

Cause: abort() reset the connection regardless of what the caller had received. It now shuts down the sending side and discards what still arrives: a response with a length or in chunks shows by itself that it is incomplete. Only a stream without chunks needs a reset.

Encrypted connections end as before.

--- a/include/baobabloft/http/byte_stream.hpp
+++ b/include/baobabloft/http/byte_stream.hpp
@@ -61,6 +61,12 @@
     /// Closes immediately. The peer sees an orderly end, or a reset if bytes
     /// that it sent have not been read.
     virtual void close() = 0;
+    /// Closes immediately. Where possible the peer sees an orderly end even if
+    /// it is still sending: that is discarded, for a bounded time.
+    virtual void shut_down()
+    {
+        close();
+    }
     /// Closes immediately and without an orderly end, so that the peer does not
     /// take the bytes received so far for a complete message.
     virtual void abort() = 0;
--- a/include/baobabloft/http/caller_channel.hpp
+++ b/include/baobabloft/http/caller_channel.hpp
@@ -85,8 +85,9 @@
     /// Ends a streamed response; the next request may follow.
     void end_streamed_response(time_point now);
 
-    /// Aborts the connection, so that the caller does not take a response in
-    /// progress for complete.
+    /// Ends the connection, so that the caller does not take a response in
+    /// progress for complete. Resets it only if nothing else shows that:
+    /// callers take a request that is reset without a response for unread.
     void abort();
 
     /// Closes the connection if no request is being read or served, once the
@@ -158,6 +159,8 @@
     bool caller_allows_keep_alive_ = true;
     /// The caller speaks HTTP/1.1, so streamed bodies are sent in chunks.
     bool uses_chunked_coding_ = true;
+    /// The current response is complete only once the connection ends.
+    bool response_ends_with_connection_ = false;
     bool is_head_request_ = false;
     bool has_received_request_ = false;
     /// on_request is running; prevents recursive parsing of pipelined requests.
--- a/include/baobabloft/http/tcp_stream.hpp
+++ b/include/baobabloft/http/tcp_stream.hpp
@@ -51,6 +51,7 @@
     void close_when_drained() override;
     void discard_and_close_when_drained() override;
     void close() override;
+    void shut_down() override;
     void abort() override;
     [[nodiscard]] bool is_open() const override;
     [[nodiscard]] std::size_t unsent_bytes() const override;
--- a/include/baobabloft/http/tls_stream.hpp
+++ b/include/baobabloft/http/tls_stream.hpp
@@ -47,6 +47,7 @@
     void set_reading(bool enabled) override;
     void close_when_drained() override;
     void close() override;
+    void shut_down() override;
     void abort() override;
     [[nodiscard]] bool is_open() const override;
     [[nodiscard]] std::size_t unsent_bytes() const override;
--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -246,6 +246,7 @@
     add_connection_fields(head, keep_alive_);
     if (uses_chunked_coding_)
         head.chunked(true);
+    response_ends_with_connection_ = !uses_chunked_coding_;
     stream_->send(serialize_head(head));
 }
 
@@ -298,7 +299,10 @@
 
 void caller_channel::abort()
 {
-    stream_->abort();
+    if (response_ends_with_connection_)
+        stream_->abort();
+    else
+        stream_->shut_down();
 }
 
 bool caller_channel::close_if_idle(time_point now)
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -224,6 +224,13 @@
     queue_.clear();
 }
 
+void tcp_stream::shut_down()
+{
+    queue_.clear();
+    discards_input_ = true;
+    finish_close();
+}
+
 void tcp_stream::abort()
 {
     if (fd_ < 0)
--- a/lib/http/tls_stream.cpp
+++ b/lib/http/tls_stream.cpp
@@ -309,6 +309,12 @@
                             nullptr, nullptr);
 }
 
+void tls_stream::shut_down()
+{
+    // A closing record would make a response in progress look complete.
+    abort();
+}
+
 void tls_stream::abort()
 {
     if (!open_)
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -617,6 +617,36 @@
     "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" +
     std::string(200'000, '\n');
 
+// Guards against a reset before any byte of the response, which tells callers
+// that their request was not read, for a request that is being served.
+TEST_F(tcp_caller_test, a_request_in_progress_is_not_reset_without_a_response)
+{
+    feed(request_with_large_rest);
+    callers.check_timeouts(net::boot_now());
+    EXPECT_EQ(callers.size(), 0U);
+    std::string received;
+    EXPECT_EQ(read_to_end(received), 0);
+    EXPECT_EQ(received, "");
+}
+
+// Guards against a broken stream whose reset destroys the part of the response
+// that the caller has not received, so that its request looks unread.
+TEST_F(tcp_caller_test, the_sent_part_of_a_broken_stream_arrives)
+{
+    feed("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    response_head head;
+    head.result(200);
+    channel->start_streamed_response(std::move(head), true);
+    const std::string part(300'000, 'x');
+    channel->send_body_part(part);
+    ASSERT_EQ(channel->unsent_bytes(), 0U);
+    channel->abort();
+    std::string received;
+    EXPECT_EQ(read_to_end(received), 0);
+    EXPECT_NE(received.find(part), std::string::npos);
+    EXPECT_FALSE(received.ends_with("0\r\n\r\n"));
+}
+
 // Guards against a response that is lost since the connection is reset after
 // it, because the caller has sent more than its request.
 TEST_F(tcp_caller_test, the_last_response_arrives_despite_unread_bytes)
