relay: a request that waits gets an answer at a stop

A request that waited for room, or for a trial, when the router was stopped got no answer: the connection was closed at the end of the process, which promises nothing, so that the caller could not send it again though it had not run.

Cause: limit_deadline() ended only a current attempt; a waiting request kept its timer, which could lie beyond the end of the process. It is now refused as 'leaving' when no request may run any longer; refuse() still checks that it did not run.

Evidence: relay.WaitAtStopTest.test_a_waiting_request_gets_one_answer: no answer before, one 503 now, and the upstream sees the request once.

--- a/lib/relay/relay_session.cpp
+++ b/lib/relay/relay_session.cpp
@@ -805,9 +805,14 @@
 void relay_session::limit_deadline(time_point now, time_point last)
 {
     deadline_ = std::min(deadline_, last);
-    if (!finished_ && now >= last && current_attempt_ &&
-        !current_attempt_->over)
+    if (finished_ || now < last)
+        return;
+    if (current_attempt_ && !current_attempt_->over)
         on_timeout(current_attempt_);
+    else if (stream_started_)
+        break_off("router stops");
+    else
+        refuse(refusal_kind::leaving, "router stops");
 }
 
 http::buffer_holder relay_session::held_response() const
--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -136,6 +136,16 @@
             "X-Deadline-Ms": str(time_left_ms)})
         return connection.getresponse()
 
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return file.read()
+
+    def wait_for_log(self, text):
+        deadline = time.monotonic() + 10
+        while text not in self.log() and time.monotonic() < deadline:
+            time.sleep(0.01)
+        self.assertIn(text, self.log())
+
     def peak_mb(self):
         with open(f"/proc/{self.router.pid}/status", encoding="ascii") as file:
             line = next(line for line in file if line.startswith("VmHWM"))
@@ -876,16 +886,6 @@
         self.outcomes[request[-1]] = self.ask(connection, *request)
         connection.close()
 
-    def log(self):
-        with open(self.log_path, encoding="utf-8") as file:
-            return file.read()
-
-    def wait_for_log(self, text):
-        deadline = time.monotonic() + 10
-        while text not in self.log() and time.monotonic() < deadline:
-            time.sleep(0.01)
-        self.assertIn(text, self.log())
-
     def stop_under_requests(self, durations_ms):
         """Stops the router and returns how long that took. Sends requests of
         all kinds and durations until then."""
@@ -961,6 +961,32 @@
             self.assertTrue(caller.recv(100).startswith(b"HTTP/1.1 503"))
 
 
+class WaitAtStopTest(RelayTest):
+    """The upstream asks for a pause that is longer than the router's stop."""
+    shutdown_timeout = 1
+
+    def respond(self, connection, fields, number):
+        connection.sendall(head(
+            fields["X-Request-Id"],
+            "Content-Length: 0\r\nX-Not-Run: 1\r\nRetry-After: 2\r\n",
+            REFUSAL))
+
+    # Guards against a request that waits for room at a stop and gets no answer,
+    # or more than one.
+    def test_a_waiting_request_gets_one_answer(self):
+        with socket.create_connection(("127.0.0.1", self.listen)) as caller:
+            caller.settimeout(10)
+            caller.sendall(b"POST /unsafe/1 HTTP/1.1\r\nHost: relay.example\r\n"
+                           b"X-Request-Id: a\r\nX-Deadline-Ms: 3500\r\n"
+                           b"Content-Length: 0\r\n\r\n")
+            self.wait_for_log("event=request_waits")
+            self.router.terminate()
+            answers = b"".join(iter(lambda: caller.recv(65536), b""))
+        self.assertEqual(answers.count(b"HTTP/1.1 503"), 1)
+        self.assertEqual(answers.count(b"HTTP/1.1"), 1)
+        self.assertEqual(self.requests, ["a"])
+
+
 class OddRequestIdTest(RelayTest):
     # Guards against a request id that ends the router's process when the
     # request is refused.
