--- a/lib/http/caller_channel.cpp
+++ b/lib/http/caller_channel.cpp
@@ -118,7 +118,7 @@
 
 void caller_channel::parse_input()
 {
-    if (in_request_handler_ || serving_ || input_.empty() ||
+    if (in_request_handler_ || serving_ || closing_ || input_.empty() ||
         !stream_->is_open())
         return;
     if (!parser_)
@@ -202,9 +202,7 @@
     stream_->send(serialize_message(message));
     input_.clear();
     stream_->set_reading(false);
-    // The rest of the request is still to come.
-    stream_->discard_and_close_when_drained();
-    close();
+    close_after_response();
 }
 
 void caller_channel::add_connection_fields(fields& headers, bool keep_alive)
@@ -248,6 +246,7 @@
     add_connection_fields(head, keep_alive_);
     if (uses_chunked_coding_)
         head.chunked(true);
+    response_ends_with_connection_ = !uses_chunked_coding_;
     stream_->send(serialize_head(head));
 }
 
@@ -272,7 +271,7 @@
     phase_start_ = now;
     if (!keep_alive_)
     {
-        close();
+        close_after_response();
         return;
     }
     stream_->set_reading(true);
@@ -280,6 +279,13 @@
         parse_input();
 }
 
+void caller_channel::close_after_response()
+{
+    // The caller may still be sending.
+    stream_->discard_and_close_when_drained();
+    close();
+}
+
 void caller_channel::close()
 {
     closing_ = true;
@@ -293,7 +299,10 @@
 
 void caller_channel::abort()
 {
-    stream_->abort();
+    if (response_ends_with_connection_)
+        stream_->abort();
+    else
+        stream_->shut_down();
 }
 
 bool caller_channel::close_if_idle(time_point now)
--- a/unittests/http/http_test.cpp
+++ b/unittests/http/http_test.cpp
@@ -75,12 +75,20 @@
     caller_test()
     {
         std::array<int, 2> ends{};
-        EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+        EXPECT_EQ(
+            socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()),
+            0);
         peer = ends[0];
         channel = std::make_shared<caller_channel>(
             tcp_stream::adopt(loop, ends[1], {}), limits, net::boot_now());
-        channel->start({.on_request = [this](request&& message)
-                        { requests.push_back(std::move(message)); },
+        channel->start({.on_request =
+                            [this](request&& message)
+                        {
+                            requests.push_back(std::move(message));
+                            if (answers_at_once)
+                                channel->respond(net::boot_now(), large_answer,
+                                                 true);
+                        },
                         .on_closed = [this] { closed = true; },
                         .on_drained = nullptr,
                         .on_rejected =
@@ -119,6 +127,10 @@
     int peer = -1;
     std::shared_ptr<caller_channel> channel;
     std::vector<request> requests;
+    bool answers_at_once = false;
+    /// Does not fit into the system's socket buffers.
+    response large_answer{boost::beast::http::status::ok, 11,
+                          std::string(5'000'000, 'x')};
     bool closed = false;
     unsigned rejected = 0;
 };
@@ -318,6 +330,16 @@
     EXPECT_EQ(rejected, 408U);
 }
 
+// Guards against a request that runs after "Connection: close", where callers
+// take it for unread.
+TEST_F(caller_test, no_request_is_served_after_the_last_response)
+{
+    answers_at_once = true;
+    feed("GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+         "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(requests.size(), 1U);
+}
+
 TEST_F(caller_test, a_new_connection_is_not_idle_before_its_first_request)
 {
     EXPECT_FALSE(channel->close_if_idle(net::boot_now()));
@@ -514,6 +536,131 @@
     EXPECT_EQ(callers.size(), 0U);
 }
 
+/// A caller on a TCP connection, where closing with unread bytes resets it.
+class tcp_caller_test : public testing::Test
+{
+protected:
+    tcp_caller_test()
+    {
+        const int listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* raw_address = reinterpret_cast<sockaddr*>(&address);
+        EXPECT_EQ(bind(listener, raw_address, size), 0);
+        EXPECT_EQ(listen(listener, 1), 0);
+        EXPECT_EQ(getsockname(listener, raw_address, &size), 0);
+        peer = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(connect(peer, raw_address, size), 0);
+        const int accepted = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+        ::close(listener);
+        callers.accept(tcp_stream::adopt(loop, accepted, {}), {},
+                       {.on_request =
+                            [this](const auto& caller, request&& message)
+                        {
+                            requests.push_back(std::move(message));
+                            channel = caller;
+                            return session;
+                        },
+                        .on_rejected = nullptr});
+    }
+
+    ~tcp_caller_test() override
+    {
+        ::close(peer);
+    }
+
+    void feed(std::string_view bytes)
+    {
+        write_all(peer, bytes);
+        run_until(loop, [this] { return !requests.empty(); });
+        run_pending_events(loop);
+    }
+
+    /// Reads until the connection ends. Returns errno, or 0 for an orderly end.
+    int read_to_end(std::string& received)
+    {
+        std::array<char, 65536> buffer{};
+        ssize_t size = 1;
+        int error = 0;
+        run_until(loop,
+                  [&]
+                  {
+                      while ((size = recv(peer, buffer.data(), buffer.size(),
+                                          MSG_DONTWAIT)) > 0)
+                          received.append(buffer.data(),
+                                          static_cast<std::size_t>(size));
+                      error = size < 0 ? errno : 0;
+                      return error != EAGAIN;
+                  });
+        return error;
+    }
+
+    struct pending_session final : caller_session
+    {
+        void on_caller_disconnected() override {}
+        void on_caller_drained() override {}
+        void limit_deadline(time_point /*now*/, time_point /*last*/) override {}
+    };
+
+    net::event_loop loop;
+    caller_table callers{1000};
+    std::shared_ptr<caller_session> session =
+        std::make_shared<pending_session>();
+    std::shared_ptr<caller_channel> channel;
+    std::vector<request> requests;
+    int peer = -1;
+};
+
+const std::string request_with_large_rest =
+    "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" +
+    std::string(200'000, '\n');
+
+// Guards against a reset before any byte of the response, which tells callers
+// that their request was not read, for a request that is being served.
+TEST_F(tcp_caller_test, a_request_in_progress_is_not_reset_without_a_response)
+{
+    feed(request_with_large_rest);
+    callers.check_timeouts(net::boot_now());
+    EXPECT_EQ(callers.size(), 0U);
+    std::string received;
+    EXPECT_EQ(read_to_end(received), 0);
+    EXPECT_EQ(received, "");
+}
+
+// Guards against a broken stream whose reset destroys the part of the response
+// that the caller has not received, so that its request looks unread.
+TEST_F(tcp_caller_test, the_sent_part_of_a_broken_stream_arrives)
+{
+    feed("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    response_head head;
+    head.result(200);
+    channel->start_streamed_response(std::move(head), true);
+    const std::string part(300'000, 'x');
+    channel->send_body_part(part);
+    ASSERT_EQ(channel->unsent_bytes(), 0U);
+    channel->abort();
+    std::string received;
+    EXPECT_EQ(read_to_end(received), 0);
+    EXPECT_NE(received.find(part), std::string::npos);
+    EXPECT_FALSE(received.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a response that is lost since the connection is reset after
+// it, because the caller has sent more than its request.
+TEST_F(tcp_caller_test, the_last_response_arrives_despite_unread_bytes)
+{
+    feed(request_with_large_rest);
+    response out;
+    out.result(200);
+    out.body() = std::string(300'000, 'x');
+    channel->respond(net::boot_now(), std::move(out), true);
+    std::string received;
+    EXPECT_EQ(read_to_end(received), 0);
+    EXPECT_GT(received.size(), 300'000U);
+}
+
 /// An upstream whose response bytes are written by the test.
 class upstream_test : public testing::Test
 {
