Tests: callers of the soak of promises end in time

Cause: with 400 callers and 60 requests per second a caller pauses for up to 13 s between jobs, and a process that has not ended 9 s after SIGTERM is killed. Change: SIGTERM ends a pause, and a request whose response has arrived is sent on for 2 s at most.

--- a/unittests/soak/booking_callers.py
+++ b/unittests/soak/booking_callers.py
@@ -7,6 +7,7 @@
 
 Ends after SIGTERM, once every request in progress has ended."""
 import asyncio
+import contextlib
 import json
 import random
 import signal
@@ -210,7 +211,7 @@
                 wait_s = self.time_to_retry(result)
         if self.random.random() < 0.3:
             # Goes on sending after the response.
-            await sending
+            await asyncio.wait([sending], timeout=2)
         if not sending.done():
             self.connection = None
         sending.cancel()
@@ -244,7 +245,9 @@
             if self.connection and self.random.random() < 0.02:
                 self.connection.close()
                 self.connection = None
-            await asyncio.sleep(self.random.uniform(0, 2 * COUNT / PER_SECOND))
+            pause_s = self.random.uniform(0, 2 * COUNT / PER_SECOND)
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(stopping.wait(), pause_s)
         if self.connection:
             self.connection.close()
 
