Dispatch: an upstream's announcements have one place

That an upstream leaves and the pause that it asked for were two fields of the selector's state, with their rules spread over its methods. What an upstream says of itself in its responses is now upstream_announcements, without I/O or clock, so that further announcements have a place.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -9,6 +9,7 @@
 #include "baobabloft/dispatch/rollout_control.hpp"
 #include "baobabloft/dispatch/sliding_count.hpp"
 #include "baobabloft/dispatch/traffic_monitor.hpp"
+#include "baobabloft/dispatch/upstream_announcements.hpp"
 #include "baobabloft/dispatch/upstream_pace.hpp"
 #include "baobabloft/routing/recent_chats.hpp"
 
@@ -222,11 +223,7 @@
         std::optional<time_point> queue_reported_at;
         /// End of the current pause.
         time_point avoid_until;
-        /// End of the pause that the upstream asked for.
-        time_point requested_pause_until;
-        /// Lifetime in which the upstream announced that it leaves, as
-        /// upstream_record::started_ms.
-        std::optional<std::uint64_t> leaving_lifetime;
+        upstream_announcements announced;
         /// Length of the last pause; zero after a success.
         duration backoff{0};
         /// Requests sent, counted against the cold-start limit.
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -71,8 +71,6 @@
 constexpr duration max_failure_pause = 3s;
 constexpr duration declined_pause = 80ms;
 constexpr duration max_declined_pause = 500ms;
-/// Longest pause granted to an upstream that asks for one.
-constexpr duration max_requested_pause = 60s;
 /// Weight of the newest result in the moving average of failures.
 constexpr double failure_weight = 0.15;
 /// Failure rate above which an upstream is paused.
@@ -142,7 +140,7 @@
 bool upstream_selector::is_leaving(const directory::known_upstream& item,
                                    const upstream_state& state)
 {
-    return state.leaving_lifetime == item.record.started_ms;
+    return state.announced.is_leaving(item.record.started_ms);
 }
 
 bool upstream_selector::is_cold(time_point now, const upstream_query& query,
@@ -329,7 +327,7 @@
             query.excluded_ids.end() ||
         !has_capacity_(*item.upstream, *query.service))
         return eligibility::excluded;
-    if (state.requested_pause_until > now)
+    if (state.announced.paused_until() > now)
         return eligibility::paused;
     // After a pause one request at a time tests whether the upstream has
     // recovered.
@@ -454,7 +452,7 @@
         const auto state = states_.find(id);
         if (state != states_.end() &&
             (state->second.avoid_until > now ||
-             state->second.requested_pause_until > now ||
+             state->second.announced.paused_until() > now ||
              is_leaving(item, state->second)))
             continue;
         best = &item;
@@ -586,7 +584,7 @@
                                       : std::nullopt,
         .cold_left = left(item.cold_until),
         .pause_left =
-            left(std::max(state.avoid_until, state.requested_pause_until)),
+            left(std::max(state.avoid_until, state.announced.paused_until())),
         .consecutive_failures = state.consecutive_failures,
         .failure_rate = state.failure_rate,
         .has_prefix =
@@ -672,7 +670,7 @@
             if (is_leaving(item, found->second))
                 continue;
             from = std::max({now, found->second.avoid_until,
-                             found->second.requested_pause_until});
+                             found->second.announced.paused_until()});
         }
         result.usable_from =
             result.is_usable ? std::min(result.usable_from, from) : from;
@@ -860,19 +858,15 @@
     const auto known = directory_.upstreams().find(id);
     if (known == directory_.upstreams().end())
         return false;
-    auto& state = states_[id];
-    const bool is_new = !is_leaving(known->second, state);
-    state.leaving_lifetime = known->second.record.started_ms;
-    return is_new;
+    return states_[id].announced.record_leaving(
+        known->second.record.started_ms);
 }
 
 void upstream_selector::record_requested_pause(time_point now,
                                                const std::string& id,
                                                duration pause)
 {
-    auto& until = states_[id].requested_pause_until;
-    until = std::max(until, now + std::clamp<duration>(pause, duration{0},
-                                                       max_requested_pause));
+    states_[id].announced.record_pause(now, pause);
 }
 
 void upstream_selector::record_decline(time_point now, const std::string& id)
