Dispatch: keep the request rate that upstreams state

Cause: nothing read the statement, and no router knew what others send. Each router now keeps what upstreams state, for their lifetime, and passes it on with the traffic reports.

--- a/include/baobabloft/dispatch/choice_report.hpp
+++ b/include/baobabloft/dispatch/choice_report.hpp
@@ -33,6 +33,9 @@
     /// to 1.
     std::uint32_t consecutive_failures = 0;
     double failure_rate = 0;
+    /// Requests per second that it accepts from all routers; empty if it states
+    /// no limit.
+    std::optional<double> rate_limit;
     /// It is likely to have the shared prefix of the prompt cached.
     bool has_prefix = false;
 };
--- a/include/baobabloft/dispatch/messages.hpp
+++ b/include/baobabloft/dispatch/messages.hpp
@@ -37,6 +37,21 @@
     std::uint8_t work_steps = 0;
 };
 
+/// Unit of limit_sample::rate_steps, in requests per second.
+inline constexpr double rate_limit_step = 0.1;
+/// Value of limit_sample::rate_steps for an upstream without a limit.
+inline constexpr std::uint16_t no_rate_limit = 0xffff;
+
+/// What an upstream said of its limit, as rate_limit_statement.
+struct limit_sample
+{
+    upstream_id upstream{};
+    /// Rounded down to steps of rate_limit_step.
+    std::uint16_t rate_steps = no_rate_limit;
+    /// Age in steps of load_sample_age_step, rounded up.
+    std::uint8_t age_steps = 0;
+};
+
 /// A prefix that many requests share.
 struct prefix_share
 {
@@ -52,6 +67,8 @@
     std::vector<load_sample> loads;
     /// The prefix of each request with an affinity.
     std::vector<prefix_id> prefixes;
+    /// Only what upstreams said to the sender of the report.
+    std::vector<limit_sample> limits;
 };
 
 /// Response to a traffic_report: what all routers saw that report to the
@@ -60,6 +77,7 @@
 {
     std::vector<load_sample> loads;
     std::vector<prefix_share> hot_prefixes;
+    std::vector<limit_sample> limits;
 };
 
 } // namespace baobabloft::dispatch
--- a/include/baobabloft/dispatch/return_schedule.hpp
+++ b/include/baobabloft/dispatch/return_schedule.hpp
@@ -17,8 +17,12 @@
 {
     /// The service has an upstream in service that does not leave.
     bool is_usable = false;
-    /// When the first of these may be tried again, if the service is usable.
+    /// When this router may try the first of these again, if the service is
+    /// usable.
     time_point usable_from;
+    /// When another router may, if that is sooner: where routers divide the
+    /// rate that an upstream accepts, this one may have a small part or none.
+    std::optional<time_point> usable_elsewhere_from;
 };
 
 /// Why a caller is asked to return at a time, or is not asked to return.
--- a/include/baobabloft/dispatch/upstream_announcements.hpp
+++ b/include/baobabloft/dispatch/upstream_announcements.hpp
@@ -2,10 +2,7 @@
 // for a time.
 #pragma once
 
-#include "baobabloft/support/time.hpp"
-
-#include <cstdint>
-#include <optional>
+#include "baobabloft/dispatch/upstream_rate_limit.hpp"
 
 namespace baobabloft::dispatch
 {
@@ -26,9 +23,18 @@
     /// Returns the end of the longest pause that the upstream asked for.
     [[nodiscard]] time_point paused_until() const;
 
+    /// Returns the request rate that the upstream accepts in `lifetime`.
+    /// Forgets that of an earlier lifetime.
+    upstream_rate_limit& rate_limit(std::uint64_t lifetime);
+    /// Returns it without a change, or null if it has none.
+    [[nodiscard]] const upstream_rate_limit*
+    known_limit(std::uint64_t lifetime) const;
+
 private:
     std::optional<std::uint64_t> leaving_lifetime_;
     time_point paused_until_;
+    upstream_rate_limit rate_limit_;
+    std::uint64_t rate_limit_lifetime_ = 0;
 };
 
 } // namespace baobabloft::dispatch
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -14,6 +14,7 @@
 #include "baobabloft/routing/recent_chats.hpp"
 
 #include <functional>
+#include <map>
 #include <span>
 #include <unordered_map>
 
@@ -77,8 +78,8 @@
     /// The service has no upstream in service, or each of them has failed this
     /// request or has no capacity for a connection.
     no_upstream,
-    /// The upstreams that could take the request are cold and at their
-    /// cold-start limit.
+    /// The upstreams that could take the request are at their cold-start limit
+    /// or at their rate limit.
     all_busy
 };
 
@@ -183,6 +184,11 @@
     /// sooner.
     void record_requested_pause(time_point now, const std::string& id,
                                 duration pause);
+    /// Records what `id` said of its rate limit in a response to this router.
+    rate_limit_change record_rate_limit(time_point now, const std::string& id,
+                                        const rate_limit_statement& said);
+    /// Returns the number of upstreams that have a rate limit.
+    [[nodiscard]] std::size_t limited_upstreams() const;
     /// Records that `id` declined a request, and pauses it briefly.
     void record_decline(time_point now, const std::string& id);
     /// Records that nothing could be sent to `id`, and pauses it.
@@ -227,7 +233,7 @@
         /// Length of the last pause; zero after a success.
         duration backoff{0};
         /// Requests sent, counted against the cold-start limit.
-        sliding_count cold_sends{1200ms};
+        sliding_count recent_sends{1200ms};
     };
 
     /// An upstream that may be chosen.
@@ -258,6 +264,8 @@
         failing,
         /// Asked for no requests from this router.
         paused,
+        /// This router has used its part of the upstream's rate limit.
+        at_limit,
         /// Failed this request already, or has no capacity for a connection.
         excluded
     };
@@ -282,6 +290,7 @@
         enum_name<eligibility>{eligibility::cold_and_full, "cold_and_full"},
         enum_name<eligibility>{eligibility::failing, "failing"},
         enum_name<eligibility>{eligibility::paused, "paused"},
+        enum_name<eligibility>{eligibility::at_limit, "at_limit"},
         enum_name<eligibility>{eligibility::excluded, "no_connection"},
     };
 
@@ -310,8 +319,7 @@
                              const load_means& means);
     [[nodiscard]] eligibility classify(time_point now,
                                        const upstream_query& query,
-                                       const candidate& item,
-                                       double limit) const;
+                                       const candidate& item, double limit);
     /// Returns true if the upstream could run another request at once, as far
     /// as is known.
     static bool has_room(time_point now, const candidate& item);
@@ -332,6 +340,23 @@
     static void update_load(upstream_state& state, time_point measured_at,
                             double reported);
     void apply_samples(time_point now, std::span<const load_sample> samples);
+    void apply_limits(time_point now, std::span<const limit_sample> samples);
+    /// Returns the rate limit of the upstream with this router's place up to
+    /// date, or null if it has none.
+    upstream_rate_limit* limit_of(time_point now,
+                                  const directory::known_upstream& item,
+                                  upstream_state& state);
+    void update_place(time_point now, const directory::known_upstream& item,
+                      upstream_rate_limit& limit);
+    /// Updates the record of routers, unless it is recent.
+    void update_routers(time_point now);
+    /// Removes upstreams from `limited_` that have had no limit for a while.
+    void expire_limits(time_point now);
+    /// Returns up to `count` statements on limits, beginning behind the
+    /// upstream `after`.
+    template <typename Getter>
+    std::vector<limit_sample> limit_samples(time_point now, std::size_t count,
+                                            upstream_id after, Getter get);
     /// Moves another of the most preferred upstreams to the front of `eligible`
     /// if the routers divide the prefix among several. `is_moved` is true if
     /// the load of the preferred one of all candidates is above the limit.
@@ -376,6 +401,13 @@
     /// Prefixes that this router recently sent to each upstream.
     routing::recent_chats cached_prefixes_;
     traffic_monitor traffic_;
+    /// The upstreams that have a rate limit, or had one a short time ago.
+    std::map<upstream_id, std::string> limited_;
+    /// The last one of these in a summary.
+    upstream_id last_summarized_limit_{};
+    /// Hashes of the names of routers, and when the directory listed them last.
+    std::unordered_map<std::uint64_t, time_point> routers_;
+    std::optional<time_point> routers_updated_at_;
     /// Number of calls of rank_by_cost().
     std::uint64_t ranked_by_cost_ = 0;
 };
--- a/include/baobabloft/relay/platform_interface.hpp
+++ b/include/baobabloft/relay/platform_interface.hpp
@@ -127,6 +127,9 @@
     std::string not_run;
     /// Shows that the responding upstream leaves.
     std::string leaving;
+    /// Requests per second that the responding upstream accepts from all
+    /// routers.
+    std::string rate_limit;
     /// Load of the responding upstream.
     std::string load;
     /// Time for which the upstream stays cold, in milliseconds.
@@ -153,6 +156,8 @@
     /// Parses the `load` header; empty if it is malformed.
     std::optional<dispatch::reported_load> (*parse_load)(std::string_view) =
         nullptr;
+    /// Parses the `rate_limit` header; empty if it is malformed.
+    std::optional<double> (*parse_rate_limit)(std::string_view) = nullptr;
     /// Parses the `prompt_parts` header; empty if any part is malformed.
     std::vector<prompt_part> (*parse_prompt_parts)(std::string_view) = nullptr;
 };
--- a/include/baobabloft/relay/relay_session.hpp
+++ b/include/baobabloft/relay/relay_session.hpp
@@ -170,6 +170,8 @@
     /// Records that the upstream leaves, or asks for a pause, if its response
     /// says so.
     void record_announcements(const attempt_ptr& attempt);
+    /// Records whether the upstream states a limit on its request rate.
+    void record_rate_limit(const attempt_ptr& attempt);
     /// Returns true if the upstream states that it did not run the request.
     [[nodiscard]] bool reports_not_run(const attempt_ptr& attempt) const;
 
--- a/lib/dispatch/return_schedule.cpp
+++ b/lib/dispatch/return_schedule.cpp
@@ -84,7 +84,9 @@
                               ? std::min(max_interval, from_seconds(1 / rate))
                               : max_interval;
     const auto earliest =
-        std::max({now + min_pause, outlook.usable_from, state.next_return});
+        std::max({now + min_pause,
+                  outlook.usable_elsewhere_from.value_or(outlook.usable_from),
+                  state.next_return});
     const auto latest = now + time_left / honoured_divisor;
     if (earliest > latest)
         return {return_reason::no_room_in_time,
--- a/lib/dispatch/upstream_announcements.cpp
+++ b/lib/dispatch/upstream_announcements.cpp
@@ -1,6 +1,7 @@
 #include "baobabloft/dispatch/upstream_announcements.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace baobabloft::dispatch
 {
@@ -37,4 +38,18 @@
     return paused_until_;
 }
 
+upstream_rate_limit& upstream_announcements::rate_limit(std::uint64_t lifetime)
+{
+    if (std::exchange(rate_limit_lifetime_, lifetime) != lifetime)
+        rate_limit_ = {};
+    return rate_limit_;
+}
+
+const upstream_rate_limit*
+upstream_announcements::known_limit(std::uint64_t lifetime) const
+{
+    return rate_limit_lifetime_ == lifetime && rate_limit_.rate() ? &rate_limit_
+                                                                  : nullptr;
+}
+
 } // namespace baobabloft::dispatch
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -91,6 +91,39 @@
 /// Until a router has run for this long, it may not know all other routers.
 constexpr duration fleet_settling_time = 4s;
 
+/// Longest time for which a router's place at an upstream with a rate limit
+/// is kept, and for which a router counts that the directory no longer lists:
+/// while the store is away, leases of routers that run may expire.
+constexpr duration place_lifetime = 1s;
+constexpr duration router_update_interval = 300ms;
+constexpr duration router_lifetime = 30s;
+/// Statements on rate limits in a datagram.
+constexpr std::size_t max_report_limits = 32;
+constexpr std::size_t max_summary_limits = 64;
+
+limit_sample sample_of(time_point now, upstream_id upstream,
+                       const rate_limit_statement& said)
+{
+    constexpr std::int64_t max_age = std::numeric_limits<std::uint8_t>::max();
+    constexpr double max_rate = no_rate_limit - 1;
+    const auto age = (now - said.as_of) / load_sample_age_step + 1;
+    return {.upstream = upstream,
+            .rate_steps = said.rate
+                              ? static_cast<std::uint16_t>(std::min(
+                                    max_rate, *said.rate / rate_limit_step))
+                              : no_rate_limit,
+            .age_steps = static_cast<std::uint8_t>(
+                std::clamp<std::int64_t>(age, 0, max_age))};
+}
+
+rate_limit_statement statement_of(time_point now, const limit_sample& sample)
+{
+    return {.rate = sample.rate_steps == no_rate_limit
+                        ? std::nullopt
+                        : std::optional{sample.rate_steps * rate_limit_step},
+            .as_of = now - sample.age_steps * load_sample_age_step};
+}
+
 /// Returns the share of an upstream's prefixes that it has taken over, 0 to 1.
 double takeover_share(time_point now, const directory::known_upstream& item,
                       double mean_load)
@@ -258,7 +291,7 @@
             return false;
         share = cold_rate_per_router;
     }
-    return item.state->cold_sends.total(now) + 1 <= std::floor(share);
+    return item.state->recent_sends.total(now) + 1 <= std::floor(share);
 }
 
 void upstream_selector::rank_by_affinity(time_point now, std::uint64_t affinity,
@@ -319,9 +352,9 @@
 
 upstream_selector::eligibility
 upstream_selector::classify(time_point now, const upstream_query& query,
-                            const candidate& item, double limit) const
+                            const candidate& item, double limit)
 {
-    const auto& state = *item.state;
+    auto& state = *item.state;
     const auto& id = item.upstream->record.id;
     if (std::find(query.excluded_ids.begin(), query.excluded_ids.end(), id) !=
             query.excluded_ids.end() ||
@@ -329,6 +362,9 @@
         return eligibility::excluded;
     if (state.announced.paused_until() > now)
         return eligibility::paused;
+    if (const auto* rate_limit = limit_of(now, *item.upstream, state);
+        rate_limit != nullptr && !rate_limit->permits(now))
+        return eligibility::at_limit;
     // After a pause one request at a time tests whether the upstream has
     // recovered.
     const bool on_trial = state.backoff > duration{0};
@@ -561,7 +597,7 @@
                                cold_has_capacity(now, query, *failing)))
         return make_selection(*failing, choice::last_resort);
     // Every upstream has failed this request, has no capacity for a connection,
-    // or is cold and at its limit.
+    // or is at a limit.
     return {any_not_excluded ? choice::all_busy : choice::no_upstream, nullptr,
             nullptr, 0, means.of_usable};
 }
@@ -575,6 +611,8 @@
     {
         return std::max<duration>(until - now, duration{0});
     };
+    const auto* limit = state.announced.known_limit(item.record.started_ms);
+    const auto rate = limit != nullptr ? limit->rate() : std::nullopt;
     return {
         .upstream = item.record.id,
         .data_centre = item.record.data_centre,
@@ -587,6 +625,7 @@
             left(std::max(state.avoid_until, state.announced.paused_until())),
         .consecutive_failures = state.consecutive_failures,
         .failure_rate = state.failure_rate,
+        .rate_limit = rate,
         .has_prefix =
             query.affinity &&
             cached_prefixes_.contains(now, prefix_key(*query.affinity, item))};
@@ -665,15 +704,28 @@
             directory_.is_out_of_service(item.record.data_centre))
             continue;
         auto from = now;
+        auto elsewhere_from = now;
         if (const auto found = states_.find(id); found != states_.end())
         {
-            if (is_leaving(item, found->second))
+            const auto& state = found->second;
+            if (is_leaving(item, state))
                 continue;
-            from = std::max({now, found->second.avoid_until,
-                             found->second.announced.paused_until()});
+            from = std::max(
+                {now, state.avoid_until, state.announced.paused_until()});
+            elsewhere_from = from;
+            if (const auto* limit =
+                    state.announced.known_limit(item.record.started_ms))
+            {
+                elsewhere_from =
+                    std::max(from, limit->next_permitted_anywhere(now));
+                from = std::max(from, limit->next_permitted(now));
+            }
         }
         result.usable_from =
             result.is_usable ? std::min(result.usable_from, from) : from;
+        result.usable_elsewhere_from =
+            std::min(elsewhere_from,
+                     result.usable_elsewhere_from.value_or(elsewhere_from));
         result.is_usable = true;
     }
     return result;
@@ -730,7 +782,12 @@
 {
     auto& state = states_[id];
     ++state.in_progress;
-    state.cold_sends.add(now);
+    state.recent_sends.add(now);
+    const auto known = directory_.upstreams().find(id);
+    if (known == directory_.upstreams().end())
+        return;
+    if (auto* limit = limit_of(now, known->second, state))
+        limit->record_sent(now);
 }
 
 void upstream_selector::record_ended(const std::string& id)
@@ -774,7 +831,12 @@
 
 traffic_report upstream_selector::take_traffic_report(time_point now)
 {
-    return traffic_.take_report(now);
+    update_routers(now);
+    expire_limits(now);
+    auto report = traffic_.take_report(now);
+    report.limits = limit_samples(now, max_report_limits, {},
+                                  &upstream_rate_limit::own_statement);
+    return report;
 }
 
 traffic_summary upstream_selector::merge_report(time_point now,
@@ -782,7 +844,14 @@
 {
     traffic_.merge(now, report);
     apply_samples(now, report.loads);
-    return traffic_.summarize(now);
+    apply_limits(now, report.limits);
+    auto summary = traffic_.summarize(now);
+    summary.limits =
+        limit_samples(now, max_summary_limits, last_summarized_limit_,
+                      &upstream_rate_limit::statement);
+    if (!summary.limits.empty())
+        last_summarized_limit_ = summary.limits.back().upstream;
+    return summary;
 }
 
 void upstream_selector::apply_summary(time_point now,
@@ -790,6 +859,7 @@
 {
     traffic_.apply(now, summary);
     apply_samples(now, summary.loads);
+    apply_limits(now, summary.limits);
 }
 
 void upstream_selector::apply_samples(time_point now,
@@ -815,6 +885,163 @@
     }
 }
 
+void upstream_selector::apply_limits(time_point now,
+                                     std::span<const limit_sample> samples)
+{
+    std::unordered_map<upstream_id, const limit_sample*> unknown;
+    const auto apply =
+        [&](const directory::known_upstream& item, const limit_sample& sample)
+    {
+        auto& state = states_[item.record.id];
+        auto& limit = state.announced.rate_limit(item.record.started_ms);
+        update_place(now, item, limit);
+        limit.record(now, statement_of(now, sample),
+                     state.recent_sends.total(now));
+    };
+    const auto& upstreams = directory_.upstreams();
+    for (const auto& sample : samples)
+    {
+        const auto name = limited_.find(sample.upstream);
+        if (name == limited_.end())
+        {
+            if (sample.rate_steps != no_rate_limit)
+                unknown[sample.upstream] = &sample;
+        }
+        else if (const auto known = upstreams.find(name->second);
+                 known != upstreams.end())
+            apply(known->second, sample);
+    }
+    if (unknown.empty())
+        return;
+    for (const auto& [id, item] : upstreams)
+    {
+        const upstream_id upstream{static_cast<std::uint32_t>(item.id_hash)};
+        const auto found = unknown.find(upstream);
+        if (found == unknown.end())
+            continue;
+        apply(item, *found->second);
+        limited_.emplace(upstream, id);
+    }
+}
+
+upstream_rate_limit*
+upstream_selector::limit_of(time_point now,
+                            const directory::known_upstream& item,
+                            upstream_state& state)
+{
+    auto& limit = state.announced.rate_limit(item.record.started_ms);
+    if (!limit.rate())
+        return nullptr;
+    update_place(now, item, limit);
+    return &limit;
+}
+
+void upstream_selector::update_place(time_point now,
+                                     const directory::known_upstream& item,
+                                     upstream_rate_limit& limit)
+{
+    if (now - options_.started < fleet_settling_time ||
+        (limit.placed_at() && now - *limit.placed_at() < place_lifetime))
+        return;
+    update_routers(now);
+    const auto own_hash = hash_bytes(options_.router);
+    const auto own_score = rendezvous_score(item.id_hash, own_hash);
+    router_place place;
+    for (const auto& [name_hash, listed_at] : routers_)
+    {
+        if (name_hash == own_hash)
+            continue;
+        ++place.routers;
+        place.rank += rendezvous_score(item.id_hash, name_hash) > own_score;
+    }
+    limit.set_place(now, place);
+}
+
+void upstream_selector::update_routers(time_point now)
+{
+    if (routers_updated_at_ &&
+        now - *routers_updated_at_ < router_update_interval)
+        return;
+    routers_updated_at_ = now;
+    for (const auto& [name, router] : directory_.routers())
+        routers_[hash_bytes(name)] = now;
+    std::erase_if(routers_, [now](const auto& item)
+                  { return now - item.second > router_lifetime; });
+}
+
+void upstream_selector::expire_limits(time_point now)
+{
+    std::erase_if(limited_,
+                  [&](const auto& item)
+                  {
+                      const auto known =
+                          directory_.upstreams().find(item.second);
+                      const auto state = states_.find(item.second);
+                      return known == directory_.upstreams().end() ||
+                             state == states_.end() ||
+                             state->second.announced
+                                 .rate_limit(known->second.record.started_ms)
+                                 .is_over(now);
+                  });
+}
+
+template <typename Getter>
+std::vector<limit_sample>
+upstream_selector::limit_samples(time_point now, std::size_t count,
+                                 upstream_id after, Getter get)
+{
+    std::vector<limit_sample> result;
+    auto item = limited_.upper_bound(after);
+    for (auto left = limited_.size(); left > 0 && result.size() < count;
+         --left, ++item)
+    {
+        if (item == limited_.end())
+            item = limited_.begin();
+        const auto known = directory_.upstreams().find(item->second);
+        const auto state = states_.find(item->second);
+        if (known == directory_.upstreams().end() || state == states_.end())
+            continue;
+        const auto& limit =
+            state->second.announced.rate_limit(known->second.record.started_ms);
+        if (const auto said = (limit.*get)(now))
+            result.push_back(sample_of(now, item->first, *said));
+    }
+    return result;
+}
+
+rate_limit_change
+upstream_selector::record_rate_limit(time_point now, const std::string& id,
+                                     const rate_limit_statement& said)
+{
+    const auto known = directory_.upstreams().find(id);
+    if (known == directory_.upstreams().end())
+        return rate_limit_change::none;
+    const auto& item = known->second;
+    const auto upstream = make_upstream_id(id);
+    if (!said.rate && !limited_.contains(upstream))
+        return rate_limit_change::none;
+    limited_.emplace(upstream, id);
+    auto& state = states_[id];
+    auto& limit = state.announced.rate_limit(item.record.started_ms);
+    update_place(now, item, limit);
+    return limit.record_own(now, said, state.recent_sends.total(now));
+}
+
+std::size_t upstream_selector::limited_upstreams() const
+{
+    const auto is_limited = [this](const auto& item)
+    {
+        const auto known = directory_.upstreams().find(item.second);
+        const auto state = states_.find(item.second);
+        return known != directory_.upstreams().end() &&
+               state != states_.end() &&
+               state->second.announced.known_limit(
+                   known->second.record.started_ms) != nullptr;
+    };
+    return static_cast<std::size_t>(
+        std::ranges::count_if(limited_, is_limited));
+}
+
 void upstream_selector::record_success(time_point /*now*/,
                                        const std::string& id)
 {
--- a/lib/net/codec.cpp
+++ b/lib/net/codec.cpp
@@ -162,6 +162,12 @@
     archive(object.upstream, object.load, object.age_steps, object.work_steps);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, limit_sample& object)
+{
+    archive(object.upstream, object.rate_steps, object.age_steps);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, prefix_share& object)
 {
@@ -173,6 +179,7 @@
 {
     serialize_list(archive, object.loads);
     serialize_list(archive, object.prefixes);
+    serialize_list(archive, object.limits);
 }
 
 template <typename Archive>
@@ -180,6 +187,7 @@
 {
     serialize_list(archive, object.loads);
     serialize_list(archive, object.hot_prefixes);
+    serialize_list(archive, object.limits);
 }
 
 template <typename Archive>
--- a/lib/operators/where_report.cpp
+++ b/lib/operators/where_report.cpp
@@ -29,6 +29,17 @@
     return value.is_null() ? "-" : std::to_string(value.get<std::int64_t>());
 }
 
+/// Returns the requests per second that an upstream accepts, or "-".
+std::string rate_text(const json& item)
+{
+    const auto found = item.find("rate_limit");
+    if (found == item.end() || found->is_null())
+        return "-";
+    std::ostringstream out;
+    out << std::setprecision(3) << found->get<double>();
+    return std::move(out).str();
+}
+
 void write_service(std::ostream& out, const json& service)
 {
     out << "  service " << service.at("service").get<std::string>()
@@ -48,7 +59,8 @@
     out << "\n  " << std::left << std::setw(20) << "UPSTREAM" << std::setw(16)
         << "DATA CENTRE" << std::setw(16) << "STATE" << std::setw(8) << "LOAD"
         << std::setw(9) << "AGE ms" << std::setw(9) << "COLD ms"
-        << std::setw(10) << "PAUSE ms" << std::setw(10) << "FAILURES"
+        << std::setw(10) << "PAUSE ms" << std::setw(8) << "LIMIT"
+        << std::setw(10) << "FAILURES"
         << "CACHED\n";
     for (const auto& item : service.at("candidates"))
         out << "  " << std::setw(20) << item.at("upstream").get<std::string>()
@@ -57,8 +69,8 @@
             << std::setw(8) << item.at("load").get<double>() << std::setw(9)
             << ms_text(item, "load_age_ms") << std::setw(9)
             << ms_text(item, "cold_left_ms") << std::setw(10)
-            << ms_text(item, "pause_left_ms") << std::setw(10)
-            << item.at("failures").get<std::uint32_t>()
+            << ms_text(item, "pause_left_ms") << std::setw(8) << rate_text(item)
+            << std::setw(10) << item.at("failures").get<std::uint32_t>()
             << item.at("cached_tokens").get<std::uint32_t>() << '\n';
 }
 
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -338,6 +338,8 @@
                  to_seconds(context_.confirmation_age(now)));
     counters.set("baobab_upstreams",
                  static_cast<double>(state.upstreams().size()));
+    counters.set("baobab_upstreams_limited",
+                 static_cast<double>(context_.selector.limited_upstreams()));
     counters.set("baobab_callers", static_cast<double>(callers_.size()));
     counters.set("baobab_upstream_channels_opened",
                  static_cast<double>(context_.pool.total_opened()));
--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -79,6 +79,7 @@
         return;
     }
     record_announcements(attempt);
+    record_rate_limit(attempt);
     attempt->is_stream = route_->kind == directory::request_kind::streaming &&
                          head.result_int() == status_ok;
     if (!attempt->is_stream && head.result_int() < first_server_error)
@@ -108,6 +109,40 @@
                 std::string{http::std_view(head[bhttp::field::retry_after])}}});
 }
 
+void relay_session::record_rate_limit(const attempt_ptr& attempt)
+{
+    const auto& head = attempt->head;
+    const auto& names = context_.dialect;
+    // The upstream's refusals need no signature. A misdirected request was
+    // answered by another upstream.
+    const bool is_from_upstream =
+        !http::field_value(head, names.signature).empty() ||
+        (reports_not_run(attempt) &&
+         http::field_value(head, names.request_id) == request_id_);
+    if (!is_from_upstream || head.result_int() == status_misdirected)
+        return;
+    const auto stated = head.equal_range(http::beast_view(names.rate_limit));
+    const bool has_field = stated.first != stated.second;
+    std::optional<double> rate;
+    for (auto field = stated.first; field != stated.second; ++field)
+        if (const auto value =
+                names.parse_rate_limit(http::std_view(field->value())))
+            rate = std::min(*value, rate.value_or(*value));
+    if (has_field && !rate)
+        return;
+    const auto now = net::boot_now();
+    const auto change = context_.selector.record_rate_limit(
+        now, attempt->upstream, {rate, rate ? now : attempt->started});
+    if (change == dispatch::rate_limit_change::none)
+        return;
+    log_event(log_level::info, "upstream_limited",
+              {{"request", request_id_},
+               {"upstream", attempt->upstream},
+               {"change", std::string{name_in(dispatch::rate_limit_change_names,
+                                              change)}},
+               {"rate", rate ? format_one_decimal(*rate) : ""}});
+}
+
 void relay_session::on_body(const attempt_ptr& attempt, std::string_view bytes)
 {
     if (attempt == hedge_attempt_)
--- a/lib/relay/relay_where.cpp
+++ b/lib/relay/relay_where.cpp
@@ -75,6 +75,7 @@
         {"load_age_ms", item.load_age ? json(in_ms(*item.load_age)) : json()},
         {"cold_left_ms", in_ms(item.cold_left)},
         {"pause_left_ms", in_ms(item.pause_left)},
+        {"rate_limit", item.rate_limit ? json(*item.rate_limit) : json()},
         {"failures", item.consecutive_failures},
         {"failure_rate", item.failure_rate},
         {"cached_tokens", item.has_prefix ? prefix_tokens : 0}};
--- a/lib/router/metrics.cpp
+++ b/lib/router/metrics.cpp
@@ -59,6 +59,8 @@
     metric_row{"baobab_proof_age_seconds",
                "Age of the read that last proved the configuration in force"},
     metric_row{"baobab_upstreams", "Upstreams that the directory lists"},
+    metric_row{"baobab_upstreams_limited",
+               "Upstreams that state a limit on their requests a second"},
     metric_row{"baobab_rollout_changes_total",
                "Changes of roll-outs at this router, by change"},
     metric_row{"baobab_rollouts_in_progress",
