--- a/unittests/endtoend/relay_test.py
+++ b/unittests/endtoend/relay_test.py
@@ -408,6 +408,56 @@
         self.assertIn(self.ports[0], self.ports[1:])
 
 
+class RateLimitTest(RelayTest):
+    """The first upstream to get a request states what the test sets."""
+    upstreams = 2
+    fields = ""
+
+    def setUp(self):
+        self.ports = []
+        super().setUp()
+
+    def respond(self, connection, fields, number):
+        self.ports.append(connection.getsockname()[1])
+        stated = self.fields if self.ports[0] == self.ports[-1] else ""
+        connection.sendall(head(fields["X-Request-Id"],
+                                stated + "Content-Length: 0\r\n"))
+
+    def share_of_first(self, seconds):
+        """Returns the requests that the first upstream got, and all."""
+        self.ports[1:] = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.assertEqual(self.send(
+                "GET", "/safe/1", f"r{time.monotonic_ns()}").status, 200)
+            time.sleep(0.02)
+        return self.ports[1:].count(self.ports[0]), len(self.ports) - 1
+
+    # Guards against more requests than an upstream states that it accepts, and
+    # against a limit that stays after its end.
+    def test_an_upstream_gets_no_more_requests_than_it_states(self):
+        for fields, most in (("Server-Limit: 2\r\n", 1.5 * 2 * 4 + 5),
+                             ("Server-Limit: 9\r\nServer-Limit: 0.5\r\n",
+                              1.5 * 0.5 * 4 + 5)):
+            self.fields = fields
+            self.share_of_first(1)
+            got, sent = self.share_of_first(4)
+            self.assertGreater(sent, 4 * most)
+            self.assertLessEqual(got, most, fields)
+        self.fields = ""
+        self.share_of_first(5)
+        got, sent = self.share_of_first(1)
+        self.assertGreater(got, sent / 4)
+
+    # Guards against malformed limits that keep requests from an upstream.
+    def test_malformed_limits_state_nothing(self):
+        for text in ("-1", "1e400", "", "nan", "none", "0x0", "0,0"):
+            self.fields = f"Server-Limit: {text}\r\n"
+            self.share_of_first(0.2)
+        got, sent = self.share_of_first(1)
+        self.assertGreater(got, sent / 4)
+
+
 class DeclinedRequestTest(RelayTest):
     """The upstream declines the request "a" once."""
 
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -403,6 +403,18 @@
     EXPECT_TRUE(dialect.parse_load("65535,65535,8"));
 }
 
+// Guards against malformed limits that keep requests from an upstream.
+TEST(headers, a_rate_limit_is_a_plain_decimal_number)
+{
+    const auto dialect = make_header_dialect();
+    for (const auto& [text, rate] :
+         {std::pair{"0", 0.0}, std::pair{"4.5", 4.5}, std::pair{"12", 12.0}})
+        EXPECT_EQ(dialect.parse_rate_limit(text), rate) << text;
+    for (const auto* text : {"", "-1", "-0", "1e400", "1e2", "nan", "inf", "x",
+                             "0x0", "1,2", " 1", ".", "1.2.3"})
+        EXPECT_FALSE(dialect.parse_rate_limit(text)) << text;
+}
+
 TEST(headers, prompt_parts_are_hexadecimal_ids_with_tokens)
 {
     const auto dialect = make_header_dialect();
