Dispatch: every data centre has routers that use a rate limit

Cause (read, not traced): the 9 routers chosen for an upstream may all be outside a data centre, whose routers then learn of the end after 10 s only. Data centres now take turns in the choice, and a router that was not chosen tests a limit after 3 s without a statement instead of 10 s, the next ones 8 / L s apart (8 s at most).

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -249,6 +249,12 @@
         std::uint64_t tie_break = 0;
     };
 
+    struct listed_router
+    {
+        std::uint64_t data_centre_hash = 0;
+        time_point last_listed;
+    };
+
     /// Whether an upstream is suitable for a request.
     enum class eligibility : std::uint8_t
     {
@@ -405,8 +411,9 @@
     std::map<upstream_id, std::string> limited_;
     /// The last one of these in a summary.
     upstream_id last_summarized_limit_{};
-    /// Hashes of the names of routers, and when the directory listed them last.
-    std::unordered_map<std::uint64_t, time_point> routers_;
+    /// Routers that the directory lists, or listed a short time ago, by the
+    /// hashes of their names.
+    std::unordered_map<std::uint64_t, listed_router> routers_;
     std::optional<time_point> routers_updated_at_;
     /// Number of calls of rank_by_cost().
     std::uint64_t ranked_by_cost_ = 0;
--- a/lib/dispatch/upstream_rate_limit.cpp
+++ b/lib/dispatch/upstream_rate_limit.cpp
@@ -24,9 +24,11 @@
 /// Longest debt that requests sent before the limit was known leave.
 constexpr double max_first_debt_s = 2;
 /// Pauses of the routers that were not chosen: of the first one, between two of
-/// them in requests at the limit, and the longest.
-constexpr duration first_patience = 10s;
+/// them in requests at the limit, or at min_step_rate if that is higher, and
+/// the longest.
+constexpr duration first_patience = 3s;
 constexpr double patience_step = 8;
+constexpr double min_step_rate = 1;
 constexpr duration max_patience = 600s;
 /// Ages up to which a statement is passed on, and is reported by the router
 /// that got it.
@@ -150,7 +152,7 @@
 duration upstream_rate_limit::patience() const
 {
     const auto chosen = chosen_count(*rate(), place_->routers);
-    const double step_s = patience_step / used_rate(*rate());
+    const double step_s = patience_step / std::max(*rate(), min_step_rate);
     return std::min(
         max_patience,
         first_patience +
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -944,15 +944,36 @@
         (limit.placed_at() && now - *limit.placed_at() < place_lifetime))
         return;
     update_routers(now);
+    // Data centres take turns, so that as many as possible have a chosen
+    // router, whose responses tell the others there of changes.
     const auto own_hash = hash_bytes(options_.router);
+    const auto own_data_centre = hash_bytes(options_.data_centre);
     const auto own_score = rendezvous_score(item.id_hash, own_hash);
+    std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> scores;
+    std::size_t own_turn = 0;
     router_place place;
-    for (const auto& [name_hash, listed_at] : routers_)
+    for (const auto& [name_hash, router] : routers_)
     {
         if (name_hash == own_hash)
             continue;
         ++place.routers;
-        place.rank += rendezvous_score(item.id_hash, name_hash) > own_score;
+        const auto score = rendezvous_score(item.id_hash, name_hash);
+        if (router.data_centre_hash != own_data_centre)
+            scores[router.data_centre_hash].push_back(score);
+        else if (score > own_score)
+            ++own_turn;
+    }
+    place.rank = own_turn;
+    for (auto& [data_centre, others] : scores)
+    {
+        const auto before = std::min(own_turn, others.size());
+        place.rank += before;
+        if (before == others.size())
+            continue;
+        const auto same_turn =
+            others.begin() + static_cast<std::ptrdiff_t>(before);
+        std::ranges::nth_element(others, same_turn, std::ranges::greater{});
+        place.rank += *same_turn > own_score ? 1 : 0;
     }
     limit.set_place(now, place);
 }
@@ -964,9 +985,9 @@
         return;
     routers_updated_at_ = now;
     for (const auto& [name, router] : directory_.routers())
-        routers_[hash_bytes(name)] = now;
+        routers_[hash_bytes(name)] = {hash_bytes(router.data_centre), now};
     std::erase_if(routers_, [now](const auto& item)
-                  { return now - item.second > router_lifetime; });
+                  { return now - item.second.last_listed > router_lifetime; });
 }
 
 void upstream_selector::expire_limits(time_point now)
