--- a/unittests/dispatch/rate_limit_test.cpp
+++ b/unittests/dispatch/rate_limit_test.cpp
@@ -16,6 +16,7 @@
 using directory::parsed_key;
 
 constexpr time_point start{1000s};
+constexpr std::string_view data_centres{"abcde"};
 /// The rule that users rely on.
 constexpr duration rule_begins = 3s;
 constexpr duration rule_window = 4s;
@@ -23,7 +24,7 @@
 constexpr double rule_slack = 5;
 constexpr duration rule_notice = 500ms;
 
-/// Keys are "up/DATA_CENTRE/NAME" or "router/NAME".
+/// Keys are "up/DATA_CENTRE/NAME" or "router/DATA_CENTRE/NAME".
 class key_codec final : public directory::record_codec
 {
 public:
@@ -38,7 +39,8 @@
     read(const parsed_key& key, const std::string& value) const override
     {
         if (key.kind == directory::key_kind::router)
-            return directory::router_record{key.name, {"127.0.0.1", 1}, "a"};
+            return directory::router_record{
+                key.name, {"127.0.0.1", 1}, key.name.substr(7, 1)};
         directory::upstream_record upstream;
         upstream.id = key.name;
         upstream.service = "chat";
@@ -92,7 +94,8 @@
     {
         for (std::size_t index = 0; index < options.upstreams; ++index)
         {
-            ids_.push_back(std::string{"up/"} + "abc"[index % 3] + "/" +
+            ids_.push_back(std::string{"up/"} +
+                           data_centres[index % data_centres.size()] + "/" +
                            std::to_string(index));
             apply(ids_.back(), false);
         }
@@ -189,7 +192,9 @@
 
     static std::string router_name(std::size_t index)
     {
-        return "router/" + std::to_string(index);
+        return std::string{"router/"} +
+               data_centres[index % data_centres.size()] + "/" +
+               std::to_string(index);
     }
 
     void apply(const std::string& key, bool removed)
@@ -202,9 +207,11 @@
         model_router result;
         result.selector = std::make_unique<upstream_selector>(
             state_,
-            selector_options{.data_centre = std::string{"abc"[index % 3]},
-                             .router = router_name(index),
-                             .started = started},
+            selector_options{
+                .data_centre =
+                    std::string{data_centres[index % data_centres.size()]},
+                .router = router_name(index),
+                .started = started},
             [](const auto&, const auto&) { return true; });
         result.lifetime = ++lifetimes_;
         result.report_offset = (random_() % 30) * 10ms;
@@ -302,10 +309,10 @@
             if (router.down_until > now_ ||
                 (now_ - start) % 300ms != router.report_offset)
                 continue;
-            auto watcher = index % 3;
+            auto watcher = index % data_centres.size();
             while (watcher < routers_.size() &&
                    routers_[watcher].down_until > now_)
-                watcher += 3;
+                watcher += data_centres.size();
             const auto report = router.selector->take_traffic_report(now_);
             if (watcher == index || watcher >= routers_.size() || is_lost())
                 continue;
