relay: a refusal's rate limit counts only if the refusal names the request

The two rules for a refusal that names the request are one: by exactly one id, for requests that have one.

--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -131,8 +131,7 @@
     // answered by another upstream.
     const bool is_from_upstream =
         !http::field_value(head, names.signature).empty() ||
-        (reports_not_run(attempt) &&
-         http::field_value(head, names.request_id) == request_id_);
+        (reports_not_run(attempt) && names_request(attempt));
     if (!is_from_upstream || head.result_int() == status_misdirected)
         return;
     const auto stated = head.equal_range(http::beast_view(names.rate_limit));
