dispatch: requests that test a rate limit leave no lasting debt

A router that had not been chosen to use a limited upstream charged its tests and let the charge decay only once it was chosen.

--- a/lib/dispatch/upstream_rate_limit.cpp
+++ b/lib/dispatch/upstream_rate_limit.cpp
@@ -144,7 +144,7 @@
 
 double upstream_rate_limit::debt(time_point now) const
 {
-    if (!is_chosen())
+    if (!rate())
         return debt_;
     return std::max(0.0, debt_ - own_rate() * to_seconds(now - settled_at_));
 }
--- a/unittests/dispatch/rate_limit_test.cpp
+++ b/unittests/dispatch/rate_limit_test.cpp
@@ -432,6 +432,27 @@
                  .min_used = 0.3},
         scenario{.name = "never ends", .limits = {{6s, 4.5}, {40s, -1}}}));
 
+// Guards against a router that sends nothing for minutes after a limit rises,
+// since it tested the limit before.
+TEST(rate_limit, tests_of_a_limit_leave_no_lasting_debt)
+{
+    upstream_rate_limit limit;
+    limit.set_place(start, {.rank = 1, .routers = 9});
+    limit.record(start, {0.0, start}, 0);
+    auto now = start;
+    int tests = 0;
+    for (; now < start + 600s; now += 10ms)
+        if (limit.permits(now))
+        {
+            ++tests;
+            limit.record_sent(now);
+            limit.record(now, {0.0, now}, 0);
+        }
+    EXPECT_GE(tests, 60);
+    limit.record(now, {4.5, now}, 0);
+    EXPECT_LE(limit.next_permitted(now) - now, 10s);
+}
+
 } // namespace
 
 } // namespace baobabloft::dispatch
