dispatch: tests of a rate limit of zero keep within its slack

Upstreams with a limit of 0 got 6 requests in 4 s, where 5 are allowed, on fleets of five data centres after some minutes: each data centre's first router tested the limit after 3 s of silence, and the next ones 8 s apart. A test comes after more than the 4 s of the rule now, and at limits below 1 the tests are further apart. Found by a review; rate_limit.pattern_a_long_limit_of_zero_is_kept had 6 requests before, and passes.

--- a/lib/dispatch/upstream_rate_limit.cpp
+++ b/lib/dispatch/upstream_rate_limit.cpp
@@ -26,9 +26,9 @@
 /// Pauses of the routers that were not chosen: of the first one, between two of
 /// them in requests at the limit, or at min_step_rate if that is higher, and
 /// the longest.
-constexpr duration first_patience = 3s;
+constexpr duration first_patience = 4500ms;
 constexpr double patience_step = 8;
-constexpr double min_step_rate = 1;
+constexpr double min_step_rate = 0.25;
 constexpr duration max_patience = 600s;
 /// Ages up to which a statement is passed on, and is reported by the router
 /// that got it.
--- a/unittests/dispatch/rate_limit_test.cpp
+++ b/unittests/dispatch/rate_limit_test.cpp
@@ -453,6 +453,17 @@
     EXPECT_LE(limit.next_permitted(now) - now, 10s);
 }
 
+// Guards against tests of many data centres that exceed a limit of zero.
+TEST(rate_limit, pattern_a_long_limit_of_zero_is_kept)
+{
+    fleet_model fleet{{.name = "long zero",
+                       .routers = 20,
+                       .limits = {{6s, 0}, {400s, -1}},
+                       .min_used = 0}};
+    fleet.run(300s);
+    fleet.expect_rule();
+}
+
 } // namespace
 
 } // namespace baobabloft::dispatch
