dispatch: reports take turns in the rate limits that they pass on

With more than 32 limited upstreams heard in one interval, a report named the same 32 each time, so that other routers never heard of the others' ends from this one (shown by a probe of a review with 60 of them). A report goes on behind the last one, as a summary does.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -409,6 +409,8 @@
     traffic_monitor traffic_;
     /// The upstreams that have a rate limit, or had one a short time ago.
     std::map<upstream_id, std::string> limited_;
+    /// The last one in a report.
+    upstream_id last_reported_limit_{};
     /// The last one of these in a summary.
     upstream_id last_summarized_limit_{};
     /// Routers that the directory lists, or listed a short time ago, by the
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -834,8 +834,10 @@
     update_routers(now);
     expire_limits(now);
     auto report = traffic_.take_report(now);
-    report.limits = limit_samples(now, max_report_limits, {},
+    report.limits = limit_samples(now, max_report_limits, last_reported_limit_,
                                   &upstream_rate_limit::own_statement);
+    if (!report.limits.empty())
+        last_reported_limit_ = report.limits.back().upstream;
     return report;
 }
 
