--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -1047,7 +1047,11 @@
     auto& state = states_[id];
     auto& limit = state.announced.rate_limit(item.record.started_ms);
     update_place(now, item, limit);
-    return limit.record_own(now, said, state.recent_sends.total(now));
+    // In the steps in which other routers hear of it, so that their statements
+    // are no change.
+    auto rounded = said;
+    rounded.rate = statement_of(now, sample_of(now, upstream, said)).rate;
+    return limit.record_own(now, rounded, state.recent_sends.total(now));
 }
 
 std::size_t upstream_selector::limited_upstreams() const
