relay: any answer that is passed on can state a rate limit

Answers without a signature that reach the caller, as an error may have none, stated no limit, while the rule that upstreams rely on counts every answer that was passed on. Such an answer can set a limit now; only a signed one, or a refusal that names the request, can end one.

--- a/lib/relay/relay_answer.cpp
+++ b/lib/relay/relay_answer.cpp
@@ -127,12 +127,12 @@
 {
     const auto& head = attempt->head;
     const auto& names = context_.dialect;
-    // The upstream's refusals need no signature. A misdirected request was
-    // answered by another upstream.
+    // Only the upstream itself can end a limit; its refusals need no signature.
+    // A misdirected request was answered by another upstream.
     const bool is_from_upstream =
         !http::field_value(head, names.signature).empty() ||
         (reports_not_run(attempt) && names_request(attempt));
-    if (!is_from_upstream || head.result_int() == status_misdirected)
+    if (head.result_int() == status_misdirected)
         return;
     const auto stated = head.equal_range(http::beast_view(names.rate_limit));
     const bool has_field = stated.first != stated.second;
@@ -141,7 +141,7 @@
         if (const auto value =
                 names.parse_rate_limit(http::std_view(field->value())))
             rate = std::min(*value, rate.value_or(*value));
-    if (has_field && !rate)
+    if (!rate && (has_field || !is_from_upstream))
         return;
     const auto now = net::boot_now();
     const auto change = context_.selector.record_rate_limit(
