dispatch: an upstream that is listed again keeps what it announced

The limit was dropped with the state, or the state kept without the list of limited upstreams. A leave was forgotten in the same way. Announcements are kept for 60 s after the directory lists the upstream no more, and the list follows the state. rate_limit.an_upstream_that_is_listed_again_keeps_its_limit: 100 requests in a second where 11 are allowed before.

--- a/include/baobabloft/dispatch/upstream_announcements.hpp
+++ b/include/baobabloft/dispatch/upstream_announcements.hpp
@@ -30,6 +30,9 @@
     [[nodiscard]] const upstream_rate_limit*
     known_limit(std::uint64_t lifetime) const;
 
+    /// Returns true if nothing was announced.
+    [[nodiscard]] bool is_empty() const;
+
 private:
     std::optional<std::uint64_t> leaving_lifetime_;
     time_point paused_until_;
--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -203,8 +203,8 @@
     void apply_summary(time_point now, const traffic_summary& summary);
 
     /// Drops the state of upstreams that are no longer in the directory, once
-    /// their requests have ended.
-    void erase_removed_upstreams();
+    /// their requests have ended and what they announced is old.
+    void erase_removed_upstreams(time_point now);
 
     void set_cold_start_limit(const cold_start_limit& limit);
 
@@ -230,6 +230,8 @@
         /// End of the current pause.
         time_point avoid_until;
         upstream_announcements announced;
+        /// Since when the directory does not list the upstream.
+        std::optional<time_point> removed_at;
         /// Length of the last pause; zero after a success.
         duration backoff{0};
         /// Requests sent, counted against the cold-start limit.
--- a/lib/dispatch/upstream_announcements.cpp
+++ b/lib/dispatch/upstream_announcements.cpp
@@ -38,6 +38,12 @@
     return paused_until_;
 }
 
+bool upstream_announcements::is_empty() const
+{
+    return !leaving_lifetime_ && paused_until_ == time_point{} &&
+           !rate_limit_.rate();
+}
+
 upstream_rate_limit& upstream_announcements::rate_limit(std::uint64_t lifetime)
 {
     if (std::exchange(rate_limit_lifetime_, lifetime) != lifetime)
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -83,6 +83,10 @@
 /// before one is sent to a second upstream.
 constexpr double min_share_with_room = 0.75;
 
+/// Time for which the announcements of an upstream are kept that the directory
+/// lists no more: its entry may only have expired.
+constexpr duration announcement_lifetime = 60s;
+
 /// Share of the cold-start limit that all routers use together.
 constexpr double cold_used_share = 0.6;
 /// Requests per second that each router may send to a cold upstream where only
@@ -994,18 +998,20 @@
 
 void upstream_selector::expire_limits(time_point now)
 {
-    std::erase_if(limited_,
-                  [&](const auto& item)
-                  {
-                      const auto known =
-                          directory_.upstreams().find(item.second);
-                      const auto state = states_.find(item.second);
-                      return known == directory_.upstreams().end() ||
-                             state == states_.end() ||
-                             state->second.announced
-                                 .rate_limit(known->second.record.started_ms)
-                                 .is_over(now);
-                  });
+    std::erase_if(
+        limited_,
+        [&](const auto& item)
+        {
+            const auto known = directory_.upstreams().find(item.second);
+            const auto state = states_.find(item.second);
+            if (state == states_.end())
+                return true;
+            auto& announced = state->second.announced;
+            // An upstream that is not listed may be listed again.
+            return known != directory_.upstreams().end() &&
+                   announced.rate_limit(known->second.record.started_ms)
+                       .is_over(now);
+        });
 }
 
 template <typename Getter>
@@ -1134,13 +1140,20 @@
     back_off(now, states_[id], unreachable_pause, max_unreachable_pause);
 }
 
-void upstream_selector::erase_removed_upstreams()
+void upstream_selector::erase_removed_upstreams(time_point now)
 {
+    for (auto& [id, state] : states_)
+        if (directory_.upstreams().contains(id))
+            state.removed_at.reset();
+        else if (!state.removed_at)
+            state.removed_at = now;
     std::erase_if(states_,
-                  [this](const auto& item)
+                  [now](const auto& item)
                   {
-                      return item.second.in_progress == 0 &&
-                             !directory_.upstreams().contains(item.first);
+                      const auto& state = item.second;
+                      return state.removed_at && state.in_progress == 0 &&
+                             (state.announced.is_empty() ||
+                              now - *state.removed_at > announcement_lifetime);
                   });
 }
 
--- a/lib/relay/relay.cpp
+++ b/lib/relay/relay.cpp
@@ -313,7 +313,7 @@
     if (state.change_count() != pruned_change_count_)
     {
         pruned_change_count_ = state.change_count();
-        context_.selector.erase_removed_upstreams();
+        context_.selector.erase_removed_upstreams(now);
     }
     record_readiness();
     record_store_availability(now);
--- a/unittests/dispatch/rate_limit_test.cpp
+++ b/unittests/dispatch/rate_limit_test.cpp
@@ -432,6 +432,54 @@
                  .min_used = 0.3},
         scenario{.name = "never ends", .limits = {{6s, 4.5}, {40s, -1}}}));
 
+// Guards against a limit that is forgotten, or never ends, since the upstream's
+// entry was missing for a moment.
+TEST(rate_limit, an_upstream_that_is_listed_again_keeps_its_limit)
+{
+    for (const bool is_busy : {false, true})
+    {
+        directory::directory_state state{codec};
+        const std::string id = "up/a/0";
+        std::uint64_t revision = 0;
+        const auto list = [&](time_point now, bool removed)
+        {
+            state.apply(now, {id, "", ++revision, removed}, {});
+        };
+        list(start, false);
+        upstream_selector selector{state,
+                                   {.data_centre = "a",
+                                    .router = "router/a/0",
+                                    .started = start - 60s},
+                                   [](const auto&, const auto&)
+                                   {
+                                       return true;
+                                   }};
+        const auto sent_in_1s = [&](time_point now)
+        {
+            int sent = 0;
+            for (auto at = now; at < now + 1s; at += 10ms)
+                if (selector.choose(at, {.service = &service}).upstream)
+                {
+                    ++sent;
+                    selector.record_sent(at, id);
+                    selector.record_ended(id);
+                }
+            return sent;
+        };
+        selector.record_rate_limit(start, id, {4.0, start});
+        if (is_busy)
+            selector.record_sent(start, id);
+        list(start + 100ms, true);
+        selector.erase_removed_upstreams(start + 100ms);
+        (void)selector.take_traffic_report(start + 200ms);
+        list(start + 1s, false);
+        selector.erase_removed_upstreams(start + 1s);
+        EXPECT_LE(sent_in_1s(start + 1s), 1.5 * 4 + 5);
+        selector.record_rate_limit(start + 3s, id, {std::nullopt, start + 3s});
+        EXPECT_EQ(sent_in_1s(start + 3s), 100);
+    }
+}
+
 // Guards against a router that sends nothing for minutes after a limit rises,
 // since it tested the limit before.
 TEST(rate_limit, tests_of_a_limit_leave_no_lasting_debt)
