dispatch: requests stay with their prefix where limited upstreams lower the mean

Callers waited longer and prompts were read again: limited upstreams have little load and lower the mean, so that all others were above the load limit. A request then went to the least loaded one, whichever had its prefix.

If no upstream is below the limit, a request now stays with its preferred upstream up to a limit from the mean of those that limit nothing. Without limited upstreams nothing changes: that limit is then the lower one.

--- a/include/baobabloft/dispatch/upstream_selector.hpp
+++ b/include/baobabloft/dispatch/upstream_selector.hpp
@@ -289,6 +289,8 @@
         /// Counts only upstreams that have reported a load. Until all have, the
         /// other means are too low, since they count the others as idle.
         double of_reported = 0;
+        /// Counts only usable upstreams that do not limit their request rate.
+        double of_unlimited = 0;
     };
 
     static constexpr std::array eligibility_names{
--- a/lib/dispatch/upstream_selector.cpp
+++ b/lib/dispatch/upstream_selector.cpp
@@ -229,6 +229,8 @@
                 std::ranges::binary_search(divided_among, item.id_hash));
     };
     double sum = 0;
+    double unlimited_sum = 0;
+    std::size_t unlimited = 0;
     double other_versions_sum = 0;
     double reported_sum = 0;
     std::size_t listed = 0;
@@ -252,6 +254,11 @@
         result.push_back({&item, &state, estimated_load(now, state)});
         const double load = result.back().load;
         sum += load;
+        if (state.announced.known_limit(item.record.started_ms) == nullptr)
+        {
+            unlimited_sum += load;
+            ++unlimited;
+        }
         if (state.reported_at)
         {
             reported_sum += load;
@@ -264,7 +271,10 @@
                      (sum + other_versions_sum) / static_cast<double>(listed),
                  .of_reported =
                      reported_sum /
-                     static_cast<double>(std::max<std::size_t>(reported, 1))};
+                     static_cast<double>(std::max<std::size_t>(reported, 1)),
+                 .of_unlimited =
+                     unlimited_sum /
+                     static_cast<double>(std::max<std::size_t>(unlimited, 1))};
     return result;
 }
 
@@ -529,7 +539,12 @@
     if (report != nullptr && query.affinity)
         report->load_limit = limit;
 
+    // Above the limit, but below one from the mean of those that can carry
+    // their share.
+    const double unlimited_limit =
+        load_multiple * means.of_unlimited + usable_slack;
     std::vector<const candidate*> eligible;
+    std::vector<const candidate*> within_share;
     const candidate* over_limit = nullptr;
     const candidate* cold = nullptr;
     const candidate* failing = nullptr;
@@ -551,8 +566,10 @@
         any_not_excluded = any_not_excluded || status != eligibility::excluded;
         if (status == eligibility::eligible)
             eligible.push_back(&item);
-        else if (status == eligibility::over_limit &&
-                 (over_limit == nullptr || item.load < over_limit->load))
+        if (status == eligibility::over_limit && item.load <= unlimited_limit)
+            within_share.push_back(&item);
+        if (status == eligibility::over_limit &&
+            (over_limit == nullptr || item.load < over_limit->load))
             over_limit = &item;
         else if (status == eligibility::cold && cold == nullptr)
             cold = &item;
@@ -571,6 +588,8 @@
             find_prefix_source(now, *query.affinity, *item.upstream);
         return result;
     };
+    if (eligible.empty())
+        eligible = std::move(within_share);
     if (!eligible.empty())
     {
         bool is_preferred = eligible.front() == &candidates.front();
--- a/unittests/dispatch/rate_limit_test.cpp
+++ b/unittests/dispatch/rate_limit_test.cpp
@@ -1,6 +1,7 @@
 // Models of a fleet whose upstreams state limits on their request rates, in
 // virtual time: the rule that users rely on, and how much of a limit is used.
 #include "baobabloft/dispatch/upstream_selector.hpp"
+#include "baobabloft/support/hash.hpp"
 
 #include <gtest/gtest.h>
 
@@ -480,6 +481,43 @@
     }
 }
 
+// Guards against requests that leave the upstream that has their prefix, since
+// the others' limits lower the mean load.
+TEST(rate_limit, limited_upstreams_do_not_lower_the_load_limit)
+{
+    directory::directory_state state{codec};
+    std::uint64_t revision = 0;
+    const auto id = [](int index)
+    {
+        return "up/a/" + std::to_string(index);
+    };
+    for (int index = 0; index < 9; ++index)
+        state.apply(start, {id(index), "", ++revision, false}, {});
+    upstream_selector selector{
+        state,
+        {.data_centre = "a", .router = "router/a/0", .started = start - 60s},
+        [](const auto&, const auto&)
+        {
+            return true;
+        }};
+    for (int index = 0; index < 9; ++index)
+    {
+        const bool is_limited = index < 6;
+        selector.record_load(start, id(index),
+                             {.running = is_limited ? 0U : 12U});
+        if (is_limited)
+            selector.record_rate_limit(start, id(index), {0.0, start});
+    }
+    for (std::uint64_t affinity = 1; affinity < 50; ++affinity)
+    {
+        const auto chosen =
+            selector.choose(start, {.service = &service,
+                                    .affinity = hash_combine(affinity, 7)});
+        EXPECT_NE(chosen.reason, choice::last_resort);
+        EXPECT_GE(chosen.upstream->record.id, id(6));
+    }
+}
+
 // Guards against a router that sends nothing for minutes after a limit rises,
 // since it tested the limit before.
 TEST(rate_limit, tests_of_a_limit_leave_no_lasting_debt)
