--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # without dependencies, so that nothing has to be compiled.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib-2/*.py {6..10}/*.py; do
+for file in *_2.py {6..10}/*.py; do
     [ -e "$file" ] || continue
     python3 - "$file" <<'END'
 import ast, pathlib, sys
