--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,9 +7,10 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib-2"))
-import standins  # noqa: E402
+sys.path.insert(0, str(HERE.parent))
+import standins_2 as standins  # noqa: E402
 
+RECORD = HERE / "record.txt"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVERS = 153
 LEAVING = 38  # a quarter
@@ -37,7 +38,7 @@
 
 
 async def main():
-    record = standins.Record(HERE)
+    record = standins.Record(RECORD)
     store = standins.Store()
     await store.serve("127.0.0.1")
     random.seed(1)
