--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,11 +1,13 @@
 #!/usr/bin/env bash
-# The stand-ins of the cases from 11 on are Python programs without a build; this
-# checks that they can be started.
+# Builds baobabctl, with which two cases activate a preset, into the folder of the
+# deploy file's build. The stand-ins are Python programs without a build; this checks
+# that they can be started. Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - common-3/standins.py 1[1-5]/case.py <<'PYTHON'
+cmake --build ../target -j4 --target baobabctl
+python3 - common-3/*.py 1[1-5]/case.py 2/standins.py 2/own_interface.py <<'PYTHON'
 import ast
 import sys
 for path in sys.argv[1:]:
-    ast.parse(open(path).read(), path)
+    ast.parse(open(path, encoding="utf-8").read(), path)
 PYTHON
