--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cmake --build ../target -j4 --target baobabctl
-python3 - common-3/*.py 1[1-5]/case.py 2/standins.py 2/own_interface.py <<'PYTHON'
+python3 - *_3.py 1[1-5]/case.py <<'PYTHON'
 import ast
 import sys
 for path in sys.argv[1:]:
--- a/review/common-3/own_fleet.py
+++ b/review/own_fleet_3.py
@@ -2,18 +2,16 @@
 file, and stand-ins for what stands around them."""
 import asyncio
 import contextlib
-import importlib.util
 import json
 import os
 import pathlib
-import sys
 import time
 import uuid
 
-import standins
-from standins import ROOT, free_ports, read_body, read_head
+import standins_3
+from kv_service_3 import KeyValueService
+from standins_3 import ROOT, free_ports, read_body, read_head, start_process
 
-REVIEW = pathlib.Path(__file__).resolve().parents[1]
 DATA_CENTRES = ["fyn-a", "fyn-b", "fyn-c"]
 
 
@@ -57,23 +55,6 @@
     return str(uuid.UUID(int=value & ~(0x3 << 62) | (0x2 << 62)))
 
 
-def start_kv(port):
-    """Starts the KV service's stand-in of the first review."""
-    def load(name):
-        spec = importlib.util.spec_from_file_location(
-            name, REVIEW / "2" / f"{name}.py")
-        module = importlib.util.module_from_spec(spec)
-        spec.loader.exec_module(module)
-        return module
-
-    own = sys.modules["standins"]
-    try:
-        sys.modules["standins"] = load("standins")
-        return load("own_interface").KeyValueService(port)
-    finally:
-        sys.modules["standins"] = own
-
-
 @contextlib.asynccontextmanager
 async def own_fleet(tmp, engines, services):
     """Starts three routers with the example preset; `engines` and `services` are
@@ -83,7 +64,7 @@
         2 + 2 * count + len(engines) + len(services))
     front, control, ports = (ports[:count], ports[count:2 * count],
                              ports[2 * count:])
-    start_kv(kv_port)
+    KeyValueService(kv_port)
 
     async def list_no_hosts(_line, _fields, _body, writer):
         respond(writer, {"hosts": []})
@@ -111,15 +92,15 @@
             f"kv-url=http://127.0.0.1:{kv_port}\n"
             f"host-list-url=http://127.0.0.1:{hosts_port}/hosts\n"
             f"peers={peers}\nfleet-secrets=a-secret-for-the-review\n"
-            f"shutdown-timeout={standins.BOUNDS['graceS']}\n")
+            f"shutdown-timeout={standins_3.BOUNDS['graceS']}\n")
         log = open(pathlib.Path(tmp) / f"router-{index}.log", "ab")
-        processes.append(await asyncio.create_subprocess_exec(
-            str(standins.BINARY), "--settings-file", str(settings), cwd=ROOT,
+        processes.append(await start_process(
+            str(standins_3.BINARY), "--settings-file", str(settings),
             stdout=log, stderr=log,
             env={"PATH": os.environ["PATH"], "HOME": "/tmp",
                  "GSETTINGS_BACKEND": "memory"}))
     try:
-        tool = await asyncio.create_subprocess_exec(
+        tool = await start_process(
             str(ROOT / "target/tools/baobabctl/baobabctl"), "--kv-url",
             f"http://127.0.0.1:{kv_port}", "--router",
             ",".join(f"http://127.0.0.1:{port}" for port in front),
--- a/review/common-3/standins.py
+++ b/review/standins_3.py
@@ -14,8 +14,8 @@
 import time
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-BINARY = pathlib.Path(os.environ.get("BAOBABD", ROOT / "target/tools/baobabd/baobabd"))
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+BINARY = ROOT / "target/tools/baobabd/baobabd"
 TEMPLATE = ROOT / "deploy/settings.template"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -29,20 +29,37 @@
           "againS": 10, "capX": 2}
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
           "headerTimeoutMs": 5000, "idleTimeoutMs": 10000}
-MEMORY_MB = 260
 
 START = time.monotonic()
+#: Processes that this script has started.
+started = []
 
 
 def now():
     return time.monotonic() - START
 
 
+async def start_process(*command, **options):
+    process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, **options)
+    started.append(process)
+    return process
+
+
+def end_processes():
+    """Kills what still runs of the processes that this script has started."""
+    for process in started:
+        if process.returncode is None:
+            try:
+                os.kill(process.pid, signal.SIGKILL)
+            except ProcessLookupError:
+                pass
+
+
 class Record:
-    """Writes record.txt: one line for each thing sent, answered or run."""
+    """Writes one line for each thing sent, answered or run."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
 
     def line(self, *words):
         self.file.write(f"{now():9.3f} " + " ".join(map(str, words)) + "\n")
@@ -396,8 +413,8 @@
     async def start(self):
         self.starts += 1
         self.log_file = open(self.log, "ab")
-        self.process = await asyncio.create_subprocess_exec(
-            str(BINARY), "--settings-file", str(self.settings), cwd=ROOT,
+        self.process = await start_process(
+            str(BINARY), "--settings-file", str(self.settings),
             stdout=self.log_file, stderr=self.log_file,
             env={"PATH": os.environ["PATH"], "GSETTINGS_BACKEND": "memory"})
 
@@ -503,23 +520,32 @@
     return f"{os.getpid():x}{next(ids):08x}"
 
 
-def main(folder, case):
+def end_on_signal(_number, _frame):
+    raise SystemExit(2)
+
+
+def main(record_path, case):
     """Runs `case(record, tmp)` and exits with its result."""
     if not BINARY.exists():
         print("build first: the deploy file's build")
         sys.exit(2)
-    record = Record(folder)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_on_signal)
+    record = Record(record_path)
+    result = 2
     with tempfile.TemporaryDirectory() as tmp:
         loop = asyncio.new_event_loop()
         try:
             result = loop.run_until_complete(
-                asyncio.wait_for(case(record, tmp), 115))
+                asyncio.wait_for(case(record, tmp), 110))
         except Exception as error:  # the case could not run
             record.line("error", repr(error))
             print("could not run:", repr(error))
-            result = 2
-        if os.environ.get("KEEP_LOGS"):
-            os.system(f"cp {tmp}/*.log {os.environ['KEEP_LOGS']}/")
+        except SystemExit:
+            record.line("ended by a signal")
+        finally:
+            end_processes()
         record.file.close()
+        sys.stdout.flush()
     # Tasks of the stand-ins may still wait; they end with the process.
     os._exit(result)
